Add the sidecar: the module on real sockets

Cause: the module had only the simulator's adapter, nothing ran on sockets. Checked: http.ClientConn writes a request to its one connection and never resends (RoundTrip goes straight to persistConn.roundTrip); httptrace's WroteRequest fires before the last flush, so the connection's own writes are watched beside it.

--- /dev/null
+++ b/internal/sidecar/server.go
@@ -0,0 +1,220 @@
+package sidecar
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"granitehinge/balancer"
+)
+
+// clientRequest is a request that was taken from the client and checked.
+type clientRequest struct {
+	id, class, tenant string
+	expires           time.Duration // clock time at which the client stops waiting
+	hint              time.Duration // expected work; 0: unknown
+
+	method, target, host string
+	header               http.Header // what goes on to an upstream
+	body                 []byte
+
+	answer chan answer // holds the final answer
+}
+
+const (
+	headerID      = "X-Request-Id"
+	headerClass   = "X-Priority-Class"
+	headerTenant  = "X-Tenant-Id"
+	headerTimeout = "X-Timeout"
+	headerCost    = "X-Cost"
+	headerKey     = "Idempotency-Key"
+
+	writePatience = 5 * time.Second // for a client to take its answer
+)
+
+// hopByHop headers belong to one connection and do not go on.
+var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
+	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect"}
+
+// server takes the client's requests and gives the answers.
+type server struct {
+	clock    clock
+	classes  map[string]balancer.Class
+	post     func(any) bool
+	stop     <-chan struct{}
+	ready    func() bool
+	stopping atomic.Bool // connections are to end with their next answer
+}
+
+// refusal is a request that is answered without the module: it is malformed.
+type rejection struct {
+	status int
+	text   string
+}
+
+func (r *rejection) Error() string { return r.text }
+
+func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if strings.HasPrefix(r.URL.Path, "/-/") {
+		s.own(w, r)
+		return
+	}
+	req, err := s.read(w, r)
+	if err != nil {
+		var bad *rejection
+		if !errors.As(err, &bad) {
+			panic(http.ErrAbortHandler) // the client broke off in the middle of its request
+		}
+		s.write(w, bad.status, "text/plain; charset=utf-8", []byte(bad.text+"\n"))
+		return
+	}
+	if !s.post(arrival{req}) {
+		s.write(w, http.StatusInternalServerError, "", nil)
+		return
+	}
+	select {
+	case a := <-req.answer:
+		s.finish(w, a)
+	case <-r.Context().Done():
+		s.post(gone{req})
+		panic(http.ErrAbortHandler) // no answer: returning would send an empty 200
+	case <-s.stop:
+		s.write(w, http.StatusInternalServerError, "", nil)
+	}
+}
+
+// own serves the sidecar's own pages.
+func (s *server) own(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path != "/-/ready":
+		s.write(w, http.StatusNotFound, "text/plain; charset=utf-8", []byte("no such page\n"))
+	case s.stopping.Load() || !s.ready():
+		s.write(w, http.StatusServiceUnavailable, "text/plain; charset=utf-8", []byte("not ready\n"))
+	default:
+		s.write(w, http.StatusOK, "text/plain; charset=utf-8", []byte("ready\n"))
+	}
+}
+
+// finish words the final answer as the protocol says.
+func (s *server) finish(w http.ResponseWriter, a answer) {
+	switch a.kind {
+	case served:
+		s.write(w, http.StatusOK, a.reply.contentType, a.reply.body)
+	case refused:
+		if a.retryIn > 0 {
+			w.Header().Set("Retry-After", strconv.FormatFloat(a.retryIn.Seconds(), 'f', -1, 64))
+		}
+		s.write(w, http.StatusServiceUnavailable, "", nil)
+	case duplicate:
+		s.write(w, http.StatusConflict, "text/plain; charset=utf-8", []byte("a request of this id is in hand\n"))
+	default:
+		s.write(w, http.StatusBadGateway, "", nil)
+	}
+}
+
+func (s *server) write(w http.ResponseWriter, status int, contentType string, body []byte) {
+	// Deadlines can't fail on a server's own connections; should they, the write shows it.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writePatience))
+	if contentType != "" {
+		w.Header().Set("Content-Type", contentType)
+	} else {
+		w.Header()["Content-Type"] = nil // none is guessed
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	_, _ = w.Write(body) // a client that does not take its answer has gone
+}
+
+// read takes in a whole request and checks what the module and the upstreams rely on.
+func (s *server) read(w http.ResponseWriter, r *http.Request) (*clientRequest, error) {
+	reject := func(status int, format string, args ...any) (*clientRequest, error) {
+		return nil, &rejection{status, fmt.Sprintf(format, args...)}
+	}
+	if r.Method != http.MethodGet && r.Method != http.MethodPost {
+		return reject(http.StatusMethodNotAllowed, "method %s is not served", r.Method)
+	}
+	if !strings.HasPrefix(r.RequestURI, "/") || strings.HasPrefix(r.RequestURI, "//") {
+		return reject(http.StatusBadRequest, "the request target is not a path")
+	}
+	if len(r.Header[headerID]) != 1 || r.Header.Get(headerID) == "" {
+		return reject(http.StatusBadRequest, "one X-Request-ID is needed")
+	}
+	name := r.Header.Get(headerClass)
+	if name == "" {
+		name, _, _ = strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	}
+	class, known := s.classes[name]
+	if !known {
+		return reject(http.StatusNotFound, "unknown class %q", name)
+	}
+	if class.Effect == balancer.Keyed && r.Header.Get(headerKey) == "" {
+		return reject(http.StatusBadRequest, "class %s needs an Idempotency-Key", name)
+	}
+	timeout := class.Deadline
+	if text := r.Header.Get(headerTimeout); text != "" {
+		var err error
+		if timeout, err = parseTimeout(text); err != nil {
+			return reject(http.StatusBadRequest, "X-Timeout: %v", err)
+		}
+	}
+	var hint time.Duration
+	if text := r.Header.Get(headerCost); text != "" {
+		us, err := strconv.ParseFloat(text, 64)
+		if err != nil || !(us >= 0) || us > maxTimeout.Seconds()*1e6 {
+			return reject(http.StatusBadRequest, "X-Cost: %q is not a usable number of microseconds", text)
+		}
+		hint = time.Duration(us * float64(time.Microsecond))
+	}
+	if r.ContentLength > maxBody {
+		return reject(http.StatusRequestEntityTooLarge, "a body holds %d bytes at most", maxBody)
+	}
+	conn := http.NewResponseController(w)
+	_ = conn.SetReadDeadline(time.Now().Add(timeout)) // see write
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	_ = conn.SetReadDeadline(time.Time{})
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return reject(http.StatusRequestEntityTooLarge, "a body holds %d bytes at most", maxBody)
+	} else if err != nil {
+		return nil, fmt.Errorf("reading the body: %w", err)
+	}
+	header := r.Header.Clone()
+	for _, list := range r.Header["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		header.Del(name)
+	}
+	header.Del(headerTimeout)
+	return &clientRequest{id: r.Header.Get(headerID), class: name, tenant: r.Header.Get(headerTenant),
+		expires: s.clock.now() + timeout, hint: hint, method: r.Method, target: r.RequestURI, host: r.Host,
+		header: header, body: body, answer: make(chan answer, 1)}, nil
+}
+
+const maxTimeout = time.Hour
+
+// parseTimeout reads a number and a unit: m milliseconds or u microseconds.
+func parseTimeout(text string) (time.Duration, error) {
+	unit := time.Millisecond
+	number, ok := strings.CutSuffix(text, "m")
+	if !ok {
+		unit = time.Microsecond
+		number, ok = strings.CutSuffix(text, "u")
+	}
+	v, err := strconv.ParseFloat(number, 64)
+	if d := v * float64(unit); !ok || err != nil || math.IsNaN(v) || v < 0 || d > float64(maxTimeout) {
+		return 0, fmt.Errorf("%q is not a usable number with the unit m or u", text)
+	}
+	return time.Duration(v * float64(unit)), nil
+}
--- /dev/null
+++ b/internal/sidecar/sidecar.go
@@ -0,0 +1,97 @@
+// Package sidecar runs package balancer on real sockets: clients on one side, upstreams and discovery on the
+// other. It makes no decisions; what it adds is I/O within the configured limits.
+//
+// One goroutine owns the Balancer (loop.go). server.go takes clients' requests, clients.go bounds their
+// connections, upstream.go carries out attempts, discovery.go follows the list and directory.go keeps it.
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"net/http"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"granitehinge/balancer"
+)
+
+const (
+	ownSockets  = 32                     // descriptors that are neither a client's nor an upstream's
+	memoryPart  = 0.75                   // of the limit that the heap may use
+	acceptAfter = 500 * time.Millisecond // clients go on coming this long after SIGTERM
+	killAfter   = 3500 * time.Millisecond
+	readHeader  = 5 * time.Second
+	clientIdle  = 2 * time.Minute
+)
+
+// Run serves until ctx ends, then finishes what it has taken.
+func Run(ctx context.Context, c *Config) error {
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
+	debug.SetMemoryLimit(int64(c.Limits.MemoryMB * memoryPart * (1 << 20)))
+	listener, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return fmt.Errorf("listening: %w", err)
+	}
+	return serve(ctx, c, listener)
+}
+
+func serve(ctx context.Context, c *Config, listener net.Listener) error {
+	defer listener.Close()
+	b, err := balancer.New(c.Settings.Settings, c.Seed)
+	if err != nil {
+		return err
+	}
+	clk := newClock()
+	running, stop := context.WithCancel(context.Background())
+	defer stop()
+	connections := (c.Limits.Sockets - ownSockets) / 2
+	up := newUpstreams(c, clk, connections)
+	l := newLoop(b, clk, running.Done())
+	w := newWatcher(c, up.dir, l.postList)
+	l.send, l.ask = up.attempt, w.ask
+	known := balancer.Members{}
+	if c.Known != nil {
+		known = up.dir.apply(c.Known)
+	}
+	known.Kind = balancer.Saved
+	go l.run(known)
+	go w.run(running, c.Settings.MustSubscribe)
+
+	s := &server{clock: clk, classes: map[string]balancer.Class{}, post: l.post, stop: running.Done(),
+		ready: func() bool { return l.started.Load() && !up.dir.empty() }}
+	for _, class := range c.Settings.Classes {
+		s.classes[class.Name] = class
+	}
+	conns := newClientConns(listener, connections)
+	srv := &http.Server{Handler: s, ReadHeaderTimeout: readHeader, IdleTimeout: clientIdle,
+		MaxHeaderBytes: maxHeader, DisableGeneralOptionsHandler: true, ConnState: conns.state}
+	ended := make(chan error, 1)
+	go func() { ended <- srv.Serve(conns) }()
+	select {
+	case err := <-ended:
+		return fmt.Errorf("serving: %w", err)
+	case <-ctx.Done():
+	}
+	return drain(srv, s, conns, l)
+}
+
+// drain goes on accepting while clients still come, answers everything that was taken, and ends before the
+// process is killed.
+func drain(srv *http.Server, s *server, conns *clientConns, l *loop) error {
+	begun := time.Now()
+	s.stopping.Store(true)
+	time.Sleep(acceptAfter)
+	last := time.AfterFunc(killAfter-time.Since(begun), func() { l.post(abort{}) })
+	defer last.Stop()
+	conns.closeQuiet()
+	ctx, cancel := context.WithTimeout(context.Background(), killAfter+100*time.Millisecond-time.Since(begun))
+	defer cancel()
+	if err := srv.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		return fmt.Errorf("shutting down: %w", err)
+	}
+	return nil
+}
--- a/internal/wire/env.go
+++ b/internal/wire/env.go
@@ -1,8 +1,29 @@
 package wire
 
-import "granitehinge/balancer"
+import (
+	"encoding/json"
+	"fmt"
+	"time"
 
-// env is the part of the start-up parameters that the module uses.
+	"granitehinge/balancer"
+)
+
+// Settings is what the start-up parameters tell: the module's part, and what only a real sidecar needs.
+type Settings struct {
+	balancer.Settings
+	ConnIdle time.Duration // upstreams close connections that are idle for this long
+}
+
+// DecodeSettings reads start-up parameters, the object that is Env on the wire.
+func DecodeSettings(raw []byte) (Settings, error) {
+	var e env
+	if err := json.Unmarshal(raw, &e); err != nil {
+		return Settings{}, fmt.Errorf("not start-up parameters: %w", err)
+	}
+	return Settings{Settings: e.settings(), ConnIdle: duration(e.Limits.ConnIdleMs)}, nil
+}
+
+// env is the part of the start-up parameters that is used.
 type env struct {
 	Balancers int
 	Classes   []struct {
@@ -15,6 +36,7 @@
 	Limits    struct {
 		Cancelling, Probes, RetryAfter, SecondCopies bool
 		ConnectTimeoutMs, MaxRetryAfterMs            float64
+		ConnIdleMs                                   float64
 		SendCap                                      int
 	}
 	OverShareWorth float64
