Answer malformed requests at once; tests for clients, discovery, loop and stop

Causes, each seen in a failing loopback test or read in the library's source: - a 4xx for a request whose body has not come waited for the body (net/http reads up to 256 KiB before it writes the header): rejections now end the connection. The test 'body too large' timed out at 20 s before and passes now. - a 101 answer has a body without end that outlives its context: it is an error at once. - idle connections of an upstream that restarted at the same address were kept: the pool now goes by address and start time. - answers to requests in hand at SIGTERM did not end their connections; quiet connections are now closed 150 ms before the listener, so that a request that crosses can come again.

--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -56,12 +56,12 @@
 	return c.Listener.Close()
 }
 
-// closeQuiet closes all connections that carry no request.
-func (c *clientConns) closeQuiet() {
+// closeQuiet closes all connections that have carried no request for that long.
+func (c *clientConns) closeQuiet(least time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn, since := range c.quiet {
-		if !since.IsZero() {
+		if !since.IsZero() && time.Since(since) >= least {
 			conn.Close()
 		}
 	}
--- a/internal/sidecar/directory.go
+++ b/internal/sidecar/directory.go
@@ -78,12 +78,18 @@
 	clock  clock
 	onDrop func(name string) // an upstream's connections are no longer wanted
 
-	mu    sync.RWMutex
-	ready map[string]string // addresses of the upstreams that want requests, by name
+	mu     sync.RWMutex
+	places map[string]place // of the upstreams that want requests, by name
+}
+
+// place tells the processes of an upstream apart: connections to an earlier one are worth nothing.
+type place struct {
+	address string
+	sinceMs float64
 }
 
 func newDirectory(c clock, onDrop func(string)) *directory {
-	return &directory{clock: c, onDrop: onDrop, ready: map[string]string{}}
+	return &directory{clock: c, onDrop: onDrop, places: map[string]place{}}
 }
 
 // apply takes in a message and translates it for the module.
@@ -91,31 +97,31 @@
 	m := balancer.Members{Kind: balancer.Change, Entries: make([]balancer.Member, 0, len(l.Endpoints))}
 	d.mu.Lock()
 	var dropped []string
-	left := map[string]string{}
+	before := map[string]place{}
 	if l.Snapshot {
 		m.Kind = balancer.Full
-		left, d.ready = d.ready, map[string]string{}
+		before, d.places = d.places, map[string]place{}
 	}
 	for _, e := range l.Endpoints {
 		if !l.Snapshot {
-			left[e.Name] = d.ready[e.Name]
+			before[e.Name] = d.places[e.Name]
 		}
 		state := balancer.Left
 		switch e.Status {
 		case statusReady:
 			state = balancer.Active
-			d.ready[e.Name] = e.Address
+			d.places[e.Name] = place{e.Address, e.SinceMs}
 		case statusTerminating:
 			state = balancer.Leaving
-			delete(d.ready, e.Name)
+			delete(d.places, e.Name)
 		default:
-			delete(d.ready, e.Name)
+			delete(d.places, e.Name)
 		}
 		m.Entries = append(m.Entries, balancer.Member{Upstream: e.Name, Zone: e.Zone, Machine: e.Type,
 			Cell: e.Group, State: state, CameUp: d.clock.unixMs(e.SinceMs)})
 	}
-	for name, address := range left {
-		if d.ready[name] != address {
+	for name, at := range before {
+		if d.places[name] != at {
 			dropped = append(dropped, name)
 		}
 	}
@@ -126,16 +132,22 @@
 	return m
 }
 
-// address is where an upstream takes requests now; none while it drains or is gone.
-func (d *directory) address(name string) (string, bool) {
+// place is where an upstream takes requests now; nowhere while it drains or is gone.
+func (d *directory) place(name string) (place, bool) {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	a, ok := d.ready[name]
-	return a, ok
+	at, ok := d.places[name]
+	return at, ok
+}
+
+// ready tells whether an upstream takes requests, and still does so at that place.
+func (d *directory) ready(name string, at place) bool {
+	now, ok := d.place(name)
+	return ok && now == at
 }
 
 func (d *directory) empty() bool {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	return len(d.ready) == 0
+	return len(d.places) == 0
 }
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -29,19 +29,22 @@
 	dir     *directory
 	client  *http.Client
 	index   int64
+	silence time.Duration // after this without a line a watch is dead
 	report  func(balancer.Members)
 	asked   chan struct{} // holds one: the module asked for a watch
 }
 
 func newWatcher(c *Config, dir *directory, report func(balancer.Members)) *watcher {
-	w := &watcher{address: c.Discovery, dir: dir, report: report, asked: make(chan struct{}, 1)}
+	w := &watcher{address: c.Discovery, dir: dir, silence: watchSilence, report: report,
+		asked: make(chan struct{}, 1)}
 	if c.Known != nil {
 		w.index = *c.Known.Index
 	}
 	w.client = &http.Client{Transport: &http.Transport{
-		DialContext:        (&net.Dialer{Timeout: c.Settings.ConnectTimeout}).DialContext,
-		DisableKeepAlives:  true,
-		DisableCompression: true,
+		DialContext:            (&net.Dialer{Timeout: c.Settings.ConnectTimeout}).DialContext,
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeader,
 	}}
 	return w
 }
@@ -91,6 +94,11 @@
 func (w *watcher) watch(ctx context.Context) (told bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	defer func() {
+		if cause := context.Cause(ctx); cause != nil {
+			err = cause // says more than that the connection was closed
+		}
+	}()
 	// A dead network is silent, so whatever is waited for has a limit.
 	silence := time.AfterFunc(answerPatience, func() { cancel(errors.New("discovery is silent")) })
 	defer silence.Stop()
@@ -101,7 +109,7 @@
 	}
 	resp, err := w.client.Do(req)
 	if err != nil {
-		return false, errors.Join(err, context.Cause(ctx))
+		return false, err
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
@@ -110,7 +118,7 @@
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(make([]byte, 0, 4096), maxLine)
 	for lines.Scan() {
-		silence.Reset(watchSilence)
+		silence.Reset(w.silence)
 		line := bytes.TrimSpace(lines.Bytes())
 		if len(line) == 0 {
 			continue
@@ -124,7 +132,7 @@
 		told = true
 	}
 	if err := lines.Err(); err != nil {
-		return told, errors.Join(err, context.Cause(ctx))
+		return told, err
 	}
 	return told, errors.New("discovery ended it")
 }
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"math"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -52,28 +53,20 @@
 	stopping atomic.Bool // connections are to end with their next answer
 }
 
-// refusal is a request that is answered without the module: it is malformed.
+// rejection answers a malformed request, without the module.
 type rejection struct {
 	status int
 	text   string
 }
 
-func (r *rejection) Error() string { return r.text }
-
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if s.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	if strings.HasPrefix(r.URL.Path, "/-/") {
 		s.own(w, r)
 		return
 	}
-	req, err := s.read(w, r)
-	if err != nil {
-		var bad *rejection
-		if !errors.As(err, &bad) {
-			panic(http.ErrAbortHandler) // the client broke off in the middle of its request
-		}
+	req, bad := s.read(w, r)
+	if bad != nil {
+		w.Header().Set("Connection", "close") // else the library first waits for the rest of the body
 		s.write(w, bad.status, "text/plain; charset=utf-8", []byte(bad.text+"\n"))
 		return
 	}
@@ -124,6 +117,9 @@
 func (s *server) write(w http.ResponseWriter, status int, contentType string, body []byte) {
 	// Deadlines can't fail on a server's own connections; should they, the write shows it.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writePatience))
+	if s.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	if contentType != "" {
 		w.Header().Set("Content-Type", contentType)
 	} else {
@@ -135,8 +131,8 @@
 }
 
 // read takes in a whole request and checks what the module and the upstreams rely on.
-func (s *server) read(w http.ResponseWriter, r *http.Request) (*clientRequest, error) {
-	reject := func(status int, format string, args ...any) (*clientRequest, error) {
+func (s *server) read(w http.ResponseWriter, r *http.Request) (*clientRequest, *rejection) {
+	reject := func(status int, format string, args ...any) (*clientRequest, *rejection) {
 		return nil, &rejection{status, fmt.Sprintf(format, args...)}
 	}
 	if r.Method != http.MethodGet && r.Method != http.MethodPost {
@@ -178,14 +174,18 @@
 		return reject(http.StatusRequestEntityTooLarge, "a body holds %d bytes at most", maxBody)
 	}
 	conn := http.NewResponseController(w)
-	_ = conn.SetReadDeadline(time.Now().Add(timeout)) // see write
+	_ = conn.SetReadDeadline(time.Now().Add(timeout))  // see write
+	_ = conn.SetWriteDeadline(time.Now().Add(timeout)) // reading may first write 100 Continue
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	_ = conn.SetReadDeadline(time.Time{})
 	var large *http.MaxBytesError
-	if errors.As(err, &large) {
+	switch {
+	case errors.As(err, &large):
 		return reject(http.StatusRequestEntityTooLarge, "a body holds %d bytes at most", maxBody)
-	} else if err != nil {
-		return nil, fmt.Errorf("reading the body: %w", err)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return reject(http.StatusRequestTimeout, "the body did not come in time")
+	case err != nil:
+		return reject(http.StatusBadRequest, "reading the body: %v", err)
 	}
 	header := r.Header.Clone()
 	for _, list := range r.Header["Connection"] {
--- /dev/null
+++ b/internal/sidecar/server_test.go
@@ -0,0 +1,278 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"granitehinge/balancer"
+)
+
+// Guards against answers that no upstream made, and refusals without the advice when to come back.
+func TestServedUnchanged(t *testing.T) {
+	body := "\x00\xff answer\r\n"
+	s := newUpstream(t, says("HTTP/1.1 200 OK\r\nContent-Type: application/x-seat\r\nContent-Length: 11\r\n\r\n"+body))
+	r := start(t, testConfig(t, quiet(t).address, entry("s", s.address, "Ready")), "127.0.0.1:0")
+	for _, class := range []string{"search", "record", "confirm"} {
+		resp, text := r.do(t, request(t, r.address, class, ""))
+		if resp.StatusCode != 200 || text != body || resp.Header.Get("Content-Type") != "application/x-seat" {
+			t.Errorf("%s: %s %q", class, resp.Status, text)
+		}
+	}
+}
+
+// Guards against an unsafe request that runs twice, and against a refusal for one that may have run: it is
+// sent once, and its failure is told at once.
+func TestUnsafeThatMayHaveRunFailsAtOnce(t *testing.T) {
+	s := newUpstream(t, func(net.Conn, got) bool { return false })
+	r := start(t, testConfig(t, quiet(t).address, entry("s", s.address, "Ready")), "127.0.0.1:0")
+	begun := time.Now()
+	resp, _ := r.do(t, request(t, r.address, "confirm", "seat 4"))
+	if resp.StatusCode != http.StatusBadGateway || resp.Header.Get("Retry-After") != "" {
+		t.Errorf("%s, Retry-After %q", resp.Status, resp.Header.Get("Retry-After"))
+	}
+	if took := time.Since(begun); took > 4*time.Second { // it might have been held for 9
+		t.Errorf("told after %v", took)
+	}
+	if n := len(s.requests()); n != 1 {
+		t.Errorf("sent %d times", n)
+	}
+}
+
+// Guards against failures where a refusal is safe: what was turned away never ran. The module's advice goes
+// to the client with its decimals.
+func TestRefusalCarriesRetryAfter(t *testing.T) {
+	s := newUpstream(t, says("HTTP/1.1 503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"))
+	r := start(t, testConfig(t, quiet(t).address, entry("s", s.address, "Ready")), "127.0.0.1:0")
+	resp, _ := r.do(t, request(t, r.address, "confirm", "seat 4"))
+	if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") != "1.5" {
+		t.Errorf("%s, Retry-After %q", resp.Status, resp.Header.Get("Retry-After"))
+	}
+	if n := len(s.requests()); n != 5 {
+		t.Errorf("sent %d times, SendCap is 5", n)
+	}
+}
+
+// Guards against the library's answers and panics for what clients may send wrongly. None may be taken for a
+// refusal, and none reaches an upstream.
+func TestMalformedRequests(t *testing.T) {
+	s := newUpstream(t, says(ok200("")))
+	r := start(t, testConfig(t, quiet(t).address, entry("s", s.address, "Ready")), "127.0.0.1:0")
+	const id = "X-Request-ID: 9b1f03aa5c7e2d41\r\n"
+	for name, c := range map[string]struct{ head, want string }{
+		"no id":            {"GET /search/1 HTTP/1.1\r\nHost: s\r\n", "400"},
+		"two ids":          {"GET /search/1 HTTP/1.1\r\nHost: s\r\n" + id + id, "400"},
+		"unknown class":    {"GET /nothing/1 HTTP/1.1\r\nHost: s\r\n" + id, "404"},
+		"unknown in head":  {"GET /search/1 HTTP/1.1\r\nHost: s\r\nX-Priority-Class: nothing\r\n" + id, "404"},
+		"method":           {"PUT /search/1 HTTP/1.1\r\nHost: s\r\nContent-Length: 0\r\n" + id, "405"},
+		"options":          {"OPTIONS * HTTP/1.1\r\nHost: s\r\n" + id, "405"},
+		"absolute target":  {"GET http://h/search/1 HTTP/1.1\r\nHost: s\r\n" + id, "400"},
+		"no key":           {"POST /record/1 HTTP/1.1\r\nHost: s\r\nContent-Length: 0\r\n" + id, "400"},
+		"time-out":         {"GET /search/1 HTTP/1.1\r\nHost: s\r\nX-Timeout: soon\r\n" + id, "400"},
+		"time-out's unit":  {"GET /search/1 HTTP/1.1\r\nHost: s\r\nX-Timeout: 480\r\n" + id, "400"},
+		"negative":         {"GET /search/1 HTTP/1.1\r\nHost: s\r\nX-Timeout: -480m\r\n" + id, "400"},
+		"no number":        {"GET /search/1 HTTP/1.1\r\nHost: s\r\nX-Timeout: NaNm\r\n" + id, "400"},
+		"cost":             {"GET /search/1 HTTP/1.1\r\nHost: s\r\nX-Cost: much\r\n" + id, "400"},
+		"body too large":   {"POST /confirm/1 HTTP/1.1\r\nHost: s\r\nContent-Length: 65537\r\n" + id, "413"},
+		"no end of chunks": {"POST /confirm/1 HTTP/1.1\r\nHost: s\r\nTransfer-Encoding: chunked\r\n" + id + "\r\nmany", "400"},
+		"body not sent":    {"POST /confirm/1 HTTP/1.1\r\nHost: s\r\nX-Timeout: 50m\r\nContent-Length: 9\r\n" + id, "408"},
+		"length":           {"POST /confirm/1 HTTP/1.1\r\nHost: s\r\nContent-Length: many\r\n" + id, "400"},
+		"no HTTP":          {"\x00\x01\x02\r\n", "400"},
+		"header too large": {"GET /search/1 HTTP/1.1\r\nHost: s\r\n" + id + "X: " + strings.Repeat("x", 2*maxHeader) + "\r\n", "431"},
+	} {
+		conn, err := net.Dial("tcp", r.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = conn.SetDeadline(time.Now().Add(patience))
+		_, _ = io.WriteString(conn, c.head+"\r\n")
+		line, err := bufio.NewReader(conn).ReadString('\n')
+		if err != nil || !strings.HasPrefix(line, "HTTP/1.1 "+c.want) {
+			t.Errorf("%s: %q, %v; want %s", name, line, err, c.want)
+		}
+		conn.Close()
+	}
+	large := strings.NewReader(strings.Repeat("x", maxBody+1)) // of unknown length, so sent in chunks
+	req := request(t, r.address, "confirm", "")
+	req.Body, req.ContentLength = io.NopCloser(large), -1
+	if resp, _ := r.do(t, req); resp.StatusCode != http.StatusRequestEntityTooLarge {
+		t.Errorf("chunked body too large: %s", resp.Status)
+	}
+	if n := len(s.requests()); n != 0 {
+		t.Errorf("%d of them reached the upstream", n)
+	}
+	if resp, _ := r.do(t, request(t, r.address, "search", "")); resp.StatusCode != 200 {
+		t.Errorf("afterwards: %s", resp.Status)
+	}
+}
+
+// Guards against two answers to one request, and against a second request of an id that waits for ever:
+// the module ignores it.
+func TestDuplicateID(t *testing.T) {
+	release := make(chan struct{})
+	s := newUpstream(t, func(c net.Conn, _ got) bool {
+		<-release
+		_, err := io.WriteString(c, ok200("once"))
+		return err == nil
+	})
+	r := start(t, testConfig(t, quiet(t).address, entry("s", s.address, "Ready")), "127.0.0.1:0")
+	first := request(t, r.address, "confirm", "")
+	end := make(chan string, 1)
+	go func() {
+		resp, err := r.client.Do(first)
+		if err != nil {
+			end <- err.Error()
+			return
+		}
+		defer resp.Body.Close()
+		body, _ := io.ReadAll(resp.Body)
+		end <- fmt.Sprint(resp.StatusCode, string(body))
+	}()
+	eventually(t, "request at the upstream", func() bool { return len(s.requests()) == 1 })
+	again := request(t, r.address, "confirm", "")
+	again.Header.Set("X-Request-ID", first.Header.Get("X-Request-ID"))
+	if resp, _ := r.do(t, again); resp.StatusCode != http.StatusConflict {
+		t.Errorf("the second: %s", resp.Status)
+	}
+	close(release)
+	if got := <-end; got != "200once" {
+		t.Errorf("the first: %s", got)
+	}
+	if n := len(s.requests()); n != 1 {
+		t.Errorf("sent %d times", n)
+	}
+}
+
+// Guards against work for clients that have left.
+func TestClientGone(t *testing.T) {
+	events := make(chan any, 2)
+	s := &server{clock: newClock(), classes: map[string]balancer.Class{"search": {Deadline: patience}},
+		post: func(e any) bool { events <- e; return true }}
+	srv := &http.Server{Handler: s, ReadHeaderTimeout: patience}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = srv.Serve(l) }()
+	defer srv.Close()
+	ctx, leave := context.WithCancel(t.Context())
+	req := request(t, l.Addr().String(), "search", "").WithContext(ctx)
+	go func() {
+		if resp, err := http.DefaultClient.Do(req); err == nil {
+			resp.Body.Close()
+		}
+	}()
+	come, ok := (<-events).(arrival)
+	if !ok {
+		t.Fatal("no arrival")
+	}
+	leave()
+	if left, ok := (<-events).(gone); !ok || left.request != come.request {
+		t.Error("the client left and nothing was reported")
+	}
+}
+
+// Guards against too many descriptors: at the limit a connection between requests gives way to a new one.
+func TestClientConnectionLimit(t *testing.T) {
+	s := newUpstream(t, says(ok200("")))
+	c := testConfig(t, quiet(t).address, entry("s", s.address, "Ready"))
+	c.Limits.Sockets = ownSockets + 2*3
+	r := start(t, c, "127.0.0.1:0")
+	var clients []*http.Client
+	for range 8 {
+		client := &http.Client{Timeout: patience, Transport: &http.Transport{}}
+		defer client.CloseIdleConnections()
+		resp, err := client.Do(request(t, r.address, "search", ""))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+		clients = append(clients, client)
+	}
+	if len(s.requests()) != len(clients) {
+		t.Errorf("%d of %d were served", len(s.requests()), len(clients))
+	}
+}
+
+// Guards against lost requests at a planned restart: after SIGTERM clients still come on new connections and
+// use old ones, and what was taken is finished. Then the address is free for the next process.
+func TestStopFinishesWhatWasTaken(t *testing.T) {
+	release := make(chan struct{})
+	s := newUpstream(t, func(c net.Conn, g got) bool {
+		if strings.HasPrefix(g.target, "/confirm") {
+			<-release
+		}
+		_, err := io.WriteString(c, ok200("done"))
+		return err == nil
+	})
+	d := quiet(t)
+	r := start(t, testConfig(t, d.address, entry("s", s.address, "Ready")), "127.0.0.1:0")
+	taken := make(chan string, 1)
+	go func() {
+		resp, err := r.client.Do(request(t, r.address, "confirm", ""))
+		if err != nil {
+			taken <- err.Error()
+			return
+		}
+		defer resp.Body.Close()
+		taken <- resp.Status
+	}()
+	eventually(t, "request at the upstream", func() bool { return len(s.requests()) == 1 })
+	r.stop()
+	fresh := &http.Client{Timeout: patience, Transport: &http.Transport{}}
+	eventually(t, "answers end their connections", func() bool {
+		resp, err := fresh.Do(request(t, r.address, "search", ""))
+		if err != nil {
+			t.Fatalf("a new connection after SIGTERM: %v", err)
+		}
+		defer resp.Body.Close()
+		if resp.StatusCode != 200 {
+			t.Fatalf("after SIGTERM: %s", resp.Status)
+		}
+		return resp.Close
+	})
+	close(release)
+	if got := <-taken; got != "200 OK" {
+		t.Errorf("what was taken: %s", got)
+	}
+	<-r.ended
+	if r.err != nil {
+		t.Errorf("ended with %v", r.err)
+	}
+	again := start(t, testConfig(t, d.address, entry("s", s.address, "Ready")), r.address)
+	if resp, _ := again.do(t, request(t, r.address, "search", "")); resp.StatusCode != 200 {
+		t.Errorf("after the restart: %s", resp.Status)
+	}
+}
+
+// Guards against requests that SIGKILL finds unanswered: what can't be finished by then is failed before.
+func TestStopFailsWhatCannotBeFinished(t *testing.T) {
+	s := newUpstream(t, silent)
+	r := start(t, testConfig(t, quiet(t).address, entry("s", s.address, "Ready")), "127.0.0.1:0")
+	taken := make(chan string, 1)
+	go func() {
+		resp, err := r.client.Do(request(t, r.address, "confirm", ""))
+		if err != nil {
+			taken <- err.Error()
+			return
+		}
+		defer resp.Body.Close()
+		taken <- resp.Status
+	}()
+	eventually(t, "request at the upstream", func() bool { return len(s.requests()) == 1 })
+	r.stop()
+	if got := <-taken; got != "502 Bad Gateway" {
+		t.Errorf("answered %s", got)
+	}
+	<-r.ended
+	if r.err != nil {
+		t.Errorf("ended with %v", r.err)
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -22,7 +22,9 @@
 const (
 	ownSockets  = 32                     // descriptors that are neither a client's nor an upstream's
 	memoryPart  = 0.75                   // of the limit that the heap may use
-	acceptAfter = 500 * time.Millisecond // clients go on coming this long after SIGTERM
+	quietAfter  = 450 * time.Millisecond // after SIGTERM: clients use the connections that they have until this
+	acceptAfter = 600 * time.Millisecond // and may come on new ones until this
+	justOpened  = 50 * time.Millisecond  // a connection this young is about to bring its request
 	killAfter   = 3500 * time.Millisecond
 	readHeader  = 5 * time.Second
 	clientIdle  = 2 * time.Minute
@@ -84,10 +86,12 @@
 func drain(srv *http.Server, s *server, conns *clientConns, l *loop) error {
 	begun := time.Now()
 	s.stopping.Store(true)
-	time.Sleep(acceptAfter)
-	last := time.AfterFunc(killAfter-time.Since(begun), func() { l.post(abort{}) })
+	last := time.AfterFunc(killAfter, func() { l.post(abort{}) })
 	defer last.Stop()
-	conns.closeQuiet()
+	time.Sleep(quietAfter)
+	conns.closeQuiet(justOpened) // where that crosses a request, the client comes on a new connection
+	time.Sleep(acceptAfter - quietAfter)
+	conns.closeQuiet(0)
 	ctx, cancel := context.WithTimeout(context.Background(), killAfter+100*time.Millisecond-time.Since(begun))
 	defer cancel()
 	if err := srv.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -48,10 +48,10 @@
 // when it is still in a buffer.
 type upstreamConn struct {
 	net.Conn
-	http    *http.ClientConn
-	name    string
-	address string
-	retire  *time.Timer
+	http   *http.ClientConn
+	name   string
+	at     place
+	retire *time.Timer
 
 	allowed  func() bool // may the request that comes next still be written?
 	begun    atomic.Bool // its first byte was
@@ -84,14 +84,14 @@
 
 // attempt sends a request to an upstream once, and waits for its end or that of ctx.
 func (u *upstreams) attempt(ctx context.Context, name string, r *clientRequest) reply {
-	address, ok := u.dir.address(name)
+	at, ok := u.dir.place(name)
 	if !ok {
 		return reply{result: balancer.Moot}
 	}
-	c := u.take(name, address)
+	c := u.take(name, at)
 	if c == nil {
 		var err error
-		if c, err = u.connect(ctx, name, address); err != nil {
+		if c, err = u.connect(ctx, name, at); err != nil {
 			if errors.Is(ctx.Err(), context.Canceled) {
 				return reply{result: balancer.Cancelled}
 			}
@@ -108,14 +108,11 @@
 }
 
 func (u *upstreams) exchange(ctx context.Context, c *upstreamConn, r *clientRequest) (rep reply, reusable bool) {
-	c.allowed = func() bool {
-		address, ok := u.dir.address(c.name)
-		return ok && address == c.address
-	}
+	c.allowed = func() bool { return u.dir.ready(c.name, c.at) }
 	c.begun.Store(false)
 	var encoded atomic.Bool
 	trace := &httptrace.ClientTrace{WroteRequest: func(i httptrace.WroteRequestInfo) { encoded.Store(i.Err == nil) }}
-	req := r.outgoing(httptrace.WithClientTrace(ctx, trace), c.address)
+	req := r.outgoing(httptrace.WithClientTrace(ctx, trace), c.at.address)
 	broken := func() reply {
 		switch {
 		case c.stopped.Load():
@@ -134,6 +131,9 @@
 		return broken(), false
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusSwitchingProtocols { // asked for by nobody; its body has no end
+		return reply{result: balancer.ServerError}, false
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
 	whole := err == nil && len(body) <= maxBody
 	reusable = whole && !resp.Close && encoded.Load()
@@ -155,7 +155,7 @@
 }
 
 // connect opens a connection. At the limit it closes the one idle for longest instead of failing.
-func (u *upstreams) connect(ctx context.Context, name, address string) (*upstreamConn, error) {
+func (u *upstreams) connect(ctx context.Context, name string, at place) (*upstreamConn, error) {
 	u.mu.Lock()
 	for u.open >= u.most {
 		if len(u.idle) == 0 {
@@ -167,10 +167,10 @@
 	}
 	u.open++
 	u.mu.Unlock()
-	c := &upstreamConn{name: name, address: address}
+	c := &upstreamConn{name: name, at: at}
 	var err error
 	dialer := net.Dialer{Timeout: u.connectTimeout}
-	if c.Conn, err = dialer.DialContext(ctx, "tcp", address); err == nil {
+	if c.Conn, err = dialer.DialContext(ctx, "tcp", at.address); err == nil {
 		var protocols http.Protocols
 		protocols.SetHTTP1(true)
 		transport := &http.Transport{
@@ -180,7 +180,7 @@
 			Protocols:              &protocols,
 		}
 		// A ClientConn never sends a request twice, as a Transport does on connections that it reuses.
-		if c.http, err = transport.NewClientConn(ctx, "http", address); err == nil {
+		if c.http, err = transport.NewClientConn(ctx, "http", at.address); err == nil {
 			return c, nil
 		}
 		c.Conn.Close()
@@ -192,7 +192,7 @@
 }
 
 // take returns the upstream's connection that was used last, or nil. One that the upstream closed is dropped.
-func (u *upstreams) take(name, address string) *upstreamConn {
+func (u *upstreams) take(name string, at place) *upstreamConn {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for i := len(u.idle) - 1; i >= 0; i-- {
@@ -201,7 +201,7 @@
 			continue
 		}
 		u.idle = slices.Delete(u.idle, i, i+1)
-		if c.retire.Stop() && c.http.Err() == nil && c.address == address {
+		if c.retire.Stop() && c.http.Err() == nil && c.at == at {
 			return c
 		}
 		u.closeLocked(c)
@@ -212,7 +212,7 @@
 func (u *upstreams) put(c *upstreamConn) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if address, ok := u.dir.address(c.name); !ok || address != c.address || c.http.Err() != nil {
+	if !u.dir.ready(c.name, c.at) || c.http.Err() != nil {
 		u.closeLocked(c)
 		return
 	}
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -65,6 +65,8 @@
 			return true
 		}, balancer.Reset},
 		{"too large", says(ok200(strings.Repeat("x", maxBody+1))), balancer.ServerError},
+		{"another protocol", says("HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n"),
+			balancer.ServerError},
 		{"headers too large", says("HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 2*maxHeader) + "\r\n\r\n"), balancer.Reset},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -124,7 +126,7 @@
 	}
 	defer l.Close()
 	u := testUpstreams(t, 4, entry("s", l.Addr().String(), "Ready"))
-	c, err := u.connect(t.Context(), "s", l.Addr().String())
+	c, err := u.connect(t.Context(), "s", place{address: l.Addr().String()})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -143,7 +145,7 @@
 	for _, status := range []string{"Terminating", "Gone"} {
 		s := newUpstream(t, says(ok200("")))
 		u := testUpstreams(t, 4, entry("s", s.address, "Ready"))
-		c, err := u.connect(t.Context(), "s", s.address)
+		c, err := u.connect(t.Context(), "s", place{address: s.address})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -232,6 +234,11 @@
 	if len(moved.requests()) != 1 {
 		t.Error("the new address got nothing")
 	}
+
+	// A new process at the same address: connections to the old one are dead, if silently.
+	again := strings.Replace(entry("s", moved.address, "Ready"), `"since_ms":0`, `"since_ms":1000`, 1)
+	u.dir.apply(parsed(t, list(5, false, again)))
+	eventually(t, "old process dropped", func() bool { return moved.closed.Load() == 1 })
 }
 
 // Guards against too many descriptors: at the limit the least useful idle connection gives way, and where
