--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -120,6 +120,33 @@
 	}
 }
 
+// Guards against a list that stands still where nobody asks for it: a pushed list is watched again by itself,
+// and the module hears of no failure of a call that it did not make.
+func TestPushedListIsWatchedAgain(t *testing.T) {
+	d := newDiscovery(t, func(n int, send func(string), done <-chan struct{}) {
+		send(list(6+n, false))
+		if n > 1 {
+			<-done
+		}
+	})
+	told := make(chan balancer.Members, 4)
+	w := newWatcher(testConfig(t, d.address), testUpstreams(t, 4).dir, func(m balancer.Members) { told <- m })
+	done := make(chan struct{})
+	go func() {
+		w.run(t.Context(), false)
+		close(done)
+	}()
+	t.Cleanup(func() { <-done })
+	for range 2 {
+		if m := next(t, told); m.Kind != balancer.Change {
+			t.Errorf("told %+v", m)
+		}
+	}
+	if froms := d.watches(); !slices.Equal(froms, []string{"1", "7"}) {
+		t.Errorf("watches from %v", froms)
+	}
+}
+
 // Guards against a new process taken for an old one: its age tells the module how warm it is. Also one that
 // started before this sidecar did.
 func TestSinceIsOnTheSidecarsClock(t *testing.T) {
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math"
 	"net/http"
 	"os"
@@ -43,6 +44,20 @@
 var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
 	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect"}
 
+// endToEnd copies the headers that go on.
+func endToEnd(h http.Header) http.Header {
+	kept := h.Clone()
+	for _, list := range h["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			kept.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		kept.Del(name)
+	}
+	return kept
+}
+
 // server takes the client's requests and gives the answers.
 type server struct {
 	clock    clock
@@ -67,11 +82,11 @@
 	req, bad := s.read(w, r)
 	if bad != nil {
 		w.Header().Set("Connection", "close") // else the library first waits for the rest of the body
-		s.write(w, bad.status, "text/plain; charset=utf-8", []byte(bad.text+"\n"))
+		s.say(w, bad.status, bad.text)
 		return
 	}
 	if !s.post(arrival{req}) {
-		s.write(w, http.StatusInternalServerError, "", nil)
+		s.say(w, http.StatusInternalServerError, "stopped")
 		return
 	}
 	select {
@@ -81,7 +96,7 @@
 		s.post(gone{req})
 		panic(http.ErrAbortHandler) // no answer: returning would send an empty 200
 	case <-s.stop:
-		s.write(w, http.StatusInternalServerError, "", nil)
+		s.say(w, http.StatusInternalServerError, "stopped")
 	}
 }
 
@@ -89,11 +104,11 @@
 func (s *server) own(w http.ResponseWriter, r *http.Request) {
 	switch {
 	case r.URL.Path != "/-/ready":
-		s.write(w, http.StatusNotFound, "text/plain; charset=utf-8", []byte("no such page\n"))
+		s.say(w, http.StatusNotFound, "no such page")
 	case s.stopping.Load() || !s.ready():
-		s.write(w, http.StatusServiceUnavailable, "text/plain; charset=utf-8", []byte("not ready\n"))
+		s.say(w, http.StatusServiceUnavailable, "not ready")
 	default:
-		s.write(w, http.StatusOK, "text/plain; charset=utf-8", []byte("ready\n"))
+		s.say(w, http.StatusOK, "ready")
 	}
 }
 
@@ -101,28 +116,33 @@
 func (s *server) finish(w http.ResponseWriter, a answer) {
 	switch a.kind {
 	case served:
-		s.write(w, http.StatusOK, a.reply.contentType, a.reply.body)
+		maps.Copy(w.Header(), a.reply.header)
+		s.write(w, http.StatusOK, a.reply.body)
 	case refused:
 		if a.retryIn > 0 {
 			w.Header().Set("Retry-After", strconv.FormatFloat(a.retryIn.Seconds(), 'f', -1, 64))
 		}
-		s.write(w, http.StatusServiceUnavailable, "", nil)
+		s.say(w, http.StatusServiceUnavailable, "refused: not done, trying again is harmless")
 	case duplicate:
-		s.write(w, http.StatusConflict, "text/plain; charset=utf-8", []byte("a request of this id is in hand\n"))
+		s.say(w, http.StatusConflict, "a request of this id is in hand")
 	default:
-		s.write(w, http.StatusBadGateway, "", nil)
+		s.say(w, http.StatusBadGateway, "failed")
 	}
 }
 
-func (s *server) write(w http.ResponseWriter, status int, contentType string, body []byte) {
+// say answers with a line of the sidecar's own.
+func (s *server) say(w http.ResponseWriter, status int, line string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	s.write(w, status, []byte(line+"\n"))
+}
+
+func (s *server) write(w http.ResponseWriter, status int, body []byte) {
 	// Deadlines can't fail on a server's own connections; should they, the write shows it.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writePatience))
 	if s.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if contentType != "" {
-		w.Header().Set("Content-Type", contentType)
-	} else {
+	if w.Header().Get("Content-Type") == "" {
 		w.Header()["Content-Type"] = nil // none is guessed
 	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -174,8 +194,10 @@
 		return reject(http.StatusRequestEntityTooLarge, "a body holds %d bytes at most", maxBody)
 	}
 	conn := http.NewResponseController(w)
-	_ = conn.SetReadDeadline(time.Now().Add(timeout))  // see write
-	_ = conn.SetWriteDeadline(time.Now().Add(timeout)) // reading may first write 100 Continue
+	if r.ContentLength != 0 { // without a body the library already reads on, to see whether the client leaves
+		_ = conn.SetReadDeadline(time.Now().Add(timeout))  // see write
+		_ = conn.SetWriteDeadline(time.Now().Add(timeout)) // reading may first write 100 Continue
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	_ = conn.SetReadDeadline(time.Time{})
 	var large *http.MaxBytesError
@@ -187,16 +209,8 @@
 	case err != nil:
 		return reject(http.StatusBadRequest, "reading the body: %v", err)
 	}
-	header := r.Header.Clone()
-	for _, list := range r.Header["Connection"] {
-		for name := range strings.SplitSeq(list, ",") {
-			header.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHop {
-		header.Del(name)
-	}
-	header.Del(headerTimeout)
+	header := endToEnd(r.Header)
+	header.Del(headerTimeout) // what is left of it goes with each attempt
 	return &clientRequest{id: r.Header.Get(headerID), class: name, tenant: r.Header.Get(headerTenant),
 		expires: s.clock.now() + timeout, hint: hint, method: r.Method, target: r.RequestURI, host: r.Host,
 		header: header, body: body, answer: make(chan answer, 1)}, nil
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -112,6 +112,20 @@
 	}
 }
 
+// Guards against a connection that just ends where an answer is owed: also one whose time is up on arrival.
+func TestExpiredOnArrivalIsAnswered(t *testing.T) {
+	s := newUpstream(t, says(ok200("")))
+	r := start(t, testConfig(t, quiet(t).address, entry("s", s.address, "Ready")), "127.0.0.1:0")
+	req := request(t, r.address, "search", "")
+	req.Header.Set("X-Timeout", "0m")
+	if resp, _ := r.do(t, req); resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("answered %s", resp.Status)
+	}
+	if n := len(s.requests()); n != 0 {
+		t.Errorf("sent %d times", n)
+	}
+}
+
 // Guards against two answers to one request, and against a second request of an id that waits for ever:
 // the module ignores it.
 func TestDuplicateID(t *testing.T) {
