Report a watch as answered where its first line is empty

Cause: watch, discovery.go, skipped empty lines, so a watch without news since the version asked from was never reported; the protocol lets the first line be empty, and the module then counts its question as unanswered for as long as nothing changes. The new test waited 20 s in vain before, and passes now.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -121,6 +121,10 @@
 		silence.Reset(w.silence)
 		line := bytes.TrimSpace(lines.Bytes())
 		if len(line) == 0 {
+			if !told { // the watch stands, and there is no news since the version asked from
+				w.report(balancer.Members{Kind: balancer.Change})
+				told = true
+			}
 			continue
 		}
 		l, err := parseListing(line)
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -120,6 +120,28 @@
 	}
 }
 
+// Guards against a watch that is taken for not yet answered because there is no news: an empty line answers it.
+func TestWatchWithoutNewsIsAnswered(t *testing.T) {
+	d := newDiscovery(t, func(_ int, send func(string), done <-chan struct{}) {
+		send("")
+		send("")
+		send(list(9, false))
+		<-done
+	})
+	dir, told := watch(t, d, patience, entry("a", "127.0.0.2:1", "Ready"))
+	for range 2 { // the answer and the news, nothing for the second empty line
+		if m := next(t, told); m.Kind != balancer.Change || len(m.Entries) != 0 {
+			t.Errorf("told %+v", m)
+		}
+	}
+	if len(told) != 0 {
+		t.Errorf("told %+v too", <-told)
+	}
+	if _, ok := dir.place("a"); !ok {
+		t.Error("the known list is lost")
+	}
+}
+
 // Guards against a list that stands still where nobody asks for it: a pushed list is watched again by itself,
 // and the module hears of no failure of a call that it did not make.
 func TestPushedListIsWatchedAgain(t *testing.T) {
