Turn down requests whose class, path and method contradict each other

Cause: read, server.go, went by the class header alone. A request for /confirm/... with a header that names a safe class was sent as a safe one and could have been repeated, and an unsafe one was taken by GET; the new rows of TestMalformedRequests saw 200 for both, and both reached the upstream. They are answered 400 and 405 now.

--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -155,23 +156,29 @@
 	reject := func(status int, format string, args ...any) (*clientRequest, *rejection) {
 		return nil, &rejection{status, fmt.Sprintf(format, args...)}
 	}
-	if r.Method != http.MethodGet && r.Method != http.MethodPost {
-		return reject(http.StatusMethodNotAllowed, "method %s is not served", r.Method)
-	}
 	if !strings.HasPrefix(r.RequestURI, "/") || strings.HasPrefix(r.RequestURI, "//") {
 		return reject(http.StatusBadRequest, "the request target is not a path")
 	}
 	if len(r.Header[headerID]) != 1 || r.Header.Get(headerID) == "" {
 		return reject(http.StatusBadRequest, "one X-Request-ID is needed")
 	}
-	name := r.Header.Get(headerClass)
-	if name == "" {
-		name, _, _ = strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-	}
+	inPath, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	name := cmp.Or(r.Header.Get(headerClass), inPath)
 	class, known := s.classes[name]
 	if !known {
 		return reject(http.StatusNotFound, "unknown class %q", name)
 	}
+	if name != inPath { // the upstream may go by the other one, and that one may not be safe to repeat
+		return reject(http.StatusBadRequest, "the header names class %q, the path %q", name, inPath)
+	}
+	method := http.MethodPost
+	if class.Effect == balancer.Safe {
+		method = http.MethodGet
+	}
+	if r.Method != method {
+		w.Header().Set("Allow", method)
+		return reject(http.StatusMethodNotAllowed, "class %s is asked for with %s", name, method)
+	}
 	if class.Effect == balancer.Keyed && r.Header.Get(headerKey) == "" {
 		return reject(http.StatusBadRequest, "class %s needs an Idempotency-Key", name)
 	}
