--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -16,13 +16,18 @@
 // Guards against answers that no upstream made, and refusals without the advice when to come back.
 func TestServedUnchanged(t *testing.T) {
 	body := "\x00\xff answer\r\n"
-	s := newUpstream(t, says("HTTP/1.1 200 OK\r\nContent-Type: application/x-seat\r\nContent-Length: 11\r\n\r\n"+body))
+	s := newUpstream(t, says("HTTP/1.1 200 OK\r\nContent-Type: application/x-seat\r\n"+
+		"Content-Encoding: x-seat\r\nConnection: X-Hop\r\nX-Hop: 1\r\nContent-Length: 11\r\n\r\n"+body))
 	r := start(t, testConfig(t, quiet(t).address, entry("s", s.address, "Ready")), "127.0.0.1:0")
 	for _, class := range []string{"search", "record", "confirm"} {
 		resp, text := r.do(t, request(t, r.address, class, ""))
 		if resp.StatusCode != 200 || text != body || resp.Header.Get("Content-Type") != "application/x-seat" {
 			t.Errorf("%s: %s %q", class, resp.Status, text)
 		}
+		// What tells how to read the body goes on, what belongs to the upstream's connection does not.
+		if resp.Header.Get("Content-Encoding") != "x-seat" || resp.Header.Get("X-Hop") != "" {
+			t.Errorf("%s: headers %v", class, resp.Header)
+		}
 	}
 }
 
