--- a/cmd/orchiddrift/main.go
+++ b/cmd/orchiddrift/main.go
@@ -1,5 +1,5 @@
 // Command orchiddrift is the sidecar: it reads its configuration from the file that GW_CONFIG names, and serves
-// until SIGTERM or SIGINT.
+// until SIGTERM or SIGINT. On SIGHUP it reads that file again.
 package main
 
 import (
@@ -22,9 +22,7 @@
 func run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	c, err := sidecar.LoadConfig(os.Getenv("GW_CONFIG"))
-	if err != nil {
-		return err
-	}
-	return sidecar.Run(ctx, c)
+	reload := make(chan os.Signal, 1) // one that waits stands for all: the file is read after it
+	signal.Notify(reload, syscall.SIGHUP)
+	return sidecar.Run(ctx, os.Getenv("GW_CONFIG"), reload)
 }
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -159,6 +159,14 @@
 	if !strings.HasPrefix(r.RequestURI, "/") || strings.HasPrefix(r.RequestURI, "//") {
 		return reject(http.StatusBadRequest, "the request target is not a path")
 	}
+	// Guards against requests hidden in a body: two framings at once may be read in two ways, and of two the
+	// library shows only the chunks. No client needs them, so none are taken.
+	if len(r.TransferEncoding) > 0 {
+		return reject(http.StatusLengthRequired, "the body needs a Content-Length, without Transfer-Encoding")
+	}
+	if !r.ProtoAtLeast(1, 1) { // there the library passes over Transfer-Encoding, and others may not
+		return reject(http.StatusHTTPVersionNotSupported, "HTTP/1.1 is needed")
+	}
 	if len(r.Header[headerID]) != 1 || r.Header.Get(headerID) == "" {
 		return reject(http.StatusBadRequest, "one X-Request-ID is needed")
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -9,9 +9,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"log"
 	"math"
 	"net"
 	"net/http"
+	"os"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"time"
@@ -30,18 +33,23 @@
 	clientIdle  = 2 * time.Minute
 )
 
-// Run serves until ctx ends, then finishes what it has taken.
-func Run(ctx context.Context, c *Config) error {
+// Run serves as the configuration at path says until ctx ends, then finishes what it has taken. Whenever reload
+// brings something it reads that file again, as followReloads tells.
+func Run(ctx context.Context, path string, reload <-chan os.Signal) error {
+	c, err := LoadConfig(path)
+	if err != nil {
+		return err
+	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
 	debug.SetMemoryLimit(int64(c.Limits.MemoryMB * memoryPart * (1 << 20)))
 	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return fmt.Errorf("listening: %w", err)
 	}
-	return serve(ctx, c, listener)
+	return serve(ctx, c, listener, path, reload)
 }
 
-func serve(ctx context.Context, c *Config, listener net.Listener) error {
+func serve(ctx context.Context, c *Config, listener net.Listener, path string, reload <-chan os.Signal) error {
 	defer listener.Close()
 	b, err := balancer.New(c.Settings.Settings, c.Seed)
 	if err != nil {
@@ -62,6 +70,7 @@
 	known.Kind = balancer.Saved
 	go l.run(known)
 	go w.run(running, c.Settings.MustSubscribe)
+	go followReloads(running, c, path, reload, w.redirect)
 
 	s := &server{clock: clk, classes: map[string]balancer.Class{}, post: l.post, stop: running.Done(),
 		ready: func() bool { return l.started.Load() && !up.dir.empty() }}
@@ -81,6 +90,29 @@
 	return drain(srv, s, conns, l)
 }
 
+// followReloads reads the configuration again each time that reload brings something. What can change under way is
+// discovery's address; the rest is for the next start. A file that can't be used changes nothing.
+func followReloads(ctx context.Context, c *Config, path string, reload <-chan os.Signal, redirect func(string)) {
+	for {
+		select {
+		case <-reload:
+		case <-ctx.Done():
+			return
+		}
+		next, err := LoadConfig(path)
+		if err != nil {
+			log.Printf("reload: the old configuration stays: %v", err)
+			continue
+		}
+		log.Printf("reload: discovery at %s", next.Discovery)
+		if next.Name != c.Name || next.Listen != c.Listen || next.Limits != c.Limits ||
+			!reflect.DeepEqual(next.Settings, c.Settings) {
+			log.Print("reload: a change of name, listen, limits or settings counts from the next start")
+		}
+		redirect(next.Discovery)
+	}
+}
+
 // drain goes on accepting while clients still come, answers everything that was taken, and ends before the
 // process is killed.
 func drain(srv *http.Server, s *server, conns *clientConns, l *loop) error {
