--- a/balancer/api.go
+++ b/balancer/api.go
@@ -140,6 +140,7 @@
 	Reset                // connection broke; may have run
 	Cancelled            // may have run
 	Moot                 // never sent
+	Garbled              // an answer that can't be read; may have run
 )
 
 // Outcome ends an attempt. Each Send has exactly one.
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -554,7 +554,7 @@
 func (b *Balancer) health(a *attempt, res Result, elapsed time.Duration) {
 	u := a.u
 	switch res {
-	case ServerError:
+	case ServerError, Garbled: // alive, so what it answers is looked at
 		u.heard, u.fails = b.now, 0
 		if u.errors++; u.errors >= ejectErrors && b.now >= u.until {
 			b.eject(u)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -69,6 +69,7 @@
 	}
 	known.Kind = balancer.Saved
 	go l.run(known)
+	go up.sweep(running)
 	go w.run(running, c.Settings.MustSubscribe)
 	go followReloads(running, c, path, reload, w.redirect)
 
