One broken connection does not eject an upstream; limits on clients are the sidecar's own; attempts of clients that left end

Two in a row without an answer between now eject. Clients: a head has 1.5 s, a body 1.2 s (it had the peer's X-Timeout, and after a 408 the library read on for ever: the new test saw a connection that never ended); X-Timeout is held to the class's deadline; silent connections give way before those that ask; what is unanswered at a stop is failed before SIGKILL may come, by the classes' deadlines. The module ends the attempts of a request whose client has left.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -386,7 +386,6 @@
 			}
 			b.copyWins += fewWeight * (won - b.copyWins)
 		}
-		b.cancelRest(r, e.Attempt)
 		b.learnLimit(r)
 		b.close(r)
 	}
@@ -410,7 +409,6 @@
 	if r.done {
 		return
 	}
-	b.cancelRest(r, -1)
 	b.learnLimit(r)
 	if mayRefuse(r) {
 		a := Action{Kind: Refuse, ID: r.id}
@@ -441,6 +439,7 @@
 		return
 	}
 	r.done = true
+	b.cancelRest(r, -1) // nobody waits for them
 	b.hold(r, -1)
 	b.forget(r)
 }
@@ -576,8 +575,8 @@
 			u.silentSince = a.sent
 		}
 		dead := res == Reset || res == ConnectFailed && elapsed < b.set.ConnectTimeout/2
-		silent := u.fails > 1 && (b.now-u.silentSince).Seconds() > silentAims*b.meanAim
-		if (dead || silent || u.ejections > 0) && b.now >= u.until {
+		silent := (b.now - u.silentSince).Seconds() > silentAims*b.meanAim
+		if (u.fails > 1 && (dead || silent) || u.ejections > 0) && b.now >= u.until { // one may break by chance
 			b.eject(u)
 		}
 	}
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -7,8 +7,13 @@
 	"time"
 )
 
+const (
+	usualGap  = 2 * time.Second       // clients may take this long between two requests on a connection
+	firstSoon = 50 * time.Millisecond // and bring the first within this
+)
+
 // clientConns is the listener for clients. It bounds their connections: at the limit it closes the one that
-// has been idle for longest, and accepts no more until there is room.
+// is needed least, and accepts no more until there is room.
 type clientConns struct {
 	net.Listener
 	most int
@@ -16,35 +21,58 @@
 	mu     sync.Mutex
 	room   *sync.Cond
 	closed bool
-	quiet  map[net.Conn]time.Time // between requests, since when; zero: busy
+	conns  map[net.Conn]clientConn
+}
+
+type clientConn struct {
+	quiet time.Time // without a request since then; zero: busy
+	asked bool      // it has brought a request
 }
 
 func newClientConns(l net.Listener, most int) *clientConns {
-	c := &clientConns{Listener: l, most: most, quiet: map[net.Conn]time.Time{}}
+	c := &clientConns{Listener: l, most: most, conns: map[net.Conn]clientConn{}}
 	c.room = sync.NewCond(&c.mu)
 	return c
 }
 
 func (c *clientConns) Accept() (net.Conn, error) {
 	c.mu.Lock()
-	for len(c.quiet) >= c.most && !c.closed {
-		c.closeQuietest()
+	for len(c.conns) >= c.most && !c.closed {
+		c.closeOne()
 		c.room.Wait()
 	}
 	c.mu.Unlock()
 	return c.Listener.Accept()
 }
 
-func (c *clientConns) closeQuietest() {
-	var oldest net.Conn
-	for conn, since := range c.quiet {
-		if !since.IsZero() && (oldest == nil || since.Before(c.quiet[oldest])) {
-			oldest = conn
+// closeOne makes room. Guards against clients that connect by hundreds and say nothing, at the cost of those that
+// ask: a connection that never brought a request goes before one that did, unless it is about to.
+func (c *clientConns) closeOne() {
+	now := time.Now()
+	var worst net.Conn
+	rank := func(of clientConn) int {
+		switch quiet := now.Sub(of.quiet); {
+		case !of.asked && quiet < firstSoon:
+			return 0
+		case of.asked && quiet < usualGap:
+			return 1
+		case of.asked:
+			return 2
+		}
+		return 3
+	}
+	for conn, is := range c.conns {
+		if is.quiet.IsZero() {
+			continue
+		}
+		than := c.conns[worst]
+		if worst == nil || rank(is) > rank(than) || rank(is) == rank(than) && is.quiet.Before(than.quiet) {
+			worst = conn
 		}
 	}
-	if oldest != nil {
-		oldest.Close()
-		c.quiet[oldest] = time.Time{} // gone once the server has seen it
+	if worst != nil {
+		worst.Close()
+		c.conns[worst] = clientConn{} // gone once the server has seen it
 	}
 }
 
@@ -60,8 +88,8 @@
 func (c *clientConns) closeQuiet(least time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for conn, since := range c.quiet {
-		if !since.IsZero() && time.Since(since) >= least {
+	for conn, is := range c.conns {
+		if !is.quiet.IsZero() && time.Since(is.quiet) >= least {
 			conn.Close()
 		}
 	}
@@ -72,12 +100,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch s {
-	case http.StateNew, http.StateIdle:
-		c.quiet[conn] = time.Now()
+	case http.StateNew:
+		c.conns[conn] = clientConn{quiet: time.Now()}
+	case http.StateIdle:
+		c.conns[conn] = clientConn{quiet: time.Now(), asked: true}
 	case http.StateActive:
-		c.quiet[conn] = time.Time{}
+		c.conns[conn] = clientConn{asked: true}
 	case http.StateClosed, http.StateHijacked:
-		delete(c.quiet, conn)
+		delete(c.conns, conn)
 	}
 	c.room.Broadcast()
 }
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -38,7 +38,10 @@
 	headerCost    = "X-Cost"
 	headerKey     = "Idempotency-Key"
 
-	writePatience = 5 * time.Second // for a client to take its answer
+	// Limits on clients are the sidecar's own: what they say of themselves may be wrong.
+	headPatience  = 1500 * time.Millisecond // for a request's head
+	bodyPatience  = 1200 * time.Millisecond // and for its body
+	writePatience = 5 * time.Second         // for a client to take its answer
 )
 
 // hopByHop headers belong to one connection and do not go on.
@@ -82,7 +85,9 @@
 	}
 	req, bad := s.read(w, r)
 	if bad != nil {
-		w.Header().Set("Connection", "close") // else the library first waits for the rest of the body
+		w.Header().Set("Connection", "close")
+		// The library reads on for a while, so that the answer is not lost to a reset.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyPatience))
 		s.say(w, bad.status, bad.text)
 		return
 	}
@@ -187,8 +192,11 @@
 		w.Header().Set("Allow", method)
 		return reject(http.StatusMethodNotAllowed, "class %s is asked for with %s", name, method)
 	}
-	if class.Effect == balancer.Keyed && r.Header.Get(headerKey) == "" {
-		return reject(http.StatusBadRequest, "class %s needs an Idempotency-Key", name)
+	if keyed := class.Effect == balancer.Keyed; keyed != (r.Header.Get(headerKey) != "") {
+		return reject(http.StatusBadRequest, "class %s: keyed is %v, and that is what an Idempotency-Key says", name, keyed)
+	}
+	if class.Effect == balancer.Safe && r.ContentLength != 0 {
+		return reject(http.StatusBadRequest, "class %s has no body", name)
 	}
 	timeout := class.Deadline
 	if text := r.Header.Get(headerTimeout); text != "" {
@@ -196,6 +204,7 @@
 		if timeout, err = parseTimeout(text); err != nil {
 			return reject(http.StatusBadRequest, "X-Timeout: %v", err)
 		}
+		timeout = min(timeout, class.Deadline)
 	}
 	var hint time.Duration
 	if text := r.Header.Get(headerCost); text != "" {
@@ -210,11 +219,11 @@
 	}
 	conn := http.NewResponseController(w)
 	if r.ContentLength != 0 { // without a body the library already reads on, to see whether the client leaves
-		_ = conn.SetReadDeadline(time.Now().Add(timeout))  // see write
-		_ = conn.SetWriteDeadline(time.Now().Add(timeout)) // reading may first write 100 Continue
+		end := time.Now().Add(min(timeout, bodyPatience))
+		_ = conn.SetReadDeadline(end)  // see write
+		_ = conn.SetWriteDeadline(end) // reading may first write 100 Continue
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-	_ = conn.SetReadDeadline(time.Time{})
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
@@ -224,6 +233,7 @@
 	case err != nil:
 		return reject(http.StatusBadRequest, "reading the body: %v", err)
 	}
+	_ = conn.SetReadDeadline(time.Time{})
 	header := endToEnd(r.Header)
 	header.Del(headerTimeout) // what is left of it goes with each attempt
 	return &clientRequest{id: r.Header.Get(headerID), class: name, tenant: r.Header.Get(headerTenant),
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -70,34 +71,36 @@
 	r := start(t, testConfig(t, quiet(t).address, entry("s", s.address, "Ready")), "127.0.0.1:0")
 	const id = "X-Request-ID: 9b1f03aa5c7e2d41\r\n"
 	for name, c := range map[string]struct{ head, want string }{
-		"no id":            {"GET /search/1 HTTP/1.1\r\nHost: s\r\n", "400"},
-		"two ids":          {"GET /search/1 HTTP/1.1\r\nHost: s\r\n" + id + id, "400"},
-		"unknown class":    {"GET /nothing/1 HTTP/1.1\r\nHost: s\r\n" + id, "404"},
-		"unknown in head":  {"GET /search/1 HTTP/1.1\r\nHost: s\r\nX-Priority-Class: nothing\r\n" + id, "404"},
-		"two classes":      {"GET /confirm/1 HTTP/1.1\r\nHost: s\r\nX-Priority-Class: search\r\n" + id, "400"},
-		"unsafe by GET":    {"GET /confirm/1 HTTP/1.1\r\nHost: s\r\n" + id, "405"},
-		"method":           {"PUT /search/1 HTTP/1.1\r\nHost: s\r\nContent-Length: 0\r\n" + id, "405"},
-		"options":          {"OPTIONS * HTTP/1.1\r\nHost: s\r\n" + id, "400"},
-		"absolute target":  {"GET http://h/search/1 HTTP/1.1\r\nHost: s\r\n" + id, "400"},
-		"no key":           {"POST /record/1 HTTP/1.1\r\nHost: s\r\nContent-Length: 0\r\n" + id, "400"},
-		"time-out":         {"GET /search/1 HTTP/1.1\r\nHost: s\r\nX-Timeout: soon\r\n" + id, "400"},
-		"time-out's unit":  {"GET /search/1 HTTP/1.1\r\nHost: s\r\nX-Timeout: 480\r\n" + id, "400"},
-		"negative":         {"GET /search/1 HTTP/1.1\r\nHost: s\r\nX-Timeout: -480m\r\n" + id, "400"},
-		"no number":        {"GET /search/1 HTTP/1.1\r\nHost: s\r\nX-Timeout: NaNm\r\n" + id, "400"},
-		"cost":             {"GET /search/1 HTTP/1.1\r\nHost: s\r\nX-Cost: much\r\n" + id, "400"},
-		"body too large":   {"POST /confirm/1 HTTP/1.1\r\nHost: s\r\nContent-Length: 65537\r\n" + id, "413"},
-		"chunks":           {"POST /confirm/1 HTTP/1.1\r\nHost: s\r\nTransfer-Encoding: chunked\r\n" + id + "\r\n0\r\n", "411"},
-		"two framings":     {"POST /confirm/1 HTTP/1.1\r\nHost: s\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n" + id + "\r\n0\r\n", "411"},
-		"other framings":   {"POST /confirm/1 HTTP/1.1\r\nHost: s\r\nContent-Length: 5\r\nTransfer-Encoding: chunked, identity\r\n" + id, "501"},
-		"old framings":     {"POST /confirm/1 HTTP/1.0\r\nHost: s\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n" + id + "\r\n0\r\n\r\n", "505"},
-		"two lengths":      {"POST /confirm/1 HTTP/1.1\r\nHost: s\r\nContent-Length: 5\r\nContent-Length: 6\r\n" + id, "400"},
-		"signed length":    {"POST /confirm/1 HTTP/1.1\r\nHost: s\r\nContent-Length: +5\r\n" + id, "400"},
-		"negative length":  {"POST /confirm/1 HTTP/1.1\r\nHost: s\r\nContent-Length: -5\r\n" + id, "400"},
-		"huge length":      {"POST /confirm/1 HTTP/1.1\r\nHost: s\r\nContent-Length: 99999999999999999999\r\n" + id, "400"},
-		"body not sent":    {"POST /confirm/1 HTTP/1.1\r\nHost: s\r\nX-Timeout: 50m\r\nContent-Length: 9\r\n" + id, "408"},
-		"length":           {"POST /confirm/1 HTTP/1.1\r\nHost: s\r\nContent-Length: many\r\n" + id, "400"},
-		"no HTTP":          {"\x00\x01\x02\r\n", "400"},
-		"header too large": {"GET /search/1 HTTP/1.1\r\nHost: s\r\n" + id + "X: " + strings.Repeat("x", 2*maxHeader) + "\r\n", "431"},
+		"no id":             {"GET /search/1 HTTP/1.1\r\nHost: s\r\n", "400"},
+		"two ids":           {"GET /search/1 HTTP/1.1\r\nHost: s\r\n" + id + id, "400"},
+		"unknown class":     {"GET /nothing/1 HTTP/1.1\r\nHost: s\r\n" + id, "404"},
+		"unknown in head":   {"GET /search/1 HTTP/1.1\r\nHost: s\r\nX-Priority-Class: nothing\r\n" + id, "404"},
+		"two classes":       {"GET /confirm/1 HTTP/1.1\r\nHost: s\r\nX-Priority-Class: search\r\n" + id, "400"},
+		"unsafe by GET":     {"GET /confirm/1 HTTP/1.1\r\nHost: s\r\n" + id, "405"},
+		"method":            {"PUT /search/1 HTTP/1.1\r\nHost: s\r\nContent-Length: 0\r\n" + id, "405"},
+		"options":           {"OPTIONS * HTTP/1.1\r\nHost: s\r\n" + id, "400"},
+		"absolute target":   {"GET http://h/search/1 HTTP/1.1\r\nHost: s\r\n" + id, "400"},
+		"no key":            {"POST /record/1 HTTP/1.1\r\nHost: s\r\nContent-Length: 0\r\n" + id, "400"},
+		"key where none is": {"POST /confirm/1 HTTP/1.1\r\nHost: s\r\nContent-Length: 0\r\nIdempotency-Key: k\r\n" + id, "400"},
+		"body of a GET":     {"GET /search/1 HTTP/1.1\r\nHost: s\r\nContent-Length: 1\r\n" + id + "\r\nx", "400"},
+		"time-out":          {"GET /search/1 HTTP/1.1\r\nHost: s\r\nX-Timeout: soon\r\n" + id, "400"},
+		"time-out's unit":   {"GET /search/1 HTTP/1.1\r\nHost: s\r\nX-Timeout: 480\r\n" + id, "400"},
+		"negative":          {"GET /search/1 HTTP/1.1\r\nHost: s\r\nX-Timeout: -480m\r\n" + id, "400"},
+		"no number":         {"GET /search/1 HTTP/1.1\r\nHost: s\r\nX-Timeout: NaNm\r\n" + id, "400"},
+		"cost":              {"GET /search/1 HTTP/1.1\r\nHost: s\r\nX-Cost: much\r\n" + id, "400"},
+		"body too large":    {"POST /confirm/1 HTTP/1.1\r\nHost: s\r\nContent-Length: 65537\r\n" + id, "413"},
+		"chunks":            {"POST /confirm/1 HTTP/1.1\r\nHost: s\r\nTransfer-Encoding: chunked\r\n" + id + "\r\n0\r\n", "411"},
+		"two framings":      {"POST /confirm/1 HTTP/1.1\r\nHost: s\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n" + id + "\r\n0\r\n", "411"},
+		"other framings":    {"POST /confirm/1 HTTP/1.1\r\nHost: s\r\nContent-Length: 5\r\nTransfer-Encoding: chunked, identity\r\n" + id, "501"},
+		"old framings":      {"POST /confirm/1 HTTP/1.0\r\nHost: s\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n" + id + "\r\n0\r\n\r\n", "505"},
+		"two lengths":       {"POST /confirm/1 HTTP/1.1\r\nHost: s\r\nContent-Length: 5\r\nContent-Length: 6\r\n" + id, "400"},
+		"signed length":     {"POST /confirm/1 HTTP/1.1\r\nHost: s\r\nContent-Length: +5\r\n" + id, "400"},
+		"negative length":   {"POST /confirm/1 HTTP/1.1\r\nHost: s\r\nContent-Length: -5\r\n" + id, "400"},
+		"huge length":       {"POST /confirm/1 HTTP/1.1\r\nHost: s\r\nContent-Length: 99999999999999999999\r\n" + id, "400"},
+		"body not sent":     {"POST /confirm/1 HTTP/1.1\r\nHost: s\r\nX-Timeout: 50m\r\nContent-Length: 9\r\n" + id, "408"},
+		"length":            {"POST /confirm/1 HTTP/1.1\r\nHost: s\r\nContent-Length: many\r\n" + id, "400"},
+		"no HTTP":           {"\x00\x01\x02\r\n", "400"},
+		"header too large":  {"GET /search/1 HTTP/1.1\r\nHost: s\r\n" + id + "X: " + strings.Repeat("x", 2*maxHeader) + "\r\n", "431"},
 	} {
 		conn, err := net.Dial("tcp", r.address)
 		if err != nil {
@@ -189,6 +192,101 @@
 	}
 }
 
+// Guards against clients that hold connections with nothing or half a request on them: the limits are the sidecar's,
+// however long they say that they would wait.
+func TestSlowClientsAreEnded(t *testing.T) {
+	r := start(t, testConfig(t, quiet(t).address, entry("s", "127.0.0.1:1", "Ready")), "127.0.0.1:0")
+	ends := make(chan string, 3)
+	for _, text := range []string{"", "GET /search/1 HTTP/1.1\r\nHost:",
+		"POST /confirm/1 HTTP/1.1\r\nHost: s\r\nX-Request-ID: 1\r\nX-Timeout: 3600000m\r\nContent-Length: 9\r\n\r\nhalf"} {
+		go func() {
+			conn, err := net.Dial("tcp", r.address)
+			if err != nil {
+				ends <- err.Error()
+				return
+			}
+			defer conn.Close()
+			begun := time.Now()
+			_ = conn.SetDeadline(begun.Add(patience))
+			_, _ = io.WriteString(conn, text)
+			if _, err := io.ReadAll(conn); err != nil {
+				ends <- err.Error()
+			} else if took := time.Since(begun); took > patience/2 {
+				ends <- fmt.Sprintf("%q: ended after %v", text, took)
+			} else {
+				ends <- ""
+			}
+		}()
+	}
+	for range 3 {
+		if end := <-ends; end != "" {
+			t.Error(end)
+		}
+	}
+	if headPatience+bodyPatience >= 3*time.Second {
+		t.Error("an end is owed within 3 s")
+	}
+}
+
+// Guards against work for clients that have left: the upstream sees it end.
+func TestClientGoneEndsItsAttempt(t *testing.T) {
+	s := newUpstream(t, silent)
+	r := start(t, testConfig(t, quiet(t).address, entry("s", s.address, "Ready")), "127.0.0.1:0")
+	ctx, leave := context.WithCancel(t.Context())
+	r.later(request(t, r.address, "search", "").WithContext(ctx))
+	eventually(t, "request at the upstream", func() bool { return len(s.requests()) == 1 })
+	leave()
+	eventually(t, "its connection ended", func() bool { return s.closed.Load() == 1 })
+}
+
+// Guards against clients that say nothing at the cost of those that ask: silent connections give way first.
+func TestSilentConnectionsGiveWayFirst(t *testing.T) {
+	s := newUpstream(t, says(ok200("")))
+	c := testConfig(t, quiet(t).address, entry("s", s.address, "Ready"))
+	c.Limits.Sockets = ownSockets + 12 // of which 4 are clients'
+	r := start(t, c, "127.0.0.1:0")
+	conn, err := net.Dial("tcp", r.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(patience))
+	in := bufio.NewReader(conn)
+	ask := func() {
+		t.Helper()
+		if err := request(t, r.address, "search", "").Write(conn); err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil || resp.StatusCode != 200 {
+			t.Fatalf("answer %v, %v", resp, err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+	}
+	ask()
+	ended := make(chan struct{}, 8)
+	for range 8 {
+		time.Sleep(firstSoon + 10*time.Millisecond) // those before have had their time
+		silent, err := net.Dial("tcp", r.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer silent.Close()
+		go func() {
+			_, _ = io.ReadAll(silent)
+			ended <- struct{}{}
+		}()
+	}
+	for range 4 {
+		select {
+		case <-ended:
+		case <-time.After(patience):
+			t.Fatal("no silent connection gave way")
+		}
+	}
+	ask()
+}
+
 // Guards against too many descriptors: at the limit a connection between requests gives way to a new one.
 func TestClientConnectionLimit(t *testing.T) {
 	s := newUpstream(t, says(ok200("")))
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -24,13 +24,14 @@
 
 const (
 	ownSockets  = 32                     // descriptors that are neither a client's nor an upstream's
+	clientPart  = 40                     // percent of the others that are clients'
 	memoryPart  = 0.75                   // of the limit that the heap may use
 	quietAfter  = 450 * time.Millisecond // after SIGTERM: clients use the connections that they have until this
 	acceptAfter = 600 * time.Millisecond // and may come on new ones until this
 	justOpened  = 50 * time.Millisecond  // a connection this young is about to bring its request
-	killAfter   = 3500 * time.Millisecond
-	readHeader  = 5 * time.Second
-	clientIdle  = 2 * time.Minute
+	killMargin  = 550 * time.Millisecond // what is unanswered is failed the longest deadline and this after SIGTERM,
+	killLongest = 3 * time.Second        // of which no more than this counts: SIGKILL may come soon after
+	clientIdle  = 30 * time.Second
 )
 
 // Run serves as the configuration at path says until ctx ends, then finishes what it has taken. Whenever reload
@@ -58,8 +59,9 @@
 	clk := newClock()
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
-	connections := (c.Limits.Sockets - ownSockets) / 2
-	up := newUpstreams(c, clk, connections)
+	connections := c.Limits.Sockets - ownSockets
+	clients := connections * clientPart / 100
+	up := newUpstreams(c, clk, connections-clients)
 	l := newLoop(b, clk, running.Done())
 	w := newWatcher(c, up.dir, l.postList)
 	l.send, l.ask = up.attempt, w.ask
@@ -75,11 +77,13 @@
 
 	s := &server{clock: clk, classes: map[string]balancer.Class{}, post: l.post, stop: running.Done(),
 		ready: func() bool { return l.started.Load() && !up.dir.empty() }}
+	var longest time.Duration
 	for _, class := range c.Settings.Classes {
 		s.classes[class.Name] = class
+		longest = max(longest, class.Deadline)
 	}
-	conns := newClientConns(listener, connections)
-	srv := &http.Server{Handler: s, ReadHeaderTimeout: readHeader, IdleTimeout: clientIdle,
+	conns := newClientConns(listener, clients)
+	srv := &http.Server{Handler: s, ReadHeaderTimeout: headPatience, IdleTimeout: clientIdle,
 		MaxHeaderBytes: maxHeader, DisableGeneralOptionsHandler: true, ConnState: conns.state}
 	ended := make(chan error, 1)
 	go func() { ended <- srv.Serve(conns) }()
@@ -88,7 +92,7 @@
 		return fmt.Errorf("serving: %w", err)
 	case <-ctx.Done():
 	}
-	return drain(srv, s, conns, l)
+	return drain(srv, s, conns, l, min(longest, killLongest)+killMargin)
 }
 
 // followReloads reads the configuration again each time that reload brings something. What can change under way is
@@ -116,7 +120,7 @@
 
 // drain goes on accepting while clients still come, answers everything that was taken, and ends before the
 // process is killed.
-func drain(srv *http.Server, s *server, conns *clientConns, l *loop) error {
+func drain(srv *http.Server, s *server, conns *clientConns, l *loop, killAfter time.Duration) error {
 	begun := time.Now()
 	s.stopping.Store(true)
 	last := time.AfterFunc(killAfter, func() { l.post(abort{}) })
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -68,6 +68,13 @@
 		{"too large", says(ok200(strings.Repeat("x", maxBody+1))), balancer.Garbled},
 		{"another protocol", says("HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n"),
 			balancer.ServerError},
+		{"no number for a status", says("HTTP/1.1 OK\r\nContent-Length: 0\r\n\r\n"), balancer.Garbled},
+		{"two lengths", says("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nbody"), balancer.Garbled},
+		{"broken chunks", says("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\nmany\r\n"), balancer.Garbled},
+		{"3 GB", says("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nbody"), balancer.Garbled},
+		{"interim answers", says("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + ok200("body")), balancer.OK},
+		{"interim answers for ever", says(strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 100)), balancer.Garbled},
+		{"unreadable load", says("HTTP/1.1 200 OK\r\nX-Server-Load: TEXT ,,=\xff\r\nContent-Length: 0\r\n\r\n"), balancer.OK},
 		{"headers too large", says("HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 2*maxHeader) + "\r\n\r\n"), balancer.Garbled},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -278,6 +285,59 @@
 	}
 }
 
+// Guards against answers that are not this request's: what comes behind an answer, with it or while the connection
+// is idle, must not be read as the answer to the next request.
+func TestWhatComesBehindAnAnswerIsNobodys(t *testing.T) {
+	for _, extra := range []string{ok200("first"), "noise\r\n\r\n"} {
+		for _, late := range []bool{false, true} {
+			n, idle := atomic.Int32{}, make(chan struct{})
+			s := newUpstream(t, func(c net.Conn, _ got) bool {
+				if n.Add(1) > 1 {
+					_, err := io.WriteString(c, ok200("second"))
+					return err == nil
+				}
+				text := ok200("first")
+				if late {
+					_, _ = io.WriteString(c, text)
+					<-idle
+					text = ""
+				}
+				_, err := io.WriteString(c, text+extra)
+				return err == nil
+			})
+			u := testUpstreams(t, 4, entry("s", s.address, "Ready"))
+			if rep := u.attempt(t.Context(), "s", testRequest("GET", "")); string(rep.body) != "first" {
+				t.Fatalf("result %d, %q", rep.result, rep.body)
+			}
+			if pooled := u.idle["s"]; late {
+				close(idle)
+				eventually(t, "something came", func() bool { return !pooled[0].quiet() })
+			}
+			if rep := u.attempt(t.Context(), "s", testRequest("GET", "")); string(rep.body) != "second" {
+				t.Errorf("extra %q, late %v: result %d, %q", extra, late, rep.result, rep.body)
+			}
+			if got := s.requests(); len(got) != 2 || got[1].conn != 2 {
+				t.Errorf("%d requests, the last on connection %d", len(got), got[len(got)-1].conn)
+			}
+		}
+	}
+}
+
+// Guards against the same where it comes a moment late: a connection rests before its next request.
+func TestConnectionsRest(t *testing.T) {
+	s := newUpstream(t, says(ok200("")))
+	u := testUpstreams(t, 4, entry("s", s.address, "Ready"))
+	u.rest = time.Hour
+	for range 2 {
+		if rep := u.attempt(t.Context(), "s", testRequest("GET", "")); rep.result != balancer.OK {
+			t.Fatalf("result %d", rep.result)
+		}
+	}
+	if n := s.opened.Load(); n != 2 {
+		t.Errorf("%d connections", n)
+	}
+}
+
 // Guards against too many descriptors: at the limit the connection idle for longest gives way. Where all are busy
 // an attempt waits for one, and ends as one that was never sent if none comes: that says nothing of its upstream.
 func TestConnectionLimit(t *testing.T) {
