--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -386,6 +386,7 @@
 			}
 			b.copyWins += fewWeight * (won - b.copyWins)
 		}
+		b.cancelRest(r, e.Attempt)
 		b.learnLimit(r)
 		b.close(r)
 	}
@@ -409,6 +410,7 @@
 	if r.done {
 		return
 	}
+	b.cancelRest(r, -1)
 	b.learnLimit(r)
 	if mayRefuse(r) {
 		a := Action{Kind: Refuse, ID: r.id}
@@ -439,7 +441,6 @@
 		return
 	}
 	r.done = true
-	b.cancelRest(r, -1) // nobody waits for them
 	b.hold(r, -1)
 	b.forget(r)
 }
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	usualGap  = 2 * time.Second       // clients may take this long between two requests on a connection
-	firstSoon = 50 * time.Millisecond // and bring the first within this
+	usualGap  = 2 * time.Second        // clients may take this long between two requests on a connection
+	firstSoon = 500 * time.Millisecond // and bring the first within this
 )
 
 // clientConns is the listener for clients. It bounds their connections: at the limit it closes the one that
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -24,6 +24,7 @@
 	maxIdle        time.Duration
 	sweepEvery     time.Duration
 	rest           time.Duration // of a connection between an answer and the next request, see take
+	maxAnswer      int           // bytes
 	slots          chan struct{} // holds one for each connection that is open; full at the limit
 
 	mu      sync.Mutex
@@ -32,7 +33,8 @@
 }
 
 func newUpstreams(c *Config, clk clock, most int) *upstreams {
-	u := &upstreams{connectTimeout: c.Settings.ConnectTimeout, rest: restFor, slots: make(chan struct{}, most),
+	u := &upstreams{connectTimeout: c.Settings.ConnectTimeout, slots: make(chan struct{}, most), rest: restFor,
+		maxAnswer:  int(c.Limits.MemoryMB * (1 << 20) / answerPart),
 		maxIdle:    time.Duration(float64(c.Settings.ConnIdle) * idlePart),
 		sweepEvery: time.Duration(float64(c.Settings.ConnIdle) * sweepPart), idle: map[string][]*upstreamConn{}}
 	u.dir = newDirectory(clk, u.drop)
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -39,9 +39,9 @@
 	headerKey     = "Idempotency-Key"
 
 	// Limits on clients are the sidecar's own: what they say of themselves may be wrong.
-	headPatience  = 1500 * time.Millisecond // for a request's head
-	bodyPatience  = 1200 * time.Millisecond // and for its body
-	writePatience = 5 * time.Second         // for a client to take its answer
+	headPatience  = 2 * time.Second        // for a request's head
+	bodyPatience  = 900 * time.Millisecond // and for its body
+	writePatience = 5 * time.Second        // for a client to take its answer
 )
 
 // hopByHop headers belong to one connection and do not go on.
@@ -100,7 +100,8 @@
 		s.finish(w, a)
 	case <-r.Context().Done():
 		s.post(gone{req})
-		panic(http.ErrAbortHandler) // no answer: returning would send an empty 200
+		w.Header().Set("Connection", "close")
+		s.finish(w, answer{kind: failed}) // should the client be there after all, it is told
 	case <-s.stop:
 		s.say(w, http.StatusInternalServerError, "stopped")
 	}
@@ -219,7 +220,7 @@
 	}
 	conn := http.NewResponseController(w)
 	if r.ContentLength != 0 { // without a body the library already reads on, to see whether the client leaves
-		end := time.Now().Add(min(timeout, bodyPatience))
+		end := time.Now().Add(bodyPatience)
 		_ = conn.SetReadDeadline(end)  // see write
 		_ = conn.SetWriteDeadline(end) // reading may first write 100 Continue
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -24,7 +24,6 @@
 
 const (
 	ownSockets  = 32                     // descriptors that are neither a client's nor an upstream's
-	clientPart  = 40                     // percent of the others that are clients'
 	memoryPart  = 0.75                   // of the limit that the heap may use
 	quietAfter  = 450 * time.Millisecond // after SIGTERM: clients use the connections that they have until this
 	acceptAfter = 600 * time.Millisecond // and may come on new ones until this
@@ -59,9 +58,8 @@
 	clk := newClock()
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
-	connections := c.Limits.Sockets - ownSockets
-	clients := connections * clientPart / 100
-	up := newUpstreams(c, clk, connections-clients)
+	connections := (c.Limits.Sockets - ownSockets) / 2
+	up := newUpstreams(c, clk, connections)
 	l := newLoop(b, clk, running.Done())
 	w := newWatcher(c, up.dir, l.postList)
 	l.send, l.ask = up.attempt, w.ask
@@ -82,7 +80,7 @@
 		s.classes[class.Name] = class
 		longest = max(longest, class.Deadline)
 	}
-	conns := newClientConns(listener, clients)
+	conns := newClientConns(listener, connections)
 	srv := &http.Server{Handler: s, ReadHeaderTimeout: headPatience, IdleTimeout: clientIdle,
 		MaxHeaderBytes: maxHeader, DisableGeneralOptionsHandler: true, ConnState: conns.state}
 	ended := make(chan error, 1)
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -16,7 +16,8 @@
 )
 
 const (
-	maxBody    = 64 << 10 // of requests and answers
+	maxBody    = 64 << 10 // of requests
+	answerPart = 64       // an answer may have this fraction of the memory: many are in hand at once
 	maxHeader  = 16 << 10
 	maxInterim = 5 // 1xx answers ahead of the final one
 	headerLoad = "X-Server-Load"
@@ -94,9 +95,9 @@
 	// The body is not closed: that would first read the rest of it.
 	delimited := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	var body []byte
-	whole := delimited && resp.ContentLength <= maxBody && resp.StatusCode >= 200
+	whole := delimited && resp.ContentLength <= int64(u.maxAnswer) && resp.StatusCode >= 200
 	if whole {
-		body, err = in.body(resp)
+		body, err = in.body(resp, u.maxAnswer)
 		if err != nil && resp.StatusCode == http.StatusOK {
 			return ended(in.failure()), false
 		}
@@ -168,10 +169,15 @@
 }
 
 // body reads the body to its end.
-func (in *answerReader) body(resp *http.Response) ([]byte, error) {
-	in.limited.left = maxBody + maxHeader // chunks have heads of their own
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
-	if err == nil && len(body) > maxBody {
+func (in *answerReader) body(resp *http.Response, most int) ([]byte, error) {
+	in.limited.left = most + most/4 + maxHeader // chunks have heads of their own
+	if resp.ContentLength >= 0 {
+		body := make([]byte, resp.ContentLength)
+		_, err := io.ReadFull(resp.Body, body)
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(most)+1))
+	if err == nil && len(body) > most {
 		err = errTooLarge
 	}
 	return body, err
