--- a/balancer/trouble_test.go
+++ b/balancer/trouble_test.go
@@ -114,6 +114,24 @@
 	}
 }
 
+// A broken connection or an answer that can't be read happens now and then to upstreams that are fine: they stay.
+func TestChanceFailuresDoNotEject(t *testing.T) {
+	for _, res := range []Result{Reset, Garbled} {
+		n := 0
+		w := newWorld(t, testSettings(), func(string) (Result, time.Duration) {
+			if n++; n%20 == 0 {
+				return res, 5 * ms
+			}
+			return OK, 20 * ms
+		})
+		w.fleet(5)
+		w.play(10*time.Second, 100)
+		if w.logged("eject") {
+			t.Errorf("result %d: log %q", res, w.logs)
+		}
+	}
+}
+
 // A hung upstream answers nothing: known by the age of what is out, ejected by its silence.
 func TestHungUpstreamIsLeft(t *testing.T) {
 	for _, copies := range []bool{true, false} {
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -276,6 +277,22 @@
 	ask()
 }
 
+// Guards against a connection that ends with no answer: a context that ends is no proof that the client left, a read
+// deadline that fires as the body ends does the same.
+func TestEndedContextIsAnswered(t *testing.T) {
+	s := &server{clock: newClock(), classes: map[string]balancer.Class{"search": {Deadline: patience}},
+		post: func(any) bool { return true }}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	req := httptest.NewRequest(http.MethodGet, "/search/1", nil).WithContext(ctx)
+	req.Header.Set("X-Request-ID", "1")
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, req)
+	if w.Code != http.StatusBadGateway || w.Header().Get("Connection") != "close" {
+		t.Errorf("answered %d, %v", w.Code, w.Header())
+	}
+}
+
 // Guards against too many descriptors: at the limit a connection between requests gives way to a new one.
 func TestClientConnectionLimit(t *testing.T) {
 	s := newUpstream(t, says(ok200("")))
