Module split by concern: members, pick, attempts, cold, refusals; nothing decided otherwise

Need: balancer.go held every decision in 943 lines, and routes, services and membership are about to be built beside it.

Code was moved, not edited.

--- a/balancer/api.go
+++ b/balancer/api.go
@@ -1,6 +1,6 @@
 // Package balancer makes the decisions of a client-side load balancer that runs as a sidecar.
 //
-// This file is the whole interface: Settings, events in, actions out. The decisions are in balancer.go.
+// This file is the whole interface: Settings, events in, actions out. The decisions are in balancer.go and the files that it names.
 // A sidecar calls New once, then Handle for each thing that happens, and carries out the actions in order.
 // The package does no I/O and reads no clock; a Balancer is not safe for concurrent use.
 package balancer
--- /dev/null
+++ b/balancer/attempts.go
@@ -0,0 +1,275 @@
+package balancer
+
+// Attempts and copies: a request's way from its arrival to its last outcome. What stands here guards that no
+// effect happens twice (mayTry, stuck) and that each request has one end (close, forget).
+
+import (
+	"slices"
+	"time"
+)
+
+type attempt struct {
+	r      *request
+	n      int
+	u      *upstream
+	zone   string // of the upstream when sent
+	cell   int
+	sent   time.Duration
+	out    bool
+	mayRun bool // not proved not to have run
+	begun  bool // its streamed answer has begun
+}
+
+type request struct {
+	id       string
+	class    *class
+	tenant   int
+	arrived  time.Duration
+	expires  time.Duration
+	aim      time.Duration // clock time
+	end      time.Duration // clock time at which we give up
+	cost     float64       // expected work, relative to the mean request
+	attempts []*attempt
+	out      int
+	stale    bool // a repeat whose aim has passed
+	done     bool
+	stream   bool          // the answer has begun
+	lateAt   time.Duration // when its latest attempt is late
+}
+
+func (b *Balancer) arrive(e Request) {
+	c := b.classes[e.Class]
+	if b.reqs[e.ID] != nil {
+		return
+	}
+	if c == nil { // no such class: nothing has run and nothing is known of it
+		b.act(Action{Kind: Refuse, ID: e.ID})
+		return
+	}
+	r := &request{id: e.ID, class: c, arrived: b.now, expires: e.Expires, cost: b.cost(c, e.Hint)}
+	r.tenant = slices.IndexFunc(b.set.Tenants, func(t Tenant) bool { return t.Name == e.Tenant })
+	aim := c.Aim + time.Duration(c.AimStretch*float64(e.Hint))
+	r.aim = b.now + min(aim, c.Deadline)
+	worthUntil := r.aim + c.firstTry(b.now, e.Expires, b.set.Tick) - b.now
+	r.stale = worthUntil <= b.now
+	// The last answer must land before the deadline, also when the next batch comes a tick late. Past its
+	// aim a request without late worth costs work and earns nothing.
+	r.end = r.expires - 2*b.set.Tick
+	if c.LateShare == 0 {
+		r.end = min(r.end, worthUntil-b.set.Tick)
+	}
+	b.reqs[r.id] = r
+	b.hold(r, 1)
+	b.after(r.end, timerEnd, r)
+	if b.now >= r.end || !b.admit(r) {
+		b.giveUp(r)
+		return
+	}
+	b.offered.add(r.cost, b.now) // without what is refused: its repeats would count again
+	b.move(r)
+}
+
+// firstTry is when the client's first try for this request came, as far as its end tells. Guards against
+// work for repeats whose aim has passed. First tries of a class, most requests, have the same time left; any
+// other was cut short by the end of all tries, a Deadline after the first.
+func (c *class) firstTry(now, expires, tick time.Duration) time.Duration {
+	left := expires - now
+	if (left - c.tryTime).Abs() <= 2*tick {
+		c.tryVotes = min(c.tryVotes+1, tryVotes)
+		return now
+	}
+	if c.tryVotes--; c.tryVotes < 0 {
+		c.tryTime, c.tryVotes = left, 0
+	}
+	if first := expires - c.Deadline; c.tryVotes > tryVotes/2 && first < now {
+		return first
+	}
+	return now
+}
+
+// move sends a request that has nothing out, or holds it until something is ready, or ends it.
+func (b *Balancer) move(r *request) {
+	if b.now+seconds(b.mid.v*r.cost) > r.end && len(r.attempts) > 0 {
+		b.giveUp(r)
+		return
+	}
+	if u := b.pick(r); u != nil {
+		b.send(r, u)
+		return
+	}
+	if len(r.attempts) >= b.set.MaxAttempts || b.stuck(r) {
+		b.giveUp(r)
+		return
+	}
+	b.after(b.now+2*b.set.Tick, timerHeld, r)
+}
+
+// mayTry is the gate that every attempt passes.
+func (b *Balancer) mayTry(r *request, u *upstream) bool {
+	if r.done || r.stream || len(r.attempts) >= b.set.MaxAttempts || b.now >= r.expires || !u.listed {
+		return false
+	}
+	if r.out > 0 && (!b.set.SecondCopies || r.class.Effect == Unsafe) {
+		return false
+	}
+	if b.stuck(r) {
+		return false
+	}
+	for _, a := range r.attempts {
+		if a.mayRun && r.class.Effect == Keyed && (r.class.Group == GroupZone && a.zone != u.zone ||
+			r.class.Group == GroupCell && a.cell != u.cell) {
+			return false
+		}
+	}
+	return b.coldAllows(u)
+}
+
+// stuck: an attempt may have run, and nothing may follow it any more.
+func (b *Balancer) stuck(r *request) bool {
+	return r.class.Effect != Safe && slices.ContainsFunc(r.attempts, func(a *attempt) bool {
+		return a.mayRun && (r.class.Effect == Unsafe || b.now-a.sent > r.class.Window-2*b.set.Tick)
+	})
+}
+
+// send starts the next attempt. Its caller asked mayTry, through pick.
+func (b *Balancer) send(r *request, u *upstream) {
+	a := &attempt{r: r, n: len(r.attempts), u: u, zone: u.zone, cell: u.cell, sent: b.now}
+	a.out, a.mayRun = true, true
+	if a.n == 0 {
+		b.retries = min(b.retries+retryRatio, max(retryBurst, retryRatio*b.offered.per(b.now)))
+	} else {
+		b.retries = max(b.retries-1, 0) // refused connections cost nothing and are not held to it
+	}
+	r.attempts = append(r.attempts, a)
+	r.out++
+	u.out = append(u.out, a)
+	u.tokens -= r.cost
+	b.act(Action{Kind: Send, ID: r.id, Upstream: u.id, Timeout: max(r.end-b.now, b.set.Tick)})
+	if r.class.Effect != Unsafe {
+		r.lateAt = b.now + b.patience(r)
+		b.after(r.lateAt, timerLate, r)
+	}
+}
+
+// patience is how long an attempt may be out before it is late. Where no second copy may run beside it,
+// ending it costs its place in the queue: it then waits as long as leaves time for another attempt.
+func (b *Balancer) patience(r *request) time.Duration {
+	d := seconds(b.late.v * r.cost * float64(int(1)<<max(r.out-1, 0)))
+	if !b.set.SecondCopies {
+		d = max(d, r.end-b.now-seconds(b.mid.v*r.cost))
+	}
+	return d
+}
+
+// lateAttempt answers a request whose attempt is late: a second copy beside it, or where that is ruled out
+// another attempt in its place, if the upstream has not been heard since. Guards against pauses and hung
+// upstreams. A late request is mostly a costly one, and so is its copy: it takes an upstream that leaves two
+// of ours unanswered, or copies that paid of late. Budget and pressure stop it in overload.
+func (b *Balancer) lateAttempt(r *request) {
+	if r.out == 0 || b.now < r.lateAt || b.retries < 1 || b.pressure() > copyPressure {
+		return
+	}
+	last := r.attempts[len(r.attempts)-1]
+	if b.set.SecondCopies {
+		hangs := last.u.heard <= last.sent && len(last.u.out) > 1
+		if !hangs && b.copyWins < copyPays && b.rng.Float64() > copyTrial {
+			return
+		}
+		if u := b.pick(r); u != nil {
+			b.send(r, u)
+		}
+		return
+	}
+	if b.set.Cancelling && last.u.heard < last.sent && b.now+seconds(b.mid.v*r.cost) < r.end {
+		b.cancelRest(r, -1)
+	}
+}
+
+// firstByte hands a request's stream to its client. The latency is that of the answer's beginning, and how
+// long it goes on tells nothing: guards against upstreams that look slow, and sidecars that look crowded.
+func (b *Balancer) firstByte(e FirstByte) {
+	r := b.reqs[e.ID]
+	if r == nil || r.done || r.stream || e.Attempt < 0 || e.Attempt >= len(r.attempts) {
+		return
+	}
+	if !r.attempts[e.Attempt].out {
+		return
+	}
+	a := r.attempts[e.Attempt]
+	r.stream, a.begun = true, true
+	a.u.out = slices.DeleteFunc(a.u.out, func(x *attempt) bool { return x == a })
+	a.u.streams++
+	b.observe(a, OK, b.now-a.sent)
+	b.health(a, OK, b.now-a.sent)
+	b.learnLimit(r)
+	b.cancelRest(r, e.Attempt)
+	b.hold(r, -1)
+}
+
+func (b *Balancer) outcome(e Outcome) {
+	r := b.reqs[e.ID]
+	if r == nil || e.Attempt < 0 || e.Attempt >= len(r.attempts) || !r.attempts[e.Attempt].out {
+		return
+	}
+	a := r.attempts[e.Attempt]
+	a.out = false
+	r.out--
+	a.mayRun = e.Result != Overloaded && e.Result != ConnectFailed && e.Result != Moot
+	if a.begun {
+		a.u.streams--
+	} else {
+		a.u.out = slices.DeleteFunc(a.u.out, func(x *attempt) bool { return x == a })
+		b.observe(a, e.Result, e.Elapsed)
+	}
+	b.health(a, e.Result, e.Elapsed)
+	if e.Finished && !r.done {
+		if won := 0.0; r.out > 0 { // two copies raced
+			if e.Attempt > 0 && b.now < r.aim {
+				won = 1
+			}
+			b.copyWins += fewWeight * (won - b.copyWins)
+		}
+		b.cancelRest(r, e.Attempt)
+		b.learnLimit(r)
+		b.close(r)
+	}
+	if r.done {
+		b.forget(r)
+		return
+	}
+	if r.out > 0 || r.stream {
+		return // another copy is still out, or the stream's end is the client's
+	}
+	if e.Result != ConnectFailed && b.retries < 1 {
+		b.giveUp(r)
+		return
+	}
+	b.move(r)
+}
+
+// cancelRest stops the attempts still out, but for the one numbered keep.
+func (b *Balancer) cancelRest(r *request, keep int) {
+	for _, a := range r.attempts {
+		if a.out && a.n != keep && b.set.Cancelling {
+			b.act(Action{Kind: Cancel, ID: r.id, Attempt: a.n})
+		}
+	}
+}
+
+func (b *Balancer) close(r *request) {
+	if r.done {
+		return
+	}
+	r.done = true
+	if !r.stream {
+		b.hold(r, -1)
+	}
+	b.forget(r)
+}
+
+// forget lets a request go once it is done and no outcome is to come.
+func (b *Balancer) forget(r *request) {
+	if r.done && r.out == 0 {
+		delete(b.reqs, r.id)
+	}
+}
--- /dev/null
+++ b/balancer/cold.go
@@ -0,0 +1,44 @@
+package balancer
+
+// Cold upstreams: what is sent to one that has just started stays within a budget.
+
+import (
+	"slices"
+	"time"
+)
+
+// chill begins an upstream's warm-up at from.
+func (b *Balancer) chill(u *upstream, from time.Duration) {
+	u.cold, u.coldFrom, u.filled, u.tokens = true, from, b.now, b.rng.Float64()
+	u.est = estimate{*u.mean / b.warmth(u), b.now}
+}
+
+// warmth is the least share of its capacity that a starting upstream has by now.
+func (b *Balancer) warmth(u *upstream) float64 {
+	if u.cold && b.now-u.coldFrom >= b.set.WarmUp {
+		u.cold = false
+	}
+	if !u.cold {
+		return 1
+	}
+	age := float64(b.now-u.coldFrom) / float64(b.set.WarmUp)
+	return min(1, b.set.ColdFrom+(1-b.set.ColdFrom)*age)
+}
+
+// coldAllows holds a cold upstream to a part of what would push it over. The rule counts all sidecars' work;
+// each does its part by sending no more than that multiple of its mean load, as far as the upstream is warm.
+// Only those that list it in their subset do: else, with many cold, every sidecar would come to each of them.
+func (b *Balancer) coldAllows(u *upstream) bool {
+	f, size := b.warmth(u), min(len(b.list), b.subset())
+	if !u.cold || !slices.Contains(b.list[:size], u) {
+		return !u.cold
+	}
+	if b.set.FallMultiple > 0 {
+		f *= coldPart * b.set.FallMultiple
+	}
+	perSec := f * b.offered.per(b.now) / float64(size)
+	depth := max(1, perSec*b.set.FallTime.Seconds()/10)
+	u.tokens = min(depth, u.tokens+perSec*(b.now-u.filled).Seconds())
+	u.filled = b.now
+	return u.tokens >= 1
+}
--- /dev/null
+++ b/balancer/members.go
@@ -0,0 +1,156 @@
+package balancer
+
+// Members: the list of upstreams, and which of them are left out for their failures.
+
+import (
+	"slices"
+	"time"
+)
+
+type upstream struct {
+	id, zone string
+	mean     *float64 // mean normalised latency of its kind of machine, seconds
+	cell     int
+	listed   bool // active in the list
+	cameUp   time.Duration
+	est      estimate
+	out      []*attempt // attempts without answer, oldest first
+	streams  int        // attempts whose streamed answer goes on
+
+	heard       time.Duration // when it last answered
+	fails       int           // attempts sent since then that failed
+	silentSince time.Duration // when the first of them was sent
+	errors      int           // error answers in a row
+	ejections   int           // in a row, without an answer between
+	until       time.Duration // ejected until
+
+	cold     bool
+	coldFrom time.Duration // start of its warm-up
+	tokens   float64       // cold budget, in mean requests
+	filled   time.Duration
+}
+
+// members follows the list, and asks again with a growing, jittered wait when it is lost.
+func (b *Balancer) members(e Members) {
+	if e.Kind == Failed {
+		if b.subscribed || b.askFails == 0 {
+			b.log("list lost: asking again")
+		}
+		b.subscribed, b.asking = false, false
+		b.askFails++
+		d := min(askBase<<min(b.askFails-1, 10), askMax)
+		b.after(b.now+time.Duration(float64(d)*(0.5+b.rng.Float64())), timerAsk, nil)
+		return
+	}
+	if b.asking {
+		if b.askFails > 0 {
+			b.log("list regained")
+		}
+		b.subscribed, b.asking, b.askFails = true, false, 0
+	}
+	if e.Kind != Change {
+		for _, u := range b.list {
+			u.listed = false
+		}
+	}
+	for _, m := range e.Entries {
+		b.member(m)
+	}
+	b.list = slices.DeleteFunc(b.list, func(u *upstream) bool {
+		if !u.listed {
+			delete(b.ups, u.id)
+		}
+		return !u.listed
+	})
+	if e.Kind == Saved && b.set.MustSubscribe && !b.asking && !b.subscribed {
+		b.ask()
+	}
+}
+
+func (b *Balancer) member(m Member) {
+	u := b.ups[m.Upstream]
+	if m.State != Active {
+		if u != nil {
+			u.listed = false
+		}
+		return
+	}
+	if u == nil || u.cameUp != m.CameUp { // a new process: what was learnt of the old one is void
+		old := u
+		if b.means[m.Machine] == nil {
+			b.means[m.Machine] = new(b.fleet)
+		}
+		u = &upstream{id: m.Upstream, mean: b.means[m.Machine], cameUp: m.CameUp}
+		u.est = estimate{*u.mean, b.now}
+		if m.CameUp > 0 && b.now-m.CameUp < b.set.WarmUp {
+			b.chill(u, m.CameUp)
+		}
+		b.ups[u.id] = u
+		if i := slices.Index(b.list, old); old != nil && i >= 0 {
+			b.list[i] = u
+		} else {
+			b.list = slices.Insert(b.list, b.rng.IntN(len(b.list)+1), u)
+		}
+	}
+	u.listed, u.zone, u.cell = true, m.Zone, m.Cell
+}
+
+func (b *Balancer) ask() {
+	b.asking = true
+	b.act(Action{Kind: Subscribe})
+}
+
+// ready: after an ejection one trial at a time, and not with what cannot be sent again.
+func (b *Balancer) ready(u *upstream, r *request) bool {
+	if b.now < u.until {
+		return false
+	}
+	return u.ejections == 0 || len(u.out) == 0 && r.class.Effect != Unsafe
+}
+
+// health ejects an upstream that refuses connections, breaks them, answers errors only or stays silent.
+// Guards against crashed upstreams (their instant refusals look fast), hung ones, and failing ones: beside
+// queues longer than the penalty their errors look fast too.
+func (b *Balancer) health(a *attempt, res Result, elapsed time.Duration) {
+	u := a.u
+	switch res {
+	case ServerError, Garbled: // alive, so what it answers is looked at
+		u.heard, u.fails = b.now, 0
+		if u.errors++; u.errors >= ejectErrors && b.now >= u.until {
+			b.eject(u)
+		}
+	case OK, Overloaded:
+		u.heard = b.now
+		if u.ejections > 0 {
+			b.log("return %s after %d ejections", u.id, u.ejections)
+		}
+		u.fails, u.errors, u.ejections, u.until = 0, 0, 0, 0
+	case Timeout, ConnectFailed, Reset, Cancelled:
+		// A copy's winner cuts the others short: late ones among them count. Without copies the one cut
+		// short was moved, perhaps off a long queue.
+		late := b.set.SecondCopies && elapsed.Seconds() >= b.late.v*a.r.cost
+		if res == Timeout && a.sent < u.heard || res == Cancelled && (a.sent < u.heard || !late) {
+			return // slow, not silent
+		}
+		if u.fails++; u.fails == 1 {
+			u.silentSince = a.sent
+		}
+		dead := res == Reset || res == ConnectFailed && elapsed < b.set.ConnectTimeout/2
+		silent := (b.now - u.silentSince).Seconds() > silentAims*b.meanAim
+		if (u.fails > 1 && (dead || silent) || u.ejections > 0) && b.now >= u.until { // one may break by chance
+			b.eject(u)
+		}
+	}
+}
+
+// eject takes u out of the ready ones for a while that doubles with each failed trial, jittered so that
+// sidecars do not return together.
+func (b *Balancer) eject(u *upstream) {
+	d := min(ejectBase<<min(u.ejections, 10), ejectMax)
+	d = time.Duration(float64(d) * (0.75 + 0.5*b.rng.Float64()))
+	u.ejections++
+	u.until = b.now + d
+	if u.ejections == 1 {
+		b.log("eject %s: %d failures unheard, %d errors in a row", u.id, u.fails, u.errors)
+	}
+}
--- a/balancer/stats.go
+++ b/balancer/stats.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Plain statistics: a quantile and a rate. What is fed to them and what follows from them is in balancer.go.
+// Plain statistics: a quantile and a rate. What is fed to them and what follows from them is in pick.go and refusals.go.
 
 // quantile follows a quantile p of what is added.
 type quantile struct{ p, v float64 }
