routes: patterns, precedence and readings decide class; the platform's rules are one set

Need: other installations have their own paths and headers; the class was bound to the first path segment and the platform's headers.

Change: internal/routes (no I/O): net/http's patterns and order of precedence with header conditions, conflicts found at load, sources for key, tenant, cost, id and deadline, size limits; whatever class is decided on is at least as strict as every other reading of the path (decoding, semicolons, doubled and last slashes, capitals), else 400.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -102,7 +102,7 @@
 	go watcher.Run(running, c.Settings.MustSubscribe)
 	go followReloads(running, c, path, reload, watcher.Redirect)
 
-	s := &server{engine: eng, pool: pool, checker: intake.NewChecker(c.Settings.Classes),
+	s := &server{engine: eng, pool: pool, checker: intake.Platform(c.Settings.Classes),
 		ready: func() bool { return dir.Len() > 0 }}
 	var longest time.Duration
 	for _, class := range c.Settings.Classes {
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -66,7 +66,7 @@
 		s.say(w, bad.Status, bad.Text)
 		return
 	}
-	call := engine.Call{ID: req.ID, Class: req.Class, Tenant: req.Tenant, Hint: req.Hint,
+	call := engine.Call{ID: req.ID, Class: req.Class.Name, Tenant: req.Tenant, Hint: req.Hint,
 		Expires: s.engine.Clock().Now() + req.Timeout}
 	a := s.engine.Do(r.Context(), call, &exchange{s.pool,
 		upstream.NewRequest(req.Method, req.Target, req.Host, req.Header, req.Body)})
--- a/internal/daemon/server_test.go
+++ b/internal/daemon/server_test.go
@@ -297,7 +297,7 @@
 		t.Fatal(err)
 	}
 	defer e.Close()
-	s := &server{engine: e, checker: intake.NewChecker(c.Settings.Classes)}
+	s := &server{engine: e, checker: intake.Platform(c.Settings.Classes)}
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	req := httptest.NewRequest(http.MethodGet, "/search/1", nil).WithContext(ctx)
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -3,8 +3,6 @@
 import (
 	"bufio"
 	"net/http"
-	"net/url"
-	"path"
 	"strings"
 	"testing"
 	"time"
@@ -17,7 +15,7 @@
 	class := func(name string, e balancer.Effect) balancer.Class {
 		return balancer.Class{Name: name, Effect: e, Deadline: 4 * time.Second}
 	}
-	return NewChecker([]balancer.Class{class("seat-search", balancer.Safe), class("payment-record", balancer.Keyed),
+	return Platform([]balancer.Class{class("seat-search", balancer.Safe), class("payment-record", balancer.Keyed),
 		class("confirm-booking", balancer.Unsafe)})
 }
 
@@ -63,14 +61,14 @@
 	} {
 		r := read(t, "GET "+target+" HTTP/1.1", id)
 		if req, bad := testChecker().Check(r); bad == nil || bad.Status != http.StatusBadRequest {
-			t.Errorf("%s: taken as %q, %+v", target, req.Class, bad)
+			t.Errorf("%s: taken as %+v, %+v", target, req.Class, bad)
 		}
 	}
 	for _, target := range []string{"/seat-search", "/seat-search/", "/seat-search/a.b", "/seat-search/...",
 		"/seat-search/a%20b", "/seat-search/100%25", "/seat-search/z%C3%BCg?x=%2F..%2f&y=a/../b", "/seat-search/a;b=1",
 		"/seat-search//1"} {
 		r := read(t, "GET "+target+" HTTP/1.1", id)
-		if req, bad := testChecker().Check(r); bad != nil || req.Class != "seat-search" || req.Target != target {
+		if req, bad := testChecker().Check(r); bad != nil || req.Class.Name != "seat-search" || req.Target != target {
 			t.Errorf("%s: %+v, %+v", target, req, bad)
 		}
 	}
@@ -133,47 +131,10 @@
 	if bad != nil {
 		t.Fatalf("%+v", bad)
 	}
-	if req.ID != "9b1f" || req.Class != "payment-record" || req.Tenant != "acme" || req.Key != `"5c0f, 6e"` ||
-		req.Effect != balancer.Keyed || req.Timeout != 4*time.Second || req.Hint != 1500500 || req.Method != "POST" ||
+	if req.ID != "9b1f" || req.Class.Name != "payment-record" || req.Tenant != "acme" || req.Key != `"5c0f, 6e"` ||
+		req.Class.Effect != balancer.Keyed || req.Timeout != 4*time.Second || req.Hint != 1500500 || req.Method != "POST" ||
 		req.Host != "s" || req.Header.Get("X-Hop") != "" || req.Header.Get(httphead.Timeout) != "" ||
 		req.Header.Get(httphead.Key) == "" {
 		t.Errorf("%+v", req)
 	}
 }
-
-// FuzzTarget holds firstSegment against the readers that there are: whatever target is taken, each of them must find
-// the class at its head.
-func FuzzTarget(f *testing.F) {
-	for _, s := range []string{"/seat-search/1", "/seat-search/../confirm-booking/1", "/a%2f..%2fb", "/a/%252e%252e/b",
-		"/a/..;/b", "/a\\..\\b", "/a/%c0%ae%c0%ae/b", "/a?b/../c", "/a/%2e;%2e/b", "/%61/b", "/a/%25%32%65%25%32%65/b"} {
-		f.Add(s)
-	}
-	f.Fuzz(func(t *testing.T, target string) {
-		class, err := firstSegment(target)
-		if err != nil || class == "" {
-			return
-		}
-		raw, _, _ := strings.Cut(target, "?")
-		readings := []string{raw, path.Clean(raw), strings.ReplaceAll(raw, "\\", "/")}
-		text := raw
-		for range 2 { // decoded once, and once more
-			decoded, err := url.PathUnescape(text)
-			if err != nil {
-				break
-			}
-			var noParameters []string
-			for s := range strings.SplitSeq(decoded, "/") {
-				s, _, _ = strings.Cut(s, ";")
-				noParameters = append(noParameters, s)
-			}
-			readings = append(readings, decoded, path.Clean(decoded), path.Clean(strings.Join(noParameters, "/")))
-			text = decoded
-		}
-		for _, reading := range readings {
-			first, _, _ := strings.Cut(strings.TrimPrefix(reading, "/"), "/")
-			if first, _, _ = strings.Cut(first, ";"); first != class && !strings.HasPrefix(class, first+";") {
-				t.Errorf("%q: taken as %q, and may be read as %q", target, class, first)
-			}
-		}
-	})
-}
--- /dev/null
+++ b/internal/routes/pattern.go
@@ -0,0 +1,271 @@
+package routes
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+)
+
+// Pattern says which requests a route is for. It is written as the patterns of net/http are: [METHOD ][HOST]/PATH, where
+// a segment {name} stands for any one segment, a last one {name...} for all that is left, a last slash for all that
+// begins so, and {$} at the end for nothing more than that slash. Headers adds what some headers have to be, in
+// whatever case.
+type Pattern struct {
+	Method   string // empty: any
+	Host     string // empty: any; without a port, in small letters
+	Headers  map[string]string
+	segments []segment
+	text     string
+}
+
+// segment is one part of the path.
+type segment struct {
+	text string // literal, or the wildcard's name; "" for a slash's rest without a name
+	kind segmentKind
+}
+
+type segmentKind int8
+
+const (
+	literal segmentKind = iota
+	single              // any one segment
+	rest                // all that is left, possibly nothing; last
+	end                 // {$}: the path ends with the slash before; last
+)
+
+func (p *Pattern) String() string { return p.text }
+
+// Wildcards are the names that a path's parts get.
+func (p *Pattern) Wildcards() (names []string) {
+	for _, s := range p.segments {
+		if s.kind != literal && s.text != "" {
+			names = append(names, s.text)
+		}
+	}
+	return names
+}
+
+const (
+	maxPattern  = 2048 // bytes
+	maxSegments = 64
+)
+
+// ParsePattern reads a pattern.
+func ParsePattern(text string, headers map[string]string) (*Pattern, error) {
+	if len(text) > maxPattern {
+		return nil, fmt.Errorf("the pattern has %d bytes, %d at most", len(text), maxPattern)
+	}
+	p := &Pattern{text: text}
+	left := text
+	if method, after, ok := strings.Cut(text, " "); ok {
+		if !isToken(method) {
+			return nil, fmt.Errorf("%q is no method", method)
+		}
+		if method != strings.ToUpper(method) {
+			return nil, fmt.Errorf("%q: methods are in capitals", method)
+		}
+		p.Method, left = method, strings.TrimLeft(after, " ")
+	}
+	i := strings.IndexByte(left, '/')
+	if i < 0 {
+		return nil, errors.New("the path begins with a slash: [METHOD ][HOST]/PATH")
+	}
+	p.Host = left[:i]
+	if strings.ContainsAny(p.Host, " {}:") || p.Host != strings.ToLower(p.Host) {
+		return nil, fmt.Errorf("%q is no host: small letters, without a port", p.Host)
+	}
+	path := left[i:]
+	if err := unambiguous(path); err != nil {
+		return nil, err
+	}
+	if strings.ContainsAny(path, "%? ") {
+		return nil, errors.New("a pattern's path is written decoded, without %, ? and spaces")
+	}
+	names := map[string]bool{}
+	parts := strings.Split(path[1:], "/")
+	if len(parts) > maxSegments {
+		return nil, fmt.Errorf("the pattern has %d segments, %d at most", len(parts), maxSegments)
+	}
+	for i, part := range parts {
+		isLast := i == len(parts)-1
+		s := segment{text: part}
+		switch {
+		case part == "" && isLast:
+			s.kind = rest
+		case part == "":
+			return nil, errors.New("the pattern has an empty segment")
+		case part == "{$}" && isLast:
+			s = segment{kind: end}
+		case part[0] == '{' && part[len(part)-1] == '}':
+			s.kind, s.text = single, part[1:len(part)-1]
+			if name, ok := strings.CutSuffix(s.text, "..."); ok {
+				s.kind, s.text = rest, name
+				if !isLast {
+					return nil, fmt.Errorf("%s is not the last segment", part)
+				}
+			}
+			if !isName(s.text) {
+				return nil, fmt.Errorf("%s: a wildcard's name has letters, digits and _", part)
+			}
+			if names[s.text] {
+				return nil, fmt.Errorf("%s stands there twice", part)
+			}
+			names[s.text] = true
+		case strings.ContainsAny(part, "{}"):
+			return nil, fmt.Errorf("%s: a wildcard is a whole segment", part)
+		}
+		p.segments = append(p.segments, s)
+	}
+	p.Headers = make(map[string]string, len(headers))
+	for name, value := range headers {
+		if !isToken(name) || strings.Contains(name, "_") {
+			return nil, fmt.Errorf("%q is no usable header's name", name)
+		}
+		if value == "" || value != strings.TrimSpace(value) || hasControl(value) {
+			return nil, fmt.Errorf("header %s: %q is no usable value", name, value)
+		}
+		p.Headers[http.CanonicalHeaderKey(name)] = value
+	}
+	return p, nil
+}
+
+func isName(s string) bool {
+	return s != "" && !strings.ContainsFunc(s, func(r rune) bool {
+		return r != '_' && (r < '0' || r > '9') && (r < 'a' || r > 'z') && (r < 'A' || r > 'Z')
+	})
+}
+
+func isToken(s string) bool {
+	return s != "" && !strings.ContainsFunc(s, func(r rune) bool {
+		return r <= ' ' || r >= 0x7f || strings.ContainsRune(`"(),/:;<=>?@[\]{}`, r)
+	})
+}
+
+// relation is how the sets of requests that two patterns match stand to each other.
+type relation int8
+
+const (
+	equal    relation = iota
+	within            // the first's is a part of the second's
+	around            // the second's is a part of the first's
+	crossing          // each has some of the other's, and some of its own
+	disjoint
+)
+
+func (r relation) inverse() relation {
+	switch r {
+	case within:
+		return around
+	case around:
+		return within
+	}
+	return r
+}
+
+// both is the relation of two products of sets, from those of their parts.
+func both(a, b relation) relation {
+	switch {
+	case a == disjoint || b == disjoint:
+		return disjoint
+	case a == equal:
+		return b
+	case b == equal, a == b:
+		return a
+	}
+	return crossing
+}
+
+// compare relates two patterns without regard to their hosts, as net/http does: a pattern takes precedence over
+// another one if it matches a part of what that one matches.
+func (p *Pattern) compare(q *Pattern) relation {
+	r := comparePaths(p.segments, q.segments)
+	if r == disjoint { // most are, and this shows soonest
+		return r
+	}
+	return both(both(r, compareMethods(p.Method, q.Method)), compareHeaders(p.Headers, q.Headers))
+}
+
+// conflicts tells whether a request may match both with neither taking precedence. A pattern with a host goes before
+// one without.
+func (p *Pattern) conflicts(q *Pattern) bool {
+	if p.Host != q.Host {
+		return false
+	}
+	r := p.compare(q)
+	return r == equal || r == crossing
+}
+
+func compareMethods(a, b string) relation {
+	switch {
+	case a == b:
+		return equal
+	case a == "":
+		return around
+	case b == "":
+		return within
+	case a == http.MethodGet && b == http.MethodHead: // GET is for HEAD too
+		return around
+	case a == http.MethodHead && b == http.MethodGet:
+		return within
+	}
+	return disjoint
+}
+
+// compareHeaders relates conditions: the more there are, the less they match.
+func compareHeaders(a, b map[string]string) relation {
+	same := 0
+	for name, value := range a {
+		if other, has := b[name]; has {
+			if !strings.EqualFold(other, value) {
+				return disjoint
+			}
+			same++
+		}
+	}
+	switch {
+	case same == len(a) && same == len(b):
+		return equal
+	case same == len(b):
+		return within
+	case same == len(a):
+		return around
+	}
+	return crossing
+}
+
+func comparePaths(a, b []segment) relation {
+	r := equal
+	for i := 0; ; i++ {
+		if i == len(a) || i == len(b) {
+			if len(a) == len(b) {
+				return r
+			}
+			return disjoint // neither ends with a rest, and one goes on
+		}
+		x, y := a[i], b[i]
+		switch {
+		case x.kind == rest && y.kind == rest:
+			return r
+		case x.kind == rest:
+			return both(r, around)
+		case y.kind == rest:
+			return both(r, within)
+		case x.kind == end || y.kind == end:
+			if x.kind != y.kind {
+				return disjoint // a segment has at least one byte
+			}
+		case x.kind == literal && y.kind == literal:
+			if x.text != y.text {
+				return disjoint
+			}
+		case x.kind == literal:
+			r = both(r, within)
+		case y.kind == literal:
+			r = both(r, around)
+		}
+		if r == disjoint {
+			return r
+		}
+	}
+}
--- a/internal/intake/target.go
+++ b/internal/routes/target.go
@@ -1,4 +1,4 @@
-package intake
+package routes
 
 import (
 	"errors"
@@ -12,10 +12,10 @@
 // of its own may decode twice; the third round finds what was hidden for the second.
 const decodings = 3
 
-// firstSegment returns the first part of the target's path, which names the class. It turns down every target that
-// two readers may resolve to different paths: the class decides whether a request may be repeated, so it must be
-// what any upstream would read. RFC 3986 sections 3.3 and 5.2.4; what servers add to that is named below.
-func firstSegment(target string) (string, error) {
+// pathOf returns a request target's path. It turns down every target that two readers may resolve to different paths:
+// the class decides whether a request may be repeated, so it must be what any upstream would read. RFC 3986 sections
+// 3.3 and 5.2.4; what servers add to that is named below. Readings that remain are for Table.Decide to compare.
+func pathOf(target string) (string, error) {
 	if !strings.HasPrefix(target, "/") || strings.HasPrefix(target, "//") {
 		return "", errors.New("the request target is not a path")
 	}
@@ -26,11 +26,7 @@
 	if strings.ContainsAny(query, "#\\") || hasControl(query) {
 		return "", errors.New("the request target's query has a character that belongs in none")
 	}
-	segment, _, _ := strings.Cut(path[1:], "/")
-	if strings.Contains(segment, "%") {
-		return "", errors.New("the class stands in the path as it is, without encoding")
-	}
-	return segment, nil
+	return path, nil
 }
 
 // unambiguous looks at a path as it is written and as it reads once decoded, and again.
--- /dev/null
+++ b/internal/tomlfile/decode.go
@@ -0,0 +1,323 @@
+package tomlfile
+
+import (
+	"encoding"
+	"fmt"
+	"maps"
+	"math"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// field is one declared key.
+type field struct {
+	index                     int
+	name, doc, preset, sample string
+	oneof                     []string
+	start, secret, hasPreset  bool
+}
+
+// fields lists a declaration's keys, in its order.
+func fields(t reflect.Type) []field {
+	var out []field
+	for i := range t.NumField() {
+		tag := t.Field(i).Tag
+		name := tag.Get("toml")
+		if name == "" || name == "-" {
+			continue
+		}
+		f := field{index: i, name: name, doc: tag.Get("doc"), sample: tag.Get("sample"),
+			start: tag.Get("reload") == "start", secret: tag.Get("secret") != ""}
+		f.preset, f.hasPreset = tag.Lookup("default")
+		if words := tag.Get("oneof"); words != "" {
+			f.oneof = strings.Split(words, "|")
+		}
+		out = append(out, f)
+	}
+	return out
+}
+
+var unmarshaler = reflect.TypeFor[encoding.TextUnmarshaler]()
+
+func isText(t reflect.Type) bool { return reflect.PointerTo(t).Implements(unmarshaler) }
+
+// isTable tells whether a type is a table, or an array of tables.
+func isTable(t reflect.Type) (table, array bool) {
+	if t.Kind() == reflect.Slice {
+		inner, _ := isTable(t.Elem())
+		return false, inner
+	}
+	return t.Kind() == reflect.Struct && !isText(t), false
+}
+
+// setDefaults fills in what the tags say. A default that its own field can't hold is a mistake of the program.
+func setDefaults(v reflect.Value) {
+	for _, f := range fields(v.Type()) {
+		fv := v.Field(f.index)
+		if table, _ := isTable(fv.Type()); table {
+			setDefaults(fv)
+		} else if f.hasPreset {
+			if err := setPreset(fv, f.preset); err != nil {
+				panic(fmt.Sprintf("declaration %v.%s: default %q: %v", v.Type(), f.name, f.preset, err))
+			}
+		}
+	}
+}
+
+func setPreset(v reflect.Value, text string) error {
+	var raw any = text
+	switch {
+	case isText(v.Type()):
+	case v.Kind() == reflect.Slice:
+		list := []any{}
+		for word := range strings.SplitSeq(text, ",") {
+			if word = strings.TrimSpace(word); word != "" {
+				list = append(list, word)
+			}
+		}
+		raw = list
+	case v.Kind() == reflect.Bool:
+		raw = text == "true"
+	case v.Kind() == reflect.Int:
+		n, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			return err
+		}
+		raw = n
+	case v.Kind() == reflect.Float64:
+		n, err := strconv.ParseFloat(text, 64)
+		if err != nil {
+			return err
+		}
+		raw = n
+	}
+	problem := ""
+	set(v, raw, func(format string, args ...any) { problem = fmt.Sprintf(format, args...) })
+	if problem != "" {
+		return fmt.Errorf("%s", problem)
+	}
+	return nil
+}
+
+// table decodes one table, and asks it what else is wrong.
+func (d *Document) table(path string, tree map[string]any, v reflect.Value) {
+	declared := fields(v.Type())
+	for _, key := range slices.Sorted(maps.Keys(tree)) {
+		i := slices.IndexFunc(declared, func(f field) bool { return f.name == key })
+		at := join(path, key)
+		if i < 0 {
+			d.Report(at, "no such key%s", nearest(key, declared))
+			continue
+		}
+		d.field(at, tree[key], declared[i], v.Field(declared[i].index))
+	}
+	if c, ok := v.Addr().Interface().(Checker); ok {
+		c.Check(func(key, format string, args ...any) {
+			at := path
+			if key != "" {
+				at = join(path, key)
+			}
+			d.Report(at, format, args...)
+		})
+	}
+}
+
+func (d *Document) field(at string, raw any, f field, v reflect.Value) {
+	switch table, array := isTable(v.Type()); {
+	case table:
+		if tree, ok := raw.(map[string]any); ok {
+			d.table(at, tree, v)
+		} else {
+			d.Report(at, "is %s, and not a table", kind(raw))
+		}
+	case array:
+		list, ok := raw.([]any)
+		if !ok {
+			d.Report(at, "is %s, and not an array of tables: [[%s]]", kind(raw), f.name)
+			return
+		}
+		v.Set(reflect.MakeSlice(v.Type(), len(list), len(list)))
+		for i, item := range list {
+			setDefaults(v.Index(i))
+			of := fmt.Sprintf("%s[%d]", at, i)
+			if tree, ok := item.(map[string]any); ok {
+				d.table(of, tree, v.Index(i))
+			} else {
+				d.Report(of, "is %s, and not a table", kind(item))
+			}
+		}
+	default:
+		set(v, raw, func(format string, args ...any) { d.Report(at, format, args...) })
+		d.words(at, f, v)
+	}
+}
+
+// words holds a string, or each of a list, against the words that there are.
+func (d *Document) words(at string, f field, v reflect.Value) {
+	if f.oneof == nil {
+		return
+	}
+	values := []string{}
+	if v.Kind() == reflect.String {
+		values = append(values, v.String())
+	} else if list, ok := v.Interface().([]string); ok {
+		values = list
+	}
+	for _, word := range values {
+		if !slices.Contains(f.oneof, word) {
+			d.Report(at, "%q is none of %s", word, strings.Join(f.oneof, ", "))
+		}
+	}
+}
+
+// set puts a decoded value into a field of a simple type.
+func set(v reflect.Value, raw any, report func(format string, args ...any)) {
+	if isText(v.Type()) {
+		text, ok := raw.(string)
+		if !ok {
+			report("is %s, and not a string", kind(raw))
+			return
+		}
+		if err := v.Addr().Interface().(encoding.TextUnmarshaler).UnmarshalText([]byte(text)); err != nil {
+			report("%v", err)
+		}
+		return
+	}
+	switch v.Kind() {
+	case reflect.String:
+		if text, ok := raw.(string); ok {
+			v.SetString(text)
+			return
+		}
+	case reflect.Bool:
+		if on, ok := raw.(bool); ok {
+			v.SetBool(on)
+			return
+		}
+	case reflect.Int:
+		if n, ok := raw.(int64); ok {
+			if n < math.MinInt32 || n > math.MaxInt32 {
+				report("%d is out of range", n)
+			}
+			v.SetInt(n)
+			return
+		}
+	case reflect.Float64:
+		switch n := raw.(type) {
+		case int64:
+			v.SetFloat(float64(n))
+			return
+		case float64:
+			if math.IsNaN(n) || math.IsInf(n, 0) {
+				report("%v is not usable", n)
+			}
+			v.SetFloat(n)
+			return
+		}
+	case reflect.Slice:
+		if list, ok := raw.([]any); ok {
+			v.Set(reflect.MakeSlice(v.Type(), len(list), len(list)))
+			for i, item := range list {
+				set(v.Index(i), item, func(format string, args ...any) {
+					report("item %d: %s", i+1, fmt.Sprintf(format, args...))
+				})
+			}
+			return
+		}
+	case reflect.Map:
+		if tree, ok := raw.(map[string]any); ok {
+			m := map[string]string{}
+			for key, item := range tree {
+				text, ok := item.(string)
+				if !ok {
+					report("%s is %s, and not a string", key, kind(item))
+				}
+				m[key] = text
+			}
+			v.Set(reflect.ValueOf(m))
+			return
+		}
+	}
+	report("is %s, and not %s", kind(raw), wanted(v.Type()))
+}
+
+func wanted(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.String:
+		return "a string"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Int:
+		return "a whole number"
+	case reflect.Float64:
+		return "a number"
+	case reflect.Slice:
+		return "an array"
+	case reflect.Map:
+		return "a table of strings"
+	}
+	return t.String()
+}
+
+func kind(raw any) string {
+	switch raw.(type) {
+	case string:
+		return "a string"
+	case bool:
+		return "true or false"
+	case int64:
+		return "a whole number"
+	case float64:
+		return "a number"
+	case []any:
+		return "an array"
+	case map[string]any:
+		return "a table"
+	}
+	return "a date or time"
+}
+
+// nearest names the declared key that an unknown one is closest to, if it is close.
+func nearest(key string, declared []field) string {
+	best, least := "", 1+len(key)/3
+	for _, f := range declared {
+		if n := distance(strings.ToLower(key), f.name); n <= least {
+			best, least = f.name, n-1
+		}
+	}
+	if best == "" {
+		return ""
+	}
+	return fmt.Sprintf("; the nearest is %q", best)
+}
+
+// distance is how many letters have to be put in, taken out, changed or swapped with the next to get from a to b: the
+// optimal string alignment distance (Damerau 1964), in O(len(a) len(b)).
+func distance(a, b string) int {
+	if len(a) > 64 || len(b) > 64 {
+		return len(a) + len(b)
+	}
+	rows := make([][]int, len(a)+1)
+	for i := range rows {
+		rows[i] = make([]int, len(b)+1)
+		rows[i][0] = i
+	}
+	for j := range rows[0] {
+		rows[0][j] = j
+	}
+	for i := 1; i <= len(a); i++ {
+		for j := 1; j <= len(b); j++ {
+			cost := 1
+			if a[i-1] == b[j-1] {
+				cost = 0
+			}
+			rows[i][j] = min(rows[i-1][j]+1, rows[i][j-1]+1, rows[i-1][j-1]+cost)
+			if i > 1 && j > 1 && a[i-1] == b[j-2] && a[i-2] == b[j-1] {
+				rows[i][j] = min(rows[i][j], rows[i-2][j-2]+1)
+			}
+		}
+	}
+	return rows[len(a)][len(b)]
+}
--- /dev/null
+++ b/internal/tomlfile/tomlfile.go
@@ -0,0 +1,228 @@
+// Package tomlfile decodes a TOML text into declared structs and says all that is wrong with it, each mistake with
+// line, column and key. The same declarations make the commented example, the effective text and the list of keys that
+// two texts differ in, so that no key can lack its documentation.
+//
+// A declaration is a struct whose fields have the tags
+//
+//	toml:"name"      the key
+//	doc:"..."        what it means, in a sentence or two; required
+//	default:"..."    as it would be written in TOML, without the quotes of a string; absent: the zero value
+//	oneof:"a|b"      the words that a string may be; absent: any
+//	sample:"..."     what the example shows where the default is empty, as written in TOML
+//	reload:"start"   a change counts from the next start; absent: it is applied by a reload
+//	secret:"yes"     the value is never shown
+//
+// Field types are string, bool, int, float64, types that implement encoding.TextUnmarshaler, slices of those,
+// map[string]string, structs (tables) and slices of structs (arrays of tables). A declaration that implements Checker
+// is asked for what else is wrong once it is decoded.
+package tomlfile
+
+import (
+	"bytes"
+	"cmp"
+	"errors"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// Mistake is one thing that is wrong. Line and Column count from 1; 0: it stands nowhere, as a key that is missing.
+type Mistake struct {
+	Line, Column int
+	Key          string // its whole path: service[0].class[1].aim
+	Reason       string
+}
+
+func (m Mistake) Error() string {
+	if m.Line == 0 {
+		return m.Key + ": " + m.Reason
+	}
+	return fmt.Sprintf("%d:%d: %s: %s", m.Line, m.Column, m.Key, m.Reason)
+}
+
+// Checker is a declaration that has more to say than the types of its fields.
+type Checker interface {
+	// Check reports what is wrong. key is the field's key within the declaration, "" for the whole of it.
+	Check(report func(key, format string, args ...any))
+}
+
+// Document is a decoded text, and where its keys stand.
+type Document struct {
+	text     []byte
+	at       map[string]unstable.Position
+	mistakes []Mistake
+	seen     map[Mistake]bool
+}
+
+// MaxBytes bounds a text.
+const MaxBytes = 8 << 20
+
+// Decode fills a pointer to a declaration, with defaults where the text has no key. The Document tells what is wrong
+// with the text; what could be read has been filled in all the same.
+func Decode(text []byte, into any) *Document {
+	d := &Document{text: text, at: map[string]unstable.Position{}, seen: map[Mistake]bool{}}
+	into2 := reflect.ValueOf(into).Elem()
+	setDefaults(into2)
+	if len(text) > MaxBytes {
+		d.Report("", "the file has %d bytes, %d at most", len(text), MaxBytes)
+		return d
+	}
+	var tree map[string]any
+	if err := toml.Unmarshal(text, &tree); err != nil {
+		m := Mistake{Line: 1, Column: 1, Key: "file", Reason: oneLine(err.Error())}
+		var de *toml.DecodeError
+		if errors.As(err, &de) {
+			m.Line, m.Column = de.Position()
+			m.Key = cmp.Or(strings.Join(de.Key(), "."), "file")
+			m.Reason = oneLine(strings.TrimPrefix(de.Error(), "toml: "))
+		}
+		d.mistakes = append(d.mistakes, m)
+		return d
+	}
+	d.locate()
+	d.table("", tree, into2)
+	return d
+}
+
+// Report notes a mistake at a key's whole path; where that stands nowhere, at the nearest table round it.
+func (d *Document) Report(path, format string, args ...any) {
+	m := Mistake{Key: cmp.Or(path, "file"), Reason: oneLine(fmt.Sprintf(format, args...))}
+	if at, ok := d.position(path); ok {
+		m.Line, m.Column = at.Line, at.Column
+	}
+	if !d.seen[m] {
+		d.seen[m] = true
+		d.mistakes = append(d.mistakes, m)
+	}
+}
+
+// Line is where a key stands, or the nearest table round it; 0: nowhere.
+func (d *Document) Line(path string) int {
+	at, _ := d.position(path)
+	return at.Line
+}
+
+func (d *Document) position(path string) (unstable.Position, bool) {
+	for {
+		if at, ok := d.at[path]; ok {
+			return at, true
+		}
+		i := strings.LastIndexAny(path, ".[")
+		if i < 0 {
+			return unstable.Position{}, false
+		}
+		path = path[:i]
+	}
+}
+
+// Has tells whether a key stands in the text.
+func (d *Document) Has(path string) bool {
+	_, ok := d.at[path]
+	return ok
+}
+
+// Mistakes is all that is wrong, in the order of the text; what stands nowhere comes last.
+func (d *Document) Mistakes() []Mistake {
+	out := slices.Clone(d.mistakes)
+	line := func(m Mistake) int { return (m.Line - 1) & (1<<31 - 1) }
+	slices.SortStableFunc(out, func(a, b Mistake) int {
+		return cmp.Or(cmp.Compare(line(a), line(b)), cmp.Compare(a.Column, b.Column))
+	})
+	return out
+}
+
+// locate notes where each key stands. The text has been decoded once, so that it is well formed.
+func (d *Document) locate() {
+	var p unstable.Parser
+	p.Reset(d.text)
+	arrays := map[string]int{} // how many tables each array has so far, by path
+	table := ""
+	for p.NextExpression() {
+		e := p.Expression()
+		switch e.Kind {
+		case unstable.Table:
+			table = d.keys(&p, "", e.Key(), arrays)
+		case unstable.ArrayTable:
+			path := d.keys(&p, "", e.Key(), nil)
+			path = last(path, arrays, true)
+			arrays[path]++
+			table = fmt.Sprintf("%s[%d]", path, arrays[path]-1)
+			d.at[table] = d.at[path]
+		case unstable.KeyValue:
+			d.keyValue(&p, table, e)
+		}
+	}
+}
+
+// last replaces each array of tables on the way by its latest table; with but, not the path's own end.
+func last(path string, arrays map[string]int, but bool) string {
+	out := ""
+	parts := strings.Split(path, ".")
+	for i, part := range parts {
+		out = join(out, part)
+		if n := arrays[out]; n > 0 && !(but && i == len(parts)-1) {
+			out = fmt.Sprintf("%s[%d]", out, n-1)
+		}
+	}
+	return out
+}
+
+func join(path, key string) string {
+	if path == "" {
+		return key
+	}
+	return path + "." + key
+}
+
+// keys notes a dotted key and returns its path.
+func (d *Document) keys(p *unstable.Parser, path string, it unstable.Iterator, arrays map[string]int) string {
+	for it.Next() {
+		path = join(path, string(it.Node().Data))
+		if arrays != nil {
+			path = last(path, arrays, false)
+		}
+		if _, ok := d.at[path]; !ok || it.IsLast() {
+			d.at[path] = p.Shape(it.Node().Raw).Start
+		}
+	}
+	return path
+}
+
+func (d *Document) keyValue(p *unstable.Parser, table string, e *unstable.Node) {
+	path := d.keys(p, table, e.Key(), nil)
+	d.value(p, path, e.Value())
+}
+
+func (d *Document) value(p *unstable.Parser, path string, v *unstable.Node) {
+	switch v.Kind {
+	case unstable.InlineTable:
+		for it := v.Children(); it.Next(); {
+			d.keyValue(p, path, it.Node())
+		}
+	case unstable.Array:
+		i := 0
+		for it := v.Children(); it.Next(); i++ {
+			of := fmt.Sprintf("%s[%d]", path, i)
+			if it.Node().Raw.Length > 0 {
+				d.at[of] = p.Shape(it.Node().Raw).Start
+			}
+			d.value(p, of, it.Node())
+		}
+	}
+}
+
+// oneLine is a text as one line, whatever stands in the file that it speaks of.
+func oneLine(s string) string { return strings.Join(strings.Fields(s), " ") }
+
+// Text writes Mistakes one a line, each behind the file's name.
+func Text(name string, mistakes []Mistake) string {
+	var b bytes.Buffer
+	for _, m := range mistakes {
+		fmt.Fprintf(&b, "%s:%s\n", name, strings.TrimPrefix(m.Error(), ":"))
+	}
+	return b.String()
+}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -14,7 +14,7 @@
 	"orchiddrift/internal/clock"
 	"orchiddrift/internal/directory"
 	"orchiddrift/internal/httphead"
-	"orchiddrift/internal/intake"
+	"orchiddrift/internal/routes"
 	"orchiddrift/internal/standin"
 	"orchiddrift/internal/testkit"
 )
@@ -198,7 +198,7 @@
 	if g.Header.Get("X-Request-ID") != "9b1f03aa5c7e2d41" || g.Header.Get("Idempotency-Key") != "k" {
 		t.Errorf("headers %v", g.Header)
 	}
-	if d, err := intake.ParseTimeout(g.Header.Get("X-Timeout")); err != nil || d <= 0 || d > testkit.Patience {
+	if d, err := routes.ParseTimeout(g.Header.Get("X-Timeout")); err != nil || d <= 0 || d > testkit.Patience {
 		t.Errorf("X-Timeout %q: %v, %v", g.Header.Get("X-Timeout"), d, err)
 	}
 }
