One interface for lists, a watched list file, bulkheads, TLS material that rotates

Need: the operator's file is to offer lists without the platform's discovery, several services that share limits, and encrypted connections.

Not yet switched on anywhere.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -80,15 +80,15 @@
 		Connections: connections, MaxAnswer: int(c.Limits.MemoryMB * (1 << 20) / answerPart)})
 	dir := directory.New(clk, pool.Drop)
 	pool.SetDirectory(dir)
+	var eng *engine.Engine
+	feed := discovery.NewFeed(dir, func(m balancer.Members) { eng.Update(m) })
 	known := balancer.Members{}
 	var index int64
 	if c.Known != nil {
-		known, index = dir.Apply(c.Known), *c.Known.Index
+		known, index = feed.Take(c.Known), *c.Known.Index
 	}
-	var eng *engine.Engine
 	watcher := discovery.New(discovery.Options{Address: c.Discovery, Index: index,
-		ConnectTimeout: c.Settings.ConnectTimeout, Directory: dir, Log: log.Printf,
-		Report: func(m balancer.Members) { eng.Update(m) }})
+		ConnectTimeout: c.Settings.ConnectTimeout, ModuleAsks: c.Settings.MustSubscribe, Log: log.Printf})
 	eng, err := engine.New(engine.Options{Settings: c.Settings.Settings, Seed: c.Seed, Clock: clk, Known: known.Entries,
 		Subscribe: watcher.Ask, Log: func(text string) { log.Print(text) }})
 	if err != nil {
@@ -99,7 +99,7 @@
 		look(eng)
 	}
 	go pool.Sweep(running)
-	go watcher.Run(running, c.Settings.MustSubscribe)
+	go watcher.Run(running, feed)
 	go followReloads(running, c, path, reload, watcher.Redirect)
 
 	s := &server{engine: eng, pool: pool, checker: intake.Platform(c.Settings.Classes),
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -21,8 +21,9 @@
 
 // Place tells the processes of an upstream apart: connections to an earlier one are worth nothing.
 type Place struct {
-	Address string
-	SinceMs float64
+	Address  string
+	SinceMs  float64
+	Identity string
 }
 
 // New returns an empty Directory. It calls onDrop, outside its lock, with the name of each upstream whose
@@ -54,7 +55,7 @@
 		switch e.Status {
 		case StatusReady:
 			state = balancer.Active
-			d.places[e.Name] = Place{e.Address, e.SinceMs}
+			d.places[e.Name] = Place{e.Address, e.SinceMs, e.Identity}
 		case StatusTerminating:
 			state = balancer.Leaving
 			delete(d.places, e.Name)
--- a/internal/directory/listing.go
+++ b/internal/directory/listing.go
@@ -24,6 +24,9 @@
 	Group   int     `json:"group"`
 	Status  string  `json:"status"`
 	SinceMs float64 `json:"since_ms"` // when it last started, Unix time in milliseconds; 0: long ago
+	// Identity is the name that its certificate has to bear, a DNS name or a URI, where connections are encrypted.
+	// Empty: the service's. The platform's lists hold none.
+	Identity string `json:"identity,omitempty"`
 }
 
 // What Status may be; anything else counts as StatusGone.
--- /dev/null
+++ b/internal/discovery/source.go
@@ -0,0 +1,90 @@
+package discovery
+
+import (
+	"context"
+	"sync"
+
+	"orchiddrift/balancer"
+	"orchiddrift/internal/directory"
+)
+
+// Source follows one list of upstreams, wherever that is kept.
+type Source interface {
+	// Run follows it until ctx ends, and tells sink. Of one Source it is called once.
+	Run(ctx context.Context, sink Sink)
+	// Ask wants the list again: the module has been told that it is lost. It does not block.
+	Ask()
+}
+
+// Sink takes what a Source hears. A Source calls it from one goroutine at a time. No call may block for long: news of a
+// drain may wait behind it.
+type Sink interface {
+	// Update brings the whole list, or what changed in it. When it returns nothing new is sent against it.
+	Update(*directory.Listing)
+	// Heard says that the source stands, and that there is nothing new since the version last held.
+	Heard()
+	// Lost says that the source is silent or broken; what it told last may be old by now. Where again is false it waits
+	// for Ask.
+	Lost(err error, again bool)
+}
+
+// Feed is the Sink of a service with one list: what is heard goes to its directory, then to the module. It keeps the
+// list as last held, one entry for each upstream listed.
+type Feed struct {
+	dir    *directory.Directory
+	report func(balancer.Members)
+
+	mu      sync.Mutex
+	index   int64
+	entries map[string]directory.Endpoint
+}
+
+// NewFeed returns one for a directory; report hands news to the module.
+func NewFeed(dir *directory.Directory, report func(balancer.Members)) *Feed {
+	return &Feed{dir: dir, report: report, entries: map[string]directory.Endpoint{}}
+}
+
+// Update is Sink's.
+func (f *Feed) Update(l *directory.Listing) { f.report(f.Take(l)) }
+
+// Take is Update for a list that the module is to get by other means: it returns the news.
+func (f *Feed) Take(l *directory.Listing) balancer.Members {
+	f.mu.Lock()
+	defer f.mu.Unlock() // one list after another, in the directory too
+	if l.Snapshot {
+		clear(f.entries)
+	}
+	if l.Index != nil {
+		f.index = *l.Index
+	}
+	for _, e := range l.Endpoints {
+		if e.Status == directory.StatusReady || e.Status == directory.StatusTerminating {
+			f.entries[e.Name] = e
+		} else {
+			delete(f.entries, e.Name)
+		}
+	}
+	return f.dir.Apply(l)
+}
+
+// Heard is Sink's.
+func (f *Feed) Heard() { f.report(balancer.Members{Kind: balancer.Change}) }
+
+// Lost is Sink's. The module hears of it where it is for it to ask again.
+func (f *Feed) Lost(_ error, again bool) {
+	if !again {
+		f.report(balancer.Members{Kind: balancer.Failed})
+	}
+}
+
+// Last is the list as last held, whole.
+func (f *Feed) Last() *directory.Listing {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	index := f.index
+	l := &directory.Listing{Index: &index, Snapshot: true, Endpoints: make([]directory.Endpoint, 0, len(f.entries))}
+	for _, e := range f.entries {
+		l.Endpoints = append(l.Endpoints, e)
+	}
+	return l
+}
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -1,5 +1,5 @@
-// Package discovery follows the platform's list of upstreams over HTTP: one watch at a time, asked for again when it
-// breaks. What it hears goes to a directory.Directory first, then to its owner.
+// Package discovery follows lists of upstreams. source.go says what any list's Source is and where its news goes; a
+// Watcher follows the platform's over HTTP: one watch at a time, asked for again when it breaks.
 package discovery
 
 import (
@@ -14,7 +14,6 @@
 	"sync"
 	"time"
 
-	"orchiddrift/balancer"
 	"orchiddrift/internal/directory"
 )
 
@@ -35,21 +34,19 @@
 	Address        string
 	Index          int64 // version of the list as last held
 	ConnectTimeout time.Duration
-	Directory      *directory.Directory
-	// Report is told what is new, and of failures. It must not call the Watcher, other than Ask.
-	Report func(balancer.Members)
-	Log    func(format string, args ...any)
+	ModuleAsks     bool // the module asks for the list, and asks again when it is lost; else the Watcher does
+	Log            func(format string, args ...any)
 }
 
 // Watcher follows discovery: one watch at a time, each on a connection of its own so that no library sends
 // a call again by itself.
 type Watcher struct {
-	dir     *directory.Directory
-	log     func(format string, args ...any)
-	client  *http.Client
-	silence time.Duration // after this without a line a watch is dead
-	report  func(balancer.Members)
-	asked   chan struct{} // holds one: a watch is wanted
+	log        func(format string, args ...any)
+	client     *http.Client
+	silence    time.Duration // after this without a line a watch is dead
+	moduleAsks bool
+	asked      chan struct{} // holds one: a watch is wanted
+	sink       Sink          // of Run. It must not call the Watcher, other than Ask
 
 	mu      sync.Mutex
 	address string
@@ -60,7 +57,7 @@
 
 // New returns a Watcher; Run makes it work.
 func New(o Options) *Watcher {
-	w := &Watcher{address: o.Address, index: o.Index, dir: o.Directory, silence: watchSilence, report: o.Report,
+	w := &Watcher{address: o.Address, index: o.Index, silence: watchSilence, moduleAsks: o.ModuleAsks,
 		log: o.Log, asked: make(chan struct{}, 1), end: func(error) {}}
 	w.client = &http.Client{Transport: &http.Transport{
 		DialContext:            (&net.Dialer{Timeout: o.ConnectTimeout}).DialContext,
@@ -93,10 +90,11 @@
 
 // Run watches until ctx ends. Where the module asks for the list, it also decides when to ask again. Where lists
 // are pushed, or a new address has told nothing yet, the watch is opened again with a growing wait.
-func (w *Watcher) Run(ctx context.Context, moduleAsks bool) {
+func (w *Watcher) Run(ctx context.Context, sink Sink) {
+	w.sink = sink
 	wait, again := rewatchFirst, time.NewTimer(0)
 	defer again.Stop()
-	if moduleAsks {
+	if w.moduleAsks {
 		again.Stop()
 	}
 	for {
@@ -120,15 +118,16 @@
 		w.mu.Lock()
 		untold := w.untold
 		w.mu.Unlock()
-		if moduleAsks && !untold {
+		if w.moduleAsks && !untold {
 			w.log("watch ended: %v", err)
-			w.report(balancer.Members{Kind: balancer.Failed})
+			sink.Lost(err, false)
 			continue
 		}
 		if told {
 			wait = rewatchFirst
 		}
 		w.log("watch ended, next in %v: %v", wait, err)
+		sink.Lost(err, true)
 		again.Reset(wait)
 		wait = min(2*wait, rewatchMost)
 	}
@@ -141,14 +140,12 @@
 		return fmt.Errorf("malformed list: %w", err)
 	}
 	w.mu.Lock()
+	defer w.mu.Unlock() // once Redirect has returned, nothing of the old address is taken
 	if ctx.Err() != nil {
-		w.mu.Unlock()
 		return context.Cause(ctx)
 	}
 	w.index, w.untold = *l.Index, false
-	news := w.dir.Apply(l)
-	w.mu.Unlock()
-	w.report(news)
+	w.sink.Update(l)
 	return nil
 }
 
@@ -203,12 +200,12 @@
 				return told, err
 			}
 		} else if !told { // the watch stands, and there is no news since the version asked from
-			w.report(balancer.Members{Kind: balancer.Change})
+			w.sink.Heard()
 		}
 		told = true
 		select {
 		case <-w.asked: // when this one stood already: the module is to know
-			w.report(balancer.Members{Kind: balancer.Change})
+			w.sink.Heard()
 		default:
 		}
 	}
--- a/internal/discovery/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -13,9 +13,8 @@
 	"orchiddrift/internal/testkit"
 )
 
-func testWatcher(t *testing.T, address string, dir *directory.Directory, report func(balancer.Members)) *Watcher {
-	return New(Options{Address: address, Index: 1, ConnectTimeout: 2 * time.Second, Directory: dir, Report: report,
-		Log: t.Logf})
+func testWatcher(t *testing.T, address string, moduleAsks bool) *Watcher {
+	return New(Options{Address: address, Index: 1, ConnectTimeout: 2 * time.Second, ModuleAsks: moduleAsks, Log: t.Logf})
 }
 
 // watch runs a watcher as a module would that asks again at once.
@@ -23,18 +22,18 @@
 	t.Helper()
 	told := make(chan balancer.Members, 64)
 	dir := directory.New(clock.New(), nil)
-	dir.Apply(testkit.Listing(t, 1, true, known...))
-	var w *Watcher
-	w = testWatcher(t, d.Address, dir, func(m balancer.Members) {
+	w := testWatcher(t, d.Address, true)
+	feed := NewFeed(dir, func(m balancer.Members) {
 		told <- m
 		if m.Kind == balancer.Failed {
 			w.Ask()
 		}
 	})
+	feed.Take(testkit.Listing(t, 1, true, known...))
 	w.silence = silence
 	done := make(chan struct{})
 	go func() {
-		w.Run(t.Context(), true) // ends before the cleanups
+		w.Run(t.Context(), feed) // ends before the cleanups
 		close(done)
 	}()
 	t.Cleanup(func() { <-done })
@@ -162,10 +161,11 @@
 		}
 	})
 	told := make(chan balancer.Members, 4)
-	w := testWatcher(t, d.Address, directory.New(clock.New(), nil), func(m balancer.Members) { told <- m })
+	w := testWatcher(t, d.Address, false)
+	feed := NewFeed(directory.New(clock.New(), nil), func(m balancer.Members) { told <- m })
 	done := make(chan struct{})
 	go func() {
-		w.Run(t.Context(), false)
+		w.Run(t.Context(), feed)
 		close(done)
 	}()
 	t.Cleanup(func() { <-done })
@@ -196,10 +196,11 @@
 		}
 	})
 	told := make(chan balancer.Members, 64)
-	w := testWatcher(t, "127.0.0.1:1", directory.New(clock.New(), nil), func(m balancer.Members) { told <- m })
+	w := testWatcher(t, "127.0.0.1:1", true)
+	feed := NewFeed(directory.New(clock.New(), nil), func(m balancer.Members) { told <- m })
 	done := make(chan struct{})
 	go func() {
-		w.Run(t.Context(), true)
+		w.Run(t.Context(), feed)
 		close(done)
 	}()
 	t.Cleanup(func() { <-done })
--- /dev/null
+++ b/internal/listfile/listfile.go
@@ -0,0 +1,208 @@
+// Package listfile is a discovery.Source that follows a file of upstreams, JSON or TOML by its ending. The file is
+// replaced by renaming a new one to its name; one that is caught half-written, or can't be used, keeps the last good
+// list. The whole list counts: who is missing from it has gone.
+package listfile
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"orchiddrift/internal/directory"
+	"orchiddrift/internal/discovery"
+	"orchiddrift/internal/filewatch"
+	"orchiddrift/internal/tomlfile"
+)
+
+const (
+	// MaxBytes bounds a file, and MaxEntries the upstreams that it lists.
+	MaxBytes   = 8 << 20
+	MaxEntries = 20_000
+)
+
+// Entry is one upstream, as the file and the operator's file have it.
+type Entry struct {
+	Name     string `toml:"name" json:"name" doc:"The upstream's name: the same as long as it is the same process. Absent: its address."`
+	Address  string `toml:"address" json:"address" sample:"\"127.0.0.1:9001\"" doc:"IP address and port."`
+	Zone     string `toml:"zone" json:"zone" doc:"Where it stands; the service's own zone is preferred where crossing has a price."`
+	Type     string `toml:"type" json:"type" doc:"What kind of machine it is: those of one kind are taken to be equally fast until they are known better."`
+	Group    int    `toml:"group" json:"group" doc:"Upstreams of one group share their memory of keys, for classes whose group is \"cell\"."`
+	Status   string `toml:"status" json:"status" default:"Ready" oneof:"Ready|Terminating|Gone" doc:"Ready takes requests; Terminating finishes what it has."`
+	Since    string `toml:"since" json:"since" doc:"When it last started, as in RFC 3339, for the care that a cold upstream gets. Absent: long ago."`
+	Identity string `toml:"identity" json:"identity" doc:"The name that its certificate has to bear where the service has TLS: a DNS name or a URI. Absent: the service's."`
+}
+
+// Check is tomlfile.Checker's.
+func (e *Entry) Check(report func(key, format string, args ...any)) {
+	if e.Name == "" {
+		e.Name = e.Address
+	}
+	if e.Name == "" {
+		report("", "neither name nor address is given")
+		return
+	}
+	if e.Address == "" && e.Status == directory.StatusReady {
+		report("address", "missing")
+	} else if e.Address != "" {
+		if err := directory.CheckAddress(e.Address); err != nil {
+			report("address", "%v", err)
+		}
+	}
+	if e.Since != "" {
+		if _, err := time.Parse(time.RFC3339, e.Since); err != nil {
+			report("since", "%q is no time, such as \"2026-12-01T06:00:00Z\"", e.Since)
+		}
+	}
+}
+
+// endpoint is the entry as lists have it.
+func (e *Entry) endpoint() directory.Endpoint {
+	p := directory.Endpoint{Name: e.Name, Address: e.Address, Zone: e.Zone, Type: e.Type, Group: e.Group, Status: e.Status,
+		Identity: e.Identity}
+	if at, err := time.Parse(time.RFC3339, e.Since); err == nil {
+		p.SinceMs = float64(at.UnixMilli())
+	}
+	return p
+}
+
+// Listing is a whole list of these entries.
+func Listing(version int64, entries []Entry) *directory.Listing {
+	l := &directory.Listing{Index: &version, Snapshot: true, Endpoints: make([]directory.Endpoint, len(entries))}
+	for i := range entries {
+		l.Endpoints[i] = entries[i].endpoint()
+	}
+	return l
+}
+
+// file is the whole of a file.
+type file struct {
+	Count     int     `toml:"count" json:"count" default:"-1" doc:"How many upstreams follow. TOML needs it: a file cut off between two entries would look whole."`
+	Endpoints []Entry `toml:"endpoint" json:"endpoints" doc:"The upstreams."`
+}
+
+// Parse reads a file's text; name tells its format.
+func Parse(name string, text []byte) ([]Entry, error) {
+	f := file{Count: -1}
+	if len(bytes.TrimSpace(text)) == 0 {
+		return nil, errors.New("the file is empty")
+	}
+	var bad []string
+	switch strings.ToLower(filepath.Ext(name)) {
+	case ".toml":
+		for _, m := range tomlfile.Decode(text, &f).Mistakes() {
+			bad = append(bad, m.Error())
+		}
+		if f.Count < 0 {
+			bad = append(bad, "count: missing")
+		}
+	default:
+		d := json.NewDecoder(bytes.NewReader(text))
+		d.DisallowUnknownFields()
+		if err := d.Decode(&f); err != nil {
+			return nil, err
+		}
+		if d.More() {
+			return nil, errors.New("something stands behind the list")
+		}
+		for i := range f.Endpoints {
+			e := &f.Endpoints[i]
+			if e.Status == "" {
+				e.Status = directory.StatusReady
+			}
+			e.Check(func(key, format string, args ...any) {
+				bad = append(bad, fmt.Sprintf("endpoints[%d].%s: %s", i, key, fmt.Sprintf(format, args...)))
+			})
+		}
+	}
+	if err := Problem(f.Endpoints); err != nil {
+		bad = append(bad, err.Error())
+	}
+	if f.Count >= 0 && f.Count != len(f.Endpoints) {
+		bad = append(bad, fmt.Sprintf("count says %d, and %d follow", f.Count, len(f.Endpoints)))
+	}
+	if len(bad) > 0 {
+		return nil, errors.New(strings.Join(bad[:min(len(bad), 3)], "; "))
+	}
+	return f.Endpoints, nil
+}
+
+// Problem is what is wrong with a list as a whole.
+func Problem(entries []Entry) error {
+	switch {
+	case len(entries) == 0: // never at once: who wants nothing sent marks them Terminating
+		return errors.New("no upstream is listed")
+	case len(entries) > MaxEntries:
+		return fmt.Errorf("%d upstreams are listed, %d at most", len(entries), MaxEntries)
+	}
+	names := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		if names[e.Name] {
+			return fmt.Errorf("upstream %q is listed twice", e.Name)
+		}
+		names[e.Name] = true
+	}
+	return nil
+}
+
+// Source follows one file. It implements discovery.Source.
+type Source struct {
+	reader  *filewatch.Reader
+	every   time.Duration
+	log     func(format string, args ...any)
+	version int64
+}
+
+var _ discovery.Source = (*Source)(nil)
+
+// New returns one. Load reads the file for the first time, Run follows it.
+func New(path string, every time.Duration, log func(format string, args ...any)) *Source {
+	return &Source{reader: filewatch.NewReader(path, MaxBytes), every: every, log: log}
+}
+
+// Load reads the file now.
+func (s *Source) Load() (*directory.Listing, error) {
+	c, changed := s.reader.Look()
+	if !changed {
+		return nil, errors.New("unchanged")
+	}
+	if c.Err != nil {
+		return nil, c.Err
+	}
+	entries, err := Parse(s.reader.Path(), c.Text)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", s.reader.Path(), err)
+	}
+	s.version++
+	return Listing(s.version, entries), nil
+}
+
+// Run is discovery.Source's.
+func (s *Source) Run(ctx context.Context, sink discovery.Sink) {
+	filewatch.Watch(ctx, s.every, func() {
+		c, changed := s.reader.Look()
+		if !changed {
+			return
+		}
+		if c.Err != nil {
+			s.log("list file: the last good list stays: %v", c.Err)
+			sink.Lost(c.Err, true)
+			return
+		}
+		entries, err := Parse(s.reader.Path(), c.Text)
+		if err != nil {
+			s.log("list file %s: the last good list stays: %v", s.reader.Path(), err)
+			sink.Lost(err, true)
+			return
+		}
+		s.version++
+		sink.Update(Listing(s.version, entries))
+	})
+}
+
+// Ask is discovery.Source's: the file is looked at anyway.
+func (s *Source) Ask() {}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -22,8 +22,17 @@
 
 // Request is what goes to an upstream: the same bytes with every attempt, but for the time that it still has.
 type Request struct {
-	head []byte // up to the attempt's own header
-	body []byte
+	head   []byte // up to the attempt's own header
+	body   []byte
+	isHead bool // its answer has no body
+	// Gate, where there is one, is asked before each attempt's first byte is written.
+	Gate Gate
+}
+
+// Gate lets attempts begin as long as it is open. Whoever shuts it may wait for those that are being written.
+type Gate interface {
+	Enter() bool // false: it is shut, and nothing is to be written
+	Leave()      // what Enter let in has been written
 }
 
 // notCopied headers are written from what a Request is told elsewhere.
@@ -47,7 +56,7 @@
 	if method != http.MethodGet || len(body) > 0 {
 		head = append(strconv.AppendInt(append(head, "Content-Length: "...), int64(len(body)), 10), '\r', '\n')
 	}
-	return &Request{head: head, body: body}
+	return &Request{head: head, body: body, isHead: method == http.MethodHead}
 }
 
 // appendTo appends the request as an attempt sends it that ends at deadline.
@@ -63,8 +72,17 @@
 // Reply is how an attempt ended; the rest belongs to an answer.
 type Reply struct {
 	Result balancer.Result
+	Status int
 	Header http.Header
 	Body   []byte
+	Held   int64 // of Pool.Bytes, which whoever has the Reply gives back by Free
+}
+
+// Free gives back what a Reply holds.
+func (u *Pool) Free(r Reply) {
+	if r.Held > 0 {
+		u.bytes.Release(u.service, r.Held)
+	}
 }
 
 // Attempt sends a request to an upstream once, and waits for its end or that of ctx. The upstream is told to answer
@@ -100,7 +118,7 @@
 // exchange writes the request and reads its answer, with nothing else of the connection's running beside it: what
 // was written and what came is known here to the byte. A connection is reusable only if nothing is left of it.
 func (u *Pool) exchange(ctx context.Context, c *poolConn, r *Request, deadline time.Time) (rep Reply, reusable bool) {
-	running := context.AfterFunc(ctx, func() { c.Close() })
+	running := context.AfterFunc(ctx, c.end)
 	defer func() { reusable = running() && reusable }()
 	ended := func(otherwise balancer.Result) Reply {
 		switch {
@@ -119,41 +137,77 @@
 	if !u.dir.Ready(c.name, c.at) {
 		return Reply{Result: balancer.Moot}, false
 	}
-	if _, err := c.Write(*buffer); err != nil { // then its last byte was not written
+	if r.Gate != nil && !r.Gate.Enter() {
+		return Reply{Result: balancer.Moot}, true
+	}
+	_, err := c.Write(*buffer)
+	if r.Gate != nil {
+		r.Gate.Leave()
+	}
+	if err != nil { // then its last byte was not written, nor its last record whole
 		return ended(balancer.ConnectFailed), false
 	}
 	in := newAnswerReader(c)
 	defer in.release()
-	resp, err := in.head()
+	resp, err := in.head(r)
 	if err != nil {
 		return ended(in.failure()), false
 	}
+	served := resp.StatusCode < len(u.answers) && u.answers[resp.StatusCode]
 	// The body is not closed: that would first read the rest of it.
 	delimited := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	var body []byte
+	var held int64
 	whole := delimited && resp.ContentLength <= int64(u.maxAnswer) && resp.StatusCode >= 200
-	if whole {
+	switch {
+	case r.isHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified:
+		whole = resp.StatusCode >= 200
+	case whole:
+		if held = u.hold(resp); held < 0 { // of ours, and says nothing of the upstream; it has run
+			return Reply{Result: balancer.Cancelled}, false
+		}
+		defer func() {
+			if rep.Held == 0 {
+				u.Free(Reply{Held: held})
+			}
+		}()
 		body, err = in.body(resp, u.maxAnswer)
-		if err != nil && resp.StatusCode == http.StatusOK {
+		if err != nil && served {
 			return ended(in.failure()), false
 		}
 		whole = err == nil
 	}
 	reusable = whole && !resp.Close && in.Buffered() == 0
 	switch status := resp.StatusCode; {
-	case status == http.StatusOK && !whole: // of no end, or of too much: what came is not served in parts
-		return Reply{Result: balancer.Garbled}, false
-	case status == http.StatusOK:
-		header := httphead.EndToEnd(resp.Header)
-		delete(header, httphead.Load)
-		return Reply{balancer.OK, header, body}, reusable
 	case (status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout) &&
 		resp.Header.Get(httphead.NotProcessed) == "1":
 		return Reply{Result: balancer.Overloaded}, reusable
+	case served && !whole: // of no end, or of too much: what came is not served in parts
+		return Reply{Result: balancer.Garbled}, false
+	case served:
+		header := httphead.EndToEnd(resp.Header)
+		delete(header, httphead.Load)
+		return Reply{balancer.OK, status, header, body, held}, reusable
 	}
 	return Reply{Result: balancer.ServerError}, reusable
 }
 
+// hold takes the bytes of an answer's body out of what is shared: its length, or where none is told the most that it
+// may have. Below 0: they are not to be had.
+func (u *Pool) hold(resp *http.Response) int64 {
+	if u.bytes == nil {
+		return 0
+	}
+	n := resp.ContentLength
+	if n < 0 {
+		n = int64(u.maxAnswer)
+	}
+	if !u.bytes.TryAcquire(u.service, n) {
+		return -1
+	}
+	return n
+}
+
 // answerReader reads one answer. It never takes in more than an answer may have.
 type answerReader struct {
 	*bufio.Reader
@@ -197,9 +251,13 @@
 }
 
 // head reads up to the final answer's body.
-func (in *answerReader) head() (*http.Response, error) {
+func (in *answerReader) head(r *Request) (*http.Response, error) {
+	var to *http.Request // nil: a GET
+	if r.isHead {
+		to = headRequest
+	}
 	for range maxInterim + 1 {
-		resp, err := http.ReadResponse(in.Reader, nil)
+		resp, err := http.ReadResponse(in.Reader, to)
 		if err != nil || resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
 			return resp, err
 		}
@@ -207,6 +265,8 @@
 	return nil, errTooLarge
 }
 
+var headRequest = &http.Request{Method: http.MethodHead}
+
 // body reads the body to its end.
 func (in *answerReader) body(resp *http.Response, most int) ([]byte, error) {
 	in.limited.left = most + most/4 + httphead.MaxBytes // chunks have heads of their own
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -4,14 +4,17 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"slices"
 	"sync"
 	"syscall"
 	"time"
 
+	"orchiddrift/internal/bulkhead"
 	"orchiddrift/internal/directory"
 )
 
@@ -26,10 +29,28 @@
 	Directory      *directory.Directory
 	ConnectTimeout time.Duration
 	Idle           time.Duration // upstreams close connections that are idle for this long
-	Connections    int           // open at once, at most
+	Connections    int           // open at once, at most; not used where Slots is given
 	MaxAnswer      int           // bytes of an answer's body, at most
+
+	Slots   *bulkhead.Semaphore // of connections, shared with other services
+	Service string              // the name that Slots knows this one by
+	Bytes   *bulkhead.Semaphore // of answers in hand, shared with other services; nil: not counted
+	Answers *Statuses           // what counts as served; nil: 200 alone
+	Secure  Secure              // nil: connections are not encrypted
+}
+
+// Secure encrypts connections.
+type Secure interface {
+	// Client makes a fresh connection one to the upstream at that place, and proves that it is that upstream. It ends
+	// with ctx.
+	Client(ctx context.Context, conn net.Conn, at directory.Place) (*tls.Conn, error)
+	// Trusts tells whether a connection made earlier would still be made now.
+	Trusts(conn *tls.Conn, at directory.Place) bool
 }
 
+// Statuses is a set of HTTP statuses.
+type Statuses [600]bool
+
 // Pool holds the connections to upstreams. It is safe for concurrent use.
 type Pool struct {
 	dir            *directory.Directory
@@ -38,20 +59,57 @@
 	sweepEvery     time.Duration
 	rest           time.Duration // of a connection between an answer and the next request, see take
 	maxAnswer      int           // bytes
-	slots          chan struct{} // holds one for each connection that is open; full at the limit
+	slots          *bulkhead.Semaphore // one for each connection that is open
+	service        string
+	bytes          *bulkhead.Semaphore
+	answers        *Statuses
+	secure         Secure
 
-	mu      sync.Mutex
-	idle    map[string][]*poolConn // by upstream, the one idle for longest first
-	waiting int                    // attempts that wait for a slot
+	mu   sync.Mutex
+	idle   map[string][]*poolConn // by upstream, the one idle for longest first
+	closed bool
 }
 
+var only200 = func() *Statuses {
+	s := &Statuses{}
+	s[200] = true
+	return s
+}()
+
 // New returns an empty Pool. Whoever owns the Directory tells it of upstreams whose connections are no longer
 // wanted, by Drop.
 func New(o Options) *Pool {
-	return &Pool{dir: o.Directory, connectTimeout: o.ConnectTimeout, slots: make(chan struct{}, o.Connections),
-		rest: restFor, maxAnswer: o.MaxAnswer,
+	u := &Pool{dir: o.Directory, connectTimeout: o.ConnectTimeout, slots: o.Slots, service: o.Service, bytes: o.Bytes,
+		rest: restFor, maxAnswer: o.MaxAnswer, answers: o.Answers, secure: o.Secure,
 		maxIdle:    time.Duration(float64(o.Idle) * idlePart),
 		sweepEvery: time.Duration(float64(o.Idle) * sweepPart), idle: map[string][]*poolConn{}}
+	if u.answers == nil {
+		u.answers = only200
+	}
+	if u.slots == nil {
+		var err error
+		u.slots, err = bulkhead.NewSemaphore(int64(max(1, o.Connections)), 1, []bulkhead.Share{{Name: o.Service, Weight: 1}})
+		if err != nil { // one service has all of it
+			panic(err)
+		}
+	}
+	u.slots.OnWanted(u.service, u.evict)
+	return u
+}
+
+// Close closes all idle connections; those in use end with what they carry. Nothing is sent after it, since the
+// Directory is empty by then or its owner's Gates are shut.
+func (u *Pool) Close() {
+	u.slots.OnWanted(u.service, nil)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.closed = true
+	for name, idle := range u.idle {
+		for _, c := range idle {
+			u.discard(c)
+		}
+		delete(u.idle, name)
+	}
 }
 
 // SetDirectory names the Directory, where that was made after the Pool. It comes before the first attempt.
@@ -59,8 +117,9 @@
 
 // poolConn is one connection. Nothing reads from it between exchanges: see quiet.
 type poolConn struct {
-	net.Conn
-	raw   syscall.RawConn
+	net.Conn                 // what requests are written to
+	raw      syscall.RawConn // of the socket below
+	secure   *tls.Conn       // nil: not encrypted
 	name  string
 	at    directory.Place
 	since time.Time // when it became idle
@@ -78,7 +137,18 @@
 	}); failed != nil {
 		return false
 	}
-	return err == syscall.EAGAIN
+	if err != syscall.EAGAIN || c.secure == nil {
+		return err == syscall.EAGAIN
+	}
+	// What was taken off the socket with the answer's last record waits within the library.
+	if c.secure.SetReadDeadline(time.Unix(1, 0)) != nil {
+		return false
+	}
+	n, err := c.secure.Read(make([]byte, 1))
+	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return false
+	}
+	return c.secure.SetReadDeadline(time.Time{}) == nil
 }
 
 // connection returns a connection to an upstream: the one that was used last of those that have rested, or a new
@@ -90,46 +160,55 @@
 	if err = u.slot(ctx); err != nil {
 		return nil, false, err
 	}
-	dialer := net.Dialer{Timeout: u.connectTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", at.Address)
-	if err != nil {
-		<-u.slots
-		return nil, false, fmt.Errorf("connecting to %s: %w", name, err)
-	}
-	c = &poolConn{Conn: conn, name: name, at: at}
-	if c.raw, err = conn.(*net.TCPConn).SyscallConn(); err != nil {
-		u.discard(c)
+	if c, err = u.dial(ctx, name, at); err != nil {
+		u.slots.Release(u.service, 1)
 		return nil, false, fmt.Errorf("connecting to %s: %w", name, err)
 	}
 	return c, false, nil
 }
 
+// dial makes a connection; its handshake, too, is a part of connecting: nothing of a request has been sent before it
+// has ended.
+func (u *Pool) dial(ctx context.Context, name string, at directory.Place) (*poolConn, error) {
+	ctx, cancel := context.WithTimeout(ctx, u.connectTimeout)
+	defer cancel()
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", at.Address)
+	if err != nil {
+		return nil, err
+	}
+	c := &poolConn{Conn: conn, name: name, at: at}
+	if c.raw, err = conn.(*net.TCPConn).SyscallConn(); err == nil && u.secure != nil {
+		if c.secure, err = u.secure.Client(ctx, conn, at); err == nil {
+			c.Conn = c.secure
+		}
+	}
+	if err != nil {
+		conn.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
 // slot makes room for one more connection.
 func (u *Pool) slot(ctx context.Context) error {
-	select {
-	case u.slots <- struct{}{}:
+	if u.slots.TryAcquire(u.service, 1) {
 		return nil
-	default:
 	}
-	u.mu.Lock()
-	u.evictLocked()
-	u.waiting++
-	u.mu.Unlock()
-	defer func() {
-		u.mu.Lock()
-		u.waiting--
-		u.mu.Unlock()
-	}()
-	select {
-	case u.slots <- struct{}{}:
-		return nil
-	case <-ctx.Done():
+	if u.slots.Acquire(ctx, u.service, 1) != nil {
 		return errSaturated
 	}
+	return nil
+}
+
+// evict closes the connection that has been idle for longest, and tells whether there was one.
+func (u *Pool) evict() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.evictLocked()
 }
 
 // evictLocked closes the connection that has been idle for longest.
-func (u *Pool) evictLocked() {
+func (u *Pool) evictLocked() bool {
 	var oldest *poolConn
 	for _, idle := range u.idle {
 		if oldest == nil || idle[0].since.Before(oldest.since) {
@@ -140,6 +219,7 @@
 		u.setIdleLocked(oldest.name, slices.Delete(u.idle[oldest.name], 0, 1))
 		u.discard(oldest)
 	}
+	return oldest != nil
 }
 
 func (u *Pool) setIdleLocked(name string, idle []*poolConn) {
@@ -165,7 +245,7 @@
 			continue
 		}
 		idle = slices.Delete(idle, i, i+1)
-		if c.at == at && c.quiet() {
+		if c.at == at && u.trusted(c) && c.quiet() {
 			return c
 		}
 		u.discard(c)
@@ -176,7 +256,7 @@
 func (u *Pool) put(c *poolConn) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.waiting > 0 || !u.dir.Ready(c.name, c.at) {
+	if u.closed || !u.dir.Ready(c.name, c.at) || !u.trusted(c) || u.slots.Waiting(u.service) > 0 {
 		u.discard(c)
 		return
 	}
@@ -185,10 +265,22 @@
 }
 
 func (u *Pool) discard(c *poolConn) {
+	c.end()
+	u.slots.Release(u.service, 1)
+}
+
+// end closes the socket without a word on the encrypted layer: that could wait for one who does not read.
+func (c *poolConn) end() {
+	if c.secure != nil {
+		c.secure.NetConn().Close()
+		return
+	}
 	c.Close()
-	<-u.slots
 }
 
+// trusted tells whether the connection would still be made: the authority that vouched for it may have been withdrawn.
+func (u *Pool) trusted(c *poolConn) bool { return c.secure == nil || u.secure.Trusts(c.secure, c.at) }
+
 // Drop closes an upstream's idle connections; those in use end with what they carry, see put.
 func (u *Pool) Drop(name string) {
 	u.mu.Lock()
@@ -213,7 +305,7 @@
 		u.mu.Lock()
 		for name, idle := range u.idle {
 			u.setIdleLocked(name, slices.DeleteFunc(idle, func(c *poolConn) bool {
-				done := time.Since(c.since) >= u.maxIdle || !c.quiet()
+				done := time.Since(c.since) >= u.maxIdle || !u.trusted(c) || !c.quiet()
 				if done {
 					u.discard(c)
 				}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -131,7 +131,7 @@
 		}
 		cancel()
 		testkit.Eventually(t, "connection closed", func() bool { return s.Closed.Load() == 1 })
-		if n := len(u.slots); n != 0 {
+		if n := u.slots.Used(""); n != 0 {
 			t.Errorf("%d connections counted", n)
 		}
 	}
@@ -368,11 +368,7 @@
 		t.Errorf("result %d over the limit", rep.Result)
 	}
 	go func() { waits <- u.Attempt(t.Context(), "a", testRequest("GET", ""), time.Time{}) }()
-	testkit.Eventually(t, "an attempt waits", func() bool {
-		u.mu.Lock()
-		defer u.mu.Unlock()
-		return u.waiting == 1
-	})
+	testkit.Eventually(t, "an attempt waits", func() bool { return u.slots.Waiting("") == 1 })
 	cancel()
 	<-busy
 	if rep := <-waits; rep.Result != balancer.OK {
--- a/orchidgrpc/plugin.go
+++ b/orchidgrpc/plugin.go
@@ -135,7 +135,8 @@
 	}
 	clk := clock.New()
 	p.directory = directory.New(clk, p.dropped)
-	members := p.directory.Apply(known)
+	feed := discovery.NewFeed(p.directory, p.update)
+	members := feed.Take(known)
 	log := func(format string, args ...any) {
 		if o.Log != nil {
 			o.Log(fmt.Sprintf(format, args...))
@@ -145,7 +146,7 @@
 	subscribe := func() {}
 	if o.Discovery != "" {
 		watcher = discovery.New(discovery.Options{Address: o.Discovery, Index: o.Version,
-			ConnectTimeout: p.connectTimeout, Directory: p.directory, Report: p.update, Log: log})
+			ConnectTimeout: p.connectTimeout, ModuleAsks: set.MustSubscribe, Log: log})
 		subscribe = watcher.Ask
 	}
 	p.engine, err = engine.New(engine.Options{Settings: set, Seed: o.Seed, Clock: clk, Known: members.Entries,
@@ -156,7 +157,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	p.stop = stop
 	if watcher != nil {
-		p.watching.Go(func() { watcher.Run(ctx, set.MustSubscribe) })
+		p.watching.Go(func() { watcher.Run(ctx, feed) })
 	}
 	return p, nil
 }
