--- a/cmd/orchiddrift/check.go
+++ b/cmd/orchiddrift/check.go
@@ -12,31 +12,28 @@
 
 // checkCmd says whether a configuration can be used.
 type checkCmd struct {
-	File string `arg:"" type:"path" help:"The configuration to look at."`
+	File   string `arg:"" type:"path" help:"The configuration to look at."`
+	Beside string `name:"platform" type:"path" help:"The platform's file that an operator's file stands beside."`
 }
 
-func (c checkCmd) Run() error { return check(os.Stdout, c.File) }
+func (c checkCmd) Run() error { return check(os.Stdout, c.File, c.Beside) }
 
-// check writes one line a mistake, key and reason, or one that says that there is none.
-func check(w io.Writer, path string) error {
+// check writes one line a mistake, with its place, key and reason, or what would be on.
+func check(w io.Writer, path, beside string) error {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return fmt.Errorf("reading the configuration: %w", err)
 	}
+	if !config.IsPlatform(text) || beside != "" {
+		return checkFile(w, path, text, beside)
+	}
 	look := config.Parse
 	if config.ForPlugin(text) {
 		look = orchidgrpc.CheckConfig
 	}
 	conf, err := look(text)
-	var bad config.Problems
-	switch {
-	case errors.As(err, &bad):
-		for _, p := range bad {
-			fmt.Fprintf(w, "%s: %s\n", p.Key, p.Reason)
-		}
-		return fmt.Errorf("%s can't be used: %d mistake(s)", path, len(bad))
-	case err != nil:
-		return err
+	if err != nil {
+		return mistakes(w, path, err)
 	}
 	known := 0
 	if conf.Known != nil {
@@ -45,3 +42,75 @@
 	_, err = fmt.Fprintf(w, "%s can be used: %d classes, %d upstreams known\n", path, len(conf.Settings.Classes), known)
 	return err
 }
+
+// mistakes writes what is wrong with a file.
+func mistakes(w io.Writer, path string, err error) error {
+	var bad config.Problems
+	if !errors.As(err, &bad) {
+		return err
+	}
+	for _, p := range bad {
+		if p.Line > 0 {
+			fmt.Fprintf(w, "%s:", path)
+		}
+		fmt.Fprintln(w, p.Error())
+	}
+	return fmt.Errorf("%s can't be used: %d mistake(s)", path, len(bad))
+}
+
+// checkFile is for the operator's file.
+func checkFile(w io.Writer, path string, text []byte, beside string) error {
+	var p *config.Plan
+	var err error
+	if beside == "" {
+		p, err = config.ParseFile(text)
+	} else {
+		var c *config.Config
+		if c, err = config.Load(beside); err != nil {
+			return err
+		}
+		p, err = config.ParseBeside(c, text)
+	}
+	if err != nil {
+		return mistakes(w, path, err)
+	}
+	return describe(w, path, p)
+}
+
+// describe tells what would be on.
+func describe(w io.Writer, path string, p *config.Plan) error {
+	fmt.Fprintf(w, "%s can be used: clients at %s", path, p.Listen)
+	if p.TLS.On() {
+		fmt.Fprintf(w, " by TLS %s (client certificates: %s)", p.TLS.MinVersion, p.TLS.Clients)
+	}
+	fmt.Fprintf(w, "; %v cores, %v MB, %d descriptors\n", p.Limits.Cores, p.Limits.MemoryMB, p.Limits.Sockets)
+	for _, s := range p.Services {
+		from := "the file"
+		switch {
+		case s.Discovery != "":
+			from = "discovery at " + s.Discovery
+		case s.ListFile != "":
+			from = "the list file " + s.ListFile
+		}
+		fmt.Fprintf(w, "service %s: upstreams from %s", s.Name, from)
+		if s.Known != nil {
+			fmt.Fprintf(w, " (%d known)", len(s.Known.Endpoints))
+		}
+		if s.TLS.On() {
+			fmt.Fprintf(w, ", by TLS %s", s.TLS.MinVersion)
+		}
+		fmt.Fprint(w, "; classes")
+		for _, c := range s.Settings.Classes {
+			fmt.Fprintf(w, " %s (%s)", c.Name, []string{"safe", "keyed", "unsafe"}[c.Effect])
+		}
+		fmt.Fprintln(w)
+	}
+	for _, r := range p.Table.Routes() {
+		class := "by method"
+		if r.Class != nil {
+			class = r.Class.Name
+		}
+		fmt.Fprintf(w, "route %s to %s, class %s\n", r.Pattern, r.Service, class)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/orchiddrift/config.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"orchiddrift/internal/config"
+)
+
+// configCmd prints the operator's file.
+type configCmd struct {
+	Example configExampleCmd `cmd:"" help:"Print an operator's file with every key, its default and what it means."`
+	Show    configShowCmd    `cmd:"" help:"Print what an operator's file comes to, defaults filled in and secrets left out."`
+}
+
+type configExampleCmd struct{}
+
+func (configExampleCmd) Run() error { return config.Example(os.Stdout) }
+
+type configShowCmd struct {
+	File   string `arg:"" type:"path" help:"The operator's file."`
+	Beside string `name:"platform" type:"path" help:"The platform's file that it stands beside."`
+}
+
+func (c configShowCmd) Run() error {
+	files := config.Sources{Config: c.File}
+	if c.Beside != "" {
+		files = config.Sources{Config: c.Beside, Beside: c.File}
+	}
+	p, err := config.LoadPlan(files)
+	if err != nil {
+		return err
+	}
+	if p.File == nil {
+		return errors.New("this is the platform's file, and not an operator's")
+	}
+	if c.Beside != "" {
+		fmt.Printf("# beside the platform's file: listen %s, %v cores, %v MB, %d descriptors, service %q\n",
+			p.Listen, p.Limits.Cores, p.Limits.MemoryMB, p.Limits.Sockets, config.Platform)
+	}
+	return p.File.Show(os.Stdout)
+}
--- a/cmd/orchiddrift/main.go
+++ b/cmd/orchiddrift/main.go
@@ -13,6 +13,7 @@
 type cli struct {
 	Serve   serveCmd   `cmd:"" default:"1" help:"Run the sidecar daemon, as the configuration tells (the default)."`
 	Check   checkCmd   `cmd:"" help:"Say whether a configuration can be used, and all that is wrong with it."`
+	Config  configCmd  `cmd:"" help:"Print an operator's file: an example, or what one comes to."`
 	Demo    demoCmd    `cmd:"" help:"Show the main job on a fleet of stand-in nodes, beside plain random choice."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
--- a/internal/bulkhead/bulkhead.go
+++ b/internal/bulkhead/bulkhead.go
@@ -39,12 +39,13 @@
 
 // New returns one for a limit of which a part, from 0 to 1, is set aside.
 func New(limit int64, part float64, shares []Share) (*Limiter, error) {
-	l := &Limiter{by: map[string]*holder{}}
-	return l, l.Set(limit, part, shares)
+	l := &Limiter{limit: limit, by: map[string]*holder{}}
+	return l, l.Set(part, shares)
 }
 
-// Set changes the limit and the shares. What is held stays held. An error leaves all as it was.
-func (l *Limiter) Set(limit int64, part float64, shares []Share) error {
+// Set changes the part and the shares. What is held stays held. An error leaves all as it was.
+func (l *Limiter) Set(part float64, shares []Share) error {
+	limit := l.limit
 	if !(part >= 0 && part <= 1) {
 		return fmt.Errorf("%v is not a part of the limit", part)
 	}
@@ -66,7 +67,7 @@
 	if set > limit {
 		return errors.New("the limit is too low for so many services")
 	}
-	l.limit, l.common = limit, limit-set
+	l.common = limit - set
 	for name, h := range l.by {
 		if _, stays := own[name]; !stays {
 			if h.own, h.leaving = 0, true; h.used == 0 {
--- a/internal/bulkhead/semaphore.go
+++ b/internal/bulkhead/semaphore.go
@@ -27,10 +27,10 @@
 }
 
 // Set is Limiter.Set.
-func (s *Semaphore) Set(limit int64, part float64, shares []Share) error {
+func (s *Semaphore) Set(part float64, shares []Share) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	err := s.l.Set(limit, part, shares)
+	err := s.l.Set(part, shares)
 	s.grant()
 	return err
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -1,5 +1,5 @@
-// Package config reads what the platform tells one process, from the JSON file of PROTOCOL's and DEPLOY's form, and
-// says all that is wrong with it.
+// Package config reads what one process is told, and says all that is wrong with it: config.go the platform's JSON file,
+// file.go the operator's TOML file, plan.go what a daemon runs by one of them or by both.
 package config
 
 import (
@@ -48,10 +48,18 @@
 	connIdleShort  = 10 * time.Second // where they name no idle time
 )
 
-// Problem is one mistake in a configuration.
-type Problem struct{ Key, Reason string }
+// Problem is one mistake in a configuration. Line and Column count from 1; 0: it has no place, as in the platform's file.
+type Problem struct {
+	Key, Reason  string
+	Line, Column int
+}
 
-func (p Problem) Error() string { return p.Key + ": " + p.Reason }
+func (p Problem) Error() string {
+	if p.Line == 0 {
+		return p.Key + ": " + p.Reason
+	}
+	return fmt.Sprintf("%d:%d: %s: %s", p.Line, p.Column, p.Key, p.Reason)
+}
 
 // Problems is all that is wrong with a configuration; as an error it is one line.
 type Problems []Problem
@@ -106,12 +114,12 @@
 		GRPC                    json.RawMessage
 	}
 	if err := json.Unmarshal(text, &file); err != nil {
-		return nil, Problems{{"file", oneLine(err)}}
+		return nil, Problems{{Key: "file", Reason: oneLine(err)}}
 	}
 	var bad Problems
 	add := func(key string, err error) {
 		if err != nil {
-			bad = append(bad, Problem{key, oneLine(err)})
+			bad = append(bad, Problem{Key: key, Reason: oneLine(err)})
 		}
 	}
 	c := &Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery}
@@ -144,10 +152,10 @@
 		add("settings", err)
 	} else {
 		for _, p := range c.Settings.Problems() {
-			bad = append(bad, Problem{"settings." + p.Key, oneLine(errors.New(p.Reason))})
+			bad = append(bad, Problem{Key: "settings." + p.Key, Reason: oneLine(errors.New(p.Reason))})
 		}
 		if c.Settings.ConnIdle < 0 {
-			bad = append(bad, Problem{"settings.ConnIdle", "negative"})
+			bad = append(bad, Problem{Key: "settings.ConnIdle", Reason: "negative"})
 		}
 	}
 	if plugin && c.Discovery == "" && (c.Known == nil || len(c.Known.Endpoints) == 0) {
@@ -167,13 +175,13 @@
 
 func (c *Config) readLimits(text json.RawMessage) (bad Problems) {
 	if len(text) == 0 || string(text) == "null" {
-		return Problems{{"limits", "missing"}}
+		return Problems{{Key: "limits", Reason: "missing"}}
 	}
 	if err := json.Unmarshal(text, &c.Limits); err != nil {
-		return Problems{{"limits", oneLine(err)}}
+		return Problems{{Key: "limits", Reason: oneLine(err)}}
 	}
 	add := func(key, format string, args ...any) {
-		bad = append(bad, Problem{"limits." + key, fmt.Sprintf(format, args...)})
+		bad = append(bad, Problem{Key: "limits." + key, Reason: fmt.Sprintf(format, args...)})
 	}
 	if !(c.Limits.Cores > 0) {
 		add("cores", "%v is not above 0", c.Limits.Cores)
--- /dev/null
+++ b/internal/config/file.go
@@ -0,0 +1,175 @@
+package config
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+	"strconv"
+
+	"orchiddrift/internal/directory"
+	"orchiddrift/internal/httphead"
+	"orchiddrift/internal/keys"
+	"orchiddrift/internal/listfile"
+	"orchiddrift/internal/logs"
+	"orchiddrift/internal/routes"
+	"orchiddrift/internal/settings"
+	"orchiddrift/internal/tomlfile"
+	"orchiddrift/internal/units"
+)
+
+// File is the operator's file. Each subsystem's part is declared next to it; this is where they come together.
+type File struct {
+	Daemon   Daemon               `toml:"daemon" doc:"The process. Beside the platform's file, that one's name, listen and seed win."`
+	Limits   FileLimits           `toml:"limits" doc:"What the process may use. Beside the platform's file, that one's win."`
+	Shares   Shares               `toml:"shares" doc:"How services share the limits."`
+	TLS      keys.Listener        `toml:"tls" doc:"Encryption towards clients."`
+	Log      logs.Declaration     `toml:"log" doc:"The log."`
+	Services []Service            `toml:"service" doc:"A service: upstreams that answer the same requests. There are as many as there are such tables."`
+	Routes   []routes.Declaration `toml:"route" doc:"A route: which requests go to which service, and as what. Absent, with one service: all go there."`
+}
+
+// Daemon is about the process.
+type Daemon struct {
+	Name   string         `toml:"name" reload:"start" doc:"The process's name, for logs."`
+	Listen string         `toml:"listen" default:"127.0.0.1:8080" reload:"start" doc:"Where clients connect: IP address and port."`
+	Seed   string         `toml:"seed" reload:"start" sample:"\"8c1f30d27a5be964\"" doc:"Where random numbers begin, 64 bits in hexadecimal: the same seed draws the same. Absent: a new one is drawn at each start and logged."`
+	Grace  units.Duration `toml:"grace" default:"0s" doc:"How long what is in hand may take after SIGTERM; 0s: as long as the longest deadline."`
+}
+
+// FileLimits is what the process may use.
+type FileLimits struct {
+	Cores       float64        `toml:"cores" reload:"start" doc:"Processor cores; 0: as many as there are."`
+	Memory      units.Size     `toml:"memory" default:"192MiB" reload:"start" doc:"The heap is held to three quarters of it; a 64th is what one answer may have."`
+	Descriptors int            `toml:"descriptors" default:"1024" reload:"start" doc:"File descriptors: 32 are kept aside, half of the rest is for clients' connections, half for upstreams'."`
+	HeadTimeout units.Duration `toml:"head_timeout" default:"2s" reload:"start" doc:"How long a client may take for a request's head, and for its handshake."`
+	BodyTimeout units.Duration `toml:"body_timeout" default:"5s" doc:"And for its body."`
+}
+
+// Shares is how services share the limits.
+type Shares struct {
+	Guaranteed float64 `toml:"guaranteed" default:"0.5" doc:"The part of each limit (connections to upstreams, requests in hand, bytes in hand) that is set aside for the services by their share; the rest is for who comes first."`
+}
+
+// Service is one service. Its upstreams come from exactly one of addresses, endpoint, list_file and discovery.
+type Service struct {
+	Name      string           `toml:"name" sample:"\"seats\"" doc:"The service's name, which routes give."`
+	Addresses []string         `toml:"addresses" sample:"[\"127.0.0.1:9001\", \"127.0.0.1:9002\"]" doc:"The upstreams, where there is no more to say of them than IP address and port."`
+	Endpoints []listfile.Entry `toml:"endpoint" doc:"An upstream, with all that can be said of it."`
+	ListFile  string           `toml:"list_file" sample:"\"/etc/orchiddrift/seats.json\"" doc:"A watched file of upstreams, JSON or TOML by its ending. A file that can't be used keeps the last good list."`
+	Discovery string           `toml:"discovery" sample:"\"127.0.0.1:8500\"" doc:"The platform's discovery: IP address and port."`
+	Push      bool             `toml:"discovery_pushes" doc:"Lists are pushed to an agent at that address, so that asking costs nothing."`
+	Answers   []string         `toml:"answers" default:"2xx, 3xx, 4xx" doc:"Statuses that are an upstream's answer, and passed on as they are. Any other is a failure. 429 and 503 never count."`
+	Share     float64          `toml:"share" default:"1" doc:"Its weight in what is set aside for services."`
+	TLS       keys.Upstream    `toml:"tls" doc:"Encryption towards its upstreams."`
+	settings.Declaration
+}
+
+// Check is tomlfile.Checker's.
+func (d *Daemon) Check(report func(key, format string, args ...any)) {
+	if err := directory.CheckAddress(d.Listen); err != nil {
+		report("listen", "%v", err)
+	}
+	if d.Seed != "" {
+		if _, err := strconv.ParseUint(d.Seed, 16, 64); err != nil {
+			report("seed", "%q is not a 64-bit hexadecimal number", d.Seed)
+		}
+	}
+}
+
+// Check is tomlfile.Checker's.
+func (l *FileLimits) Check(report func(key, format string, args ...any)) {
+	if !(l.Cores >= 0) || l.Cores > 4096 {
+		report("cores", "%v is not usable", l.Cores)
+	}
+	if l.Memory < minMemoryMB*units.MiB {
+		report("memory", "%v is under %dMiB", l.Memory, minMemoryMB)
+	}
+	if l.Descriptors < minSockets {
+		report("descriptors", "%d is under %d", l.Descriptors, minSockets)
+	}
+	if l.HeadTimeout <= 0 || l.BodyTimeout <= 0 {
+		report("head_timeout", "a client needs some time, for the body too")
+	}
+}
+
+// Check is tomlfile.Checker's.
+func (s *Shares) Check(report func(key, format string, args ...any)) {
+	if !(s.Guaranteed >= 0 && s.Guaranteed <= 1) {
+		report("guaranteed", "%v is not a part, from 0 to 1", s.Guaranteed)
+	}
+}
+
+// Check is tomlfile.Checker's.
+func (s *Service) Check(report func(key, format string, args ...any)) {
+	s.Declaration.Check(report)
+	if s.Name == "" {
+		report("name", "missing")
+	}
+	from := 0
+	for _, given := range []bool{len(s.Addresses) > 0, len(s.Endpoints) > 0, s.ListFile != "", s.Discovery != ""} {
+		if given {
+			from++
+		}
+	}
+	if from != 1 {
+		report("", "upstreams come from one of addresses, endpoint, list_file and discovery; %d are given", from)
+	}
+	for i, a := range s.Addresses {
+		if err := directory.CheckAddress(a); err != nil {
+			report("addresses", "item %d: %v", i+1, err)
+		}
+	}
+	if from == 1 && len(s.entries()) > 0 {
+		if err := listfile.Problem(s.entries()); err != nil {
+			report("", "%v", err)
+		}
+	}
+	if s.Discovery != "" {
+		if err := directory.CheckAddress(s.Discovery); err != nil {
+			report("discovery", "%v", err)
+		}
+	}
+	if _, err := httphead.ParseStatuses(s.Answers); err != nil {
+		report("answers", "%v", err)
+	}
+	if !(s.Share > 0) || s.Share > 1e6 {
+		report("share", "%v is not a usable weight", s.Share)
+	}
+}
+
+// entries are the upstreams that the file itself lists.
+func (s *Service) entries() []listfile.Entry {
+	if len(s.Addresses) == 0 {
+		return s.Endpoints
+	}
+	out := make([]listfile.Entry, len(s.Addresses))
+	for i, a := range s.Addresses {
+		out[i] = listfile.Entry{Name: a, Address: a, Status: directory.StatusReady}
+	}
+	return out
+}
+
+// cores is how many there are to use.
+func (l *FileLimits) cores() float64 {
+	if l.Cores == 0 {
+		return float64(runtime.NumCPU())
+	}
+	return l.Cores
+}
+
+// Example writes a commented operator's file with every key and its default.
+func Example(w io.Writer) error {
+	if _, err := fmt.Fprint(w, exampleHead); err != nil {
+		return err
+	}
+	return tomlfile.Example(w, File{})
+}
+
+const exampleHead = `# The operator's file of orchiddrift, with every key and its default. Lines that begin with a # and a key are to be
+# filled in; ## explains keys of tables that may stand there more than once. Durations are written "250ms", sizes
+# "32MiB". "orchiddrift check FILE" lists all mistakes; SIGHUP applies what can change under load.
+
+`
+
+// Show writes the effective file, without secrets.
+func (f *File) Show(w io.Writer) error { return tomlfile.Show(w, f) }
--- /dev/null
+++ b/internal/config/plan.go
@@ -0,0 +1,298 @@
+package config
+
+import (
+	"bytes"
+	"cmp"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"os"
+	"reflect"
+	"strconv"
+	"time"
+
+	"orchiddrift/balancer"
+	"orchiddrift/internal/directory"
+	"orchiddrift/internal/httphead"
+	"orchiddrift/internal/keys"
+	"orchiddrift/internal/listfile"
+	"orchiddrift/internal/logs"
+	"orchiddrift/internal/routes"
+	"orchiddrift/internal/settings"
+	"orchiddrift/internal/tomlfile"
+	"orchiddrift/internal/units"
+)
+
+// Plan is what a daemon runs, from whichever files: the platform's, the operator's, or both.
+type Plan struct {
+	Name, Listen string
+	Seed         uint64
+	SeedDrawn    bool // no file has one
+	Limits       Limits
+	HeadTimeout  time.Duration
+	BodyTimeout  time.Duration
+	Grace        time.Duration // what is unanswered so long after SIGTERM is failed
+	Guaranteed   float64       // the part of each limit that is set aside for services
+	Services     []ServicePlan
+	Table        *routes.Table
+	TLS          keys.Listener
+	Log          logs.Declaration
+	File         *File // the operator's; nil: there is none
+}
+
+// ServicePlan is one service.
+type ServicePlan struct {
+	Name     string
+	Settings settings.Settings
+	Answers  *httphead.Statuses
+	Share    float64
+	TLS      keys.Upstream
+
+	// Where its upstreams come from: Discovery, ListFile or else Known alone.
+	Discovery string
+	ListFile  string
+	Known     *directory.Listing // as last held, or the whole of it; nil: none
+}
+
+// Platform is the name of the service that the platform's file tells of.
+const Platform = "platform"
+
+const (
+	platformHead = 2 * time.Second
+	platformBody = 900 * time.Millisecond
+	killMargin   = 550 * time.Millisecond // what is unanswered is failed the longest deadline and this after SIGTERM,
+	killLongest  = 3 * time.Second        // of which no more than this counts on the platform: SIGKILL may come soon after
+)
+
+// Sources names the files that a daemon reads.
+type Sources struct {
+	Config string // the platform's JSON or the operator's TOML, told apart by what stands in it
+	Beside string // the operator's file beside the platform's; empty: none
+}
+
+// LoadPlan reads the files. An error about what stands in one wraps Problems.
+func LoadPlan(s Sources) (*Plan, error) {
+	switch {
+	case s.Config == "" && s.Beside == "":
+		return nil, errors.New(`no configuration: name one with --config, or GW_CONFIG ("orchiddrift config example" prints one)`)
+	case s.Config == "":
+		s = Sources{Config: s.Beside}
+	}
+	text, err := os.ReadFile(s.Config)
+	if err != nil {
+		return nil, fmt.Errorf("reading the configuration: %w", err)
+	}
+	in := func(path string, err error) error { return fmt.Errorf("configuration %s: %w", path, err) }
+	if !IsPlatform(text) {
+		if s.Beside != "" {
+			return nil, errors.New("two operator's files: the one beside is for the platform's")
+		}
+		p, err := ParseFile(text)
+		if err != nil {
+			return nil, in(s.Config, err)
+		}
+		return p, nil
+	}
+	c, err := Parse(text)
+	if err != nil {
+		return nil, in(s.Config, err)
+	}
+	if s.Beside == "" {
+		return c.Plan(), nil
+	}
+	if text, err = os.ReadFile(s.Beside); err != nil {
+		return nil, fmt.Errorf("reading the operator's file: %w", err)
+	}
+	p, err := ParseBeside(c, text)
+	if err != nil {
+		return nil, in(s.Beside, err)
+	}
+	return p, nil
+}
+
+// IsPlatform tells the platform's JSON from the operator's TOML.
+func IsPlatform(text []byte) bool {
+	text = bytes.TrimSpace(bytes.TrimPrefix(text, []byte("\xef\xbb\xbf")))
+	return len(text) == 0 || text[0] == '{'
+}
+
+// Plan is the platform's file alone.
+func (c *Config) Plan() *Plan {
+	longest := time.Duration(0)
+	for _, class := range c.Settings.Classes {
+		longest = max(longest, class.Deadline)
+	}
+	table, conflicts := routes.New(routes.Platform(Platform, c.Settings.Classes))
+	if len(conflicts) > 0 { // two classes of one name: the settings' check finds that
+		panic("config: the platform's routes conflict")
+	}
+	return &Plan{Name: c.Name, Listen: c.Listen, Seed: c.Seed, Limits: c.Limits, HeadTimeout: platformHead,
+		BodyTimeout: platformBody, Grace: min(longest, killLongest) + killMargin, Guaranteed: 1, Table: table,
+		Services: []ServicePlan{c.service()}}
+}
+
+func (c *Config) service() ServicePlan {
+	return ServicePlan{Name: Platform, Settings: c.Settings, Answers: httphead.Only200(), Share: 1, Discovery: c.Discovery,
+		Known: c.Known}
+}
+
+// ParseFile reads an operator's file. Its error is Problems.
+func ParseFile(text []byte) (*Plan, error) { return parseFile(nil, text) }
+
+// ParseBeside reads an operator's file that stands beside the platform's: of that one, name, listen, seed, limits and
+// time-outs win, and its service, called Platform, comes first, under its own routes.
+func ParseBeside(c *Config, text []byte) (*Plan, error) { return parseFile(c, text) }
+
+func parseFile(beside *Config, text []byte) (*Plan, error) {
+	f := &File{}
+	doc := tomlfile.Decode(text, f)
+	p := f.plan(beside, doc)
+	if mistakes := doc.Mistakes(); len(mistakes) > 0 {
+		bad := make(Problems, len(mistakes))
+		for i, m := range mistakes {
+			bad[i] = Problem{Key: m.Key, Reason: m.Reason, Line: m.Line, Column: m.Column}
+		}
+		return nil, bad
+	}
+	return p, nil
+}
+
+// plan makes the Plan, and reports what is wrong between the parts.
+func (f *File) plan(beside *Config, doc *tomlfile.Document) *Plan {
+	p := &Plan{Name: f.Daemon.Name, Listen: f.Daemon.Listen, Limits: Limits{Cores: f.Limits.cores(),
+		MemoryMB: float64(f.Limits.Memory) / float64(units.MiB), Sockets: f.Limits.Descriptors},
+		HeadTimeout: f.Limits.HeadTimeout.D(), BodyTimeout: f.Limits.BodyTimeout.D(), Grace: f.Daemon.Grace.D(),
+		Guaranteed: f.Shares.Guaranteed, TLS: f.TLS, Log: f.Log, File: f}
+	var all []*routes.Route
+	var places []string // where each stands in the file
+	names := map[string]int{}
+	if beside != nil {
+		of := beside.Plan()
+		p.Name, p.Listen, p.Seed, p.Limits = of.Name, of.Listen, of.Seed, of.Limits
+		p.HeadTimeout, p.BodyTimeout, p.Grace = of.HeadTimeout, of.BodyTimeout, of.Grace
+		p.Services = of.Services
+		names[Platform] = 0
+		for _, r := range of.Table.Routes() {
+			all, places = append(all, r), append(places, "")
+		}
+	} else if f.Daemon.Seed != "" {
+		p.Seed, _ = strconv.ParseUint(f.Daemon.Seed, 16, 64) // Daemon.Check has tried it
+	} else {
+		var b [8]byte
+		_, _ = rand.Read(b[:]) // never fails
+		p.Seed, p.SeedDrawn = binary.LittleEndian.Uint64(b[:]), true
+	}
+	longest := time.Duration(0)
+	for i := range f.Services {
+		s := &f.Services[i]
+		if _, twice := names[s.Name]; twice && s.Name != "" {
+			doc.Report(fmt.Sprintf("service[%d].name", i), "%q is taken", s.Name)
+			continue
+		}
+		names[s.Name] = len(p.Services)
+		p.Services = append(p.Services, s.plan())
+		for _, class := range p.Services[len(p.Services)-1].Settings.Classes {
+			longest = max(longest, class.Deadline)
+		}
+	}
+	if len(p.Services) == 0 {
+		doc.Report("service", "there is none: [[service]]")
+	}
+	if beside == nil {
+		p.Grace = cmp.Or(p.Grace, longest) + killMargin
+	}
+	declared := f.Routes
+	if len(declared) == 0 && len(f.Services) == 1 && beside == nil {
+		declared = []routes.Declaration{{Match: "/", Key: routes.Header(httphead.Key), MaxBody: routes.MaxMaxBody}}
+	}
+	for i := range declared {
+		at := fmt.Sprintf("route[%d]", i)
+		made := routesOf(p, names, &declared[i], func(key, format string, args ...any) {
+			doc.Report(at+key, format, args...)
+		})
+		for _, r := range made {
+			all, places = append(all, r), append(places, at+".match")
+		}
+	}
+	if len(all) == 0 && len(p.Services) > 0 {
+		doc.Report("route", "there is none, and more than one service")
+	}
+	table, conflicts := routes.New(all)
+	for _, c := range conflicts {
+		first := "the platform's rules"
+		if places[c.First] != "" {
+			first = fmt.Sprintf("line %d", doc.Line(places[c.First]))
+		}
+		doc.Report(places[c.Second], "conflicts with %s: %s", first,
+			routes.Describe(all[c.First].Pattern, all[c.Second].Pattern))
+	}
+	p.Table = table
+	return p
+}
+
+// routesOf makes the routes of one declaration.
+func routesOf(p *Plan, names map[string]int, d *routes.Declaration, report func(key, format string, args ...any)) []*routes.Route {
+	name := d.Service
+	if name == "" && len(p.Services) == 1 {
+		name = p.Services[0].Name
+	}
+	i, ok := names[name]
+	if !ok {
+		report(".service", "there is no service %q", name)
+		return nil
+	}
+	classes := p.Services[i].Settings.Classes
+	if d.Set != "" {
+		return routes.Platform(name, classes)
+	}
+	r, err := d.Route()
+	if err != nil {
+		return nil // its Check has said so
+	}
+	class := func(name string) *balancer.Class {
+		for i := range classes {
+			if classes[i].Name == name {
+				return &classes[i]
+			}
+		}
+		return nil
+	}
+	r.Service = name
+	if r.Class = class(d.Class); d.Class != "" && r.Class == nil {
+		report(".class", "service %s has no class %q", name, d.Class)
+		return nil
+	}
+	if r.Class == nil {
+		if r.Read, r.Write = class(settings.ReadClass), class(settings.WriteClass); r.Read == nil || r.Write == nil {
+			report(".class", "missing: service %s has no classes %q and %q to go by the method", name, settings.ReadClass,
+				settings.WriteClass)
+			return nil
+		}
+	}
+	if why := r.Unreachable(); why != "" {
+		report(".class", "%s", why)
+	}
+	r.WholeOnly = !p.Services[i].Answers.Has(304) || !p.Services[i].Answers.Has(206) || !p.Services[i].Answers.Has(412)
+	return []*routes.Route{r}
+}
+
+func (s *Service) plan() ServicePlan {
+	answers, err := httphead.ParseStatuses(s.Answers)
+	if err != nil { // reported by Check
+		answers = httphead.Only200()
+	}
+	p := ServicePlan{Name: s.Name, Settings: s.Settings(), Answers: answers, Share: s.Share, TLS: s.TLS,
+		Discovery: s.Discovery, ListFile: s.ListFile}
+	p.Settings.MustSubscribe = s.Discovery != "" && !s.Push
+	if entries := s.entries(); len(entries) > 0 {
+		p.Known = listfile.Listing(1, entries)
+	}
+	return p
+}
+
+// Same tells whether two plans of a service differ in nothing but where its upstreams come from.
+func (s *ServicePlan) Same(o *ServicePlan) bool {
+	return s.Name == o.Name && reflect.DeepEqual(s.Settings, o.Settings) && *s.Answers == *o.Answers &&
+		reflect.DeepEqual(s.TLS, o.TLS)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -1,33 +1,34 @@
-// Package daemon is the sidecar as a process of its own: HTTP/1.1 for the clients on one side, upstreams and discovery
+// Package daemon is the sidecar as a process of its own: HTTP/1.1 for the clients on one side, upstreams and their lists
 // on the other. It makes no decisions; what it adds is I/O within the configured limits, and the life cycle.
 //
-// server.go takes clients' requests (package intake checks them and bounds the connections), package engine holds them
-// in hand, package upstream carries out attempts, package discovery follows the list and package directory keeps it.
+// server.go takes clients' requests (package intake checks them and bounds the connections), routing.go holds what they
+// are decided by, service.go one service's engine, list and connections; reload.go takes over another configuration.
 package daemon
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"math"
 	"net"
 	"net/http"
 	"os"
-	"reflect"
 	"runtime"
 	"runtime/debug"
+	"sync"
+	"sync/atomic"
 	"time"
 
-	"orchiddrift/balancer"
+	"orchiddrift/internal/bulkhead"
 	"orchiddrift/internal/clock"
 	"orchiddrift/internal/config"
-	"orchiddrift/internal/directory"
-	"orchiddrift/internal/discovery"
 	"orchiddrift/internal/engine"
 	"orchiddrift/internal/httphead"
 	"orchiddrift/internal/intake"
-	"orchiddrift/internal/upstream"
+	"orchiddrift/internal/keys"
+	"orchiddrift/internal/logs"
 )
 
 const (
@@ -36,29 +37,29 @@
 	gcLeastMB   = 32   // the memory limit at which the collector works as Go has it; see GCPercent
 	gcMost      = 400
 	answerPart  = 64                     // an answer may have this fraction of the memory: many are in hand at once
+	bytesPart   = 4                      // and all bodies in hand this one, where services share it
+	handSpare   = 8                      // this fraction of clients' connections never carries requests in hand
 	quietAfter  = 450 * time.Millisecond // after SIGTERM: clients use the connections that they have until this
 	acceptAfter = 600 * time.Millisecond // and may come on new ones until this
 	justOpened  = 50 * time.Millisecond  // a connection this young is about to bring its request
-	killMargin  = 550 * time.Millisecond // what is unanswered is failed the longest deadline and this after SIGTERM,
-	killLongest = 3 * time.Second        // of which no more than this counts: SIGKILL may come soon after
 	clientIdle  = 30 * time.Second
 )
 
-// Run serves as the configuration at path says until ctx ends, then finishes what it has taken. Whenever reload
-// brings something it reads that file again, as followReloads tells.
-func Run(ctx context.Context, path string, reload <-chan os.Signal) error {
-	c, err := config.Load(path)
+// Run serves as the files say until ctx ends, then finishes what it has taken. Whenever reload brings something it reads
+// them again, as followReloads tells.
+func Run(ctx context.Context, files config.Sources, reload <-chan os.Signal) error {
+	p, err := config.LoadPlan(files)
 	if err != nil {
 		return err
 	}
-	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
-	debug.SetMemoryLimit(int64(c.Limits.MemoryMB * memoryPart * (1 << 20)))
-	debug.SetGCPercent(GCPercent(c.Limits.MemoryMB))
-	listener, err := net.Listen("tcp", c.Listen)
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(p.Limits.Cores))))
+	debug.SetMemoryLimit(int64(p.Limits.MemoryMB * memoryPart * (1 << 20)))
+	debug.SetGCPercent(GCPercent(p.Limits.MemoryMB))
+	listener, err := net.Listen("tcp", p.Listen)
 	if err != nil {
 		return fmt.Errorf("listening: %w", err)
 	}
-	return Serve(ctx, c, listener, path, reload, nil)
+	return ServePlan(ctx, p, listener, files, reload, nil)
 }
 
 // GCPercent is how far the heap may grow over what is live, in percent, by the memory limit in MB: the live heap is a
@@ -67,89 +68,141 @@
 	return int(min(gcMost, max(100, 100*memoryMB/gcLeastMB)))
 }
 
-// Serve is Run with a configuration and a listener at hand; it closes the listener. Where look is not nil it is given
-// the engine, to look on, before the first request.
+// Serve is ServePlan for the platform's file alone, which path names.
 func Serve(ctx context.Context, c *config.Config, listener net.Listener, path string, reload <-chan os.Signal,
+	look func(*engine.Engine)) error {
+	return ServePlan(ctx, c.Plan(), listener, config.Sources{Config: path}, reload, look)
+}
+
+// daemon is a running one.
+type daemon struct {
+	plan    *config.Plan // as it runs; what counts from the next start is as it was
+	shared  *shared
+	logger  *logs.Logger // nil: the program's default
+	log     *slog.Logger
+	routing atomic.Pointer[routing]
+
+	keys      atomic.Pointer[keys.Store] // of the clients' listener; nil: not encrypted
+	tls       atomic.Pointer[tls.Config]
+	stopKeys  context.CancelFunc
+	started   int            // services so far, for their names in the semaphores
+	retiring  sync.WaitGroup // services that only finish what they hold
+	besides   sync.WaitGroup
+	rest      context.Context // of what runs besides; ends with the daemon
+	listening net.Listener
+}
+
+// ServePlan is Run with a plan and a listener at hand; it closes the listener. Where look is not nil it is given the
+// first service's engine, to look on, before the first request.
+func ServePlan(ctx context.Context, p *config.Plan, listener net.Listener, files config.Sources, reload <-chan os.Signal,
 	look func(*engine.Engine)) error {
 	defer listener.Close()
-	clk := clock.New()
-	running, stop := context.WithCancel(context.Background())
+	rest, stop := context.WithCancel(context.Background())
+	d := &daemon{plan: p, log: slog.Default(), rest: rest, listening: listener}
+	defer d.besides.Wait()
 	defer stop()
-	connections := (c.Limits.Sockets - ownSockets) / 2
-	pool := upstream.New(upstream.Options{ConnectTimeout: c.Settings.ConnectTimeout, Idle: c.Settings.ConnIdle,
-		Connections: connections, MaxAnswer: int(c.Limits.MemoryMB * (1 << 20) / answerPart)})
-	dir := directory.New(clk, pool.Drop)
-	pool.SetDirectory(dir)
-	var eng *engine.Engine
-	feed := discovery.NewFeed(dir, func(m balancer.Members) { eng.Update(m) })
-	known := balancer.Members{}
-	var index int64
-	if c.Known != nil {
-		known, index = feed.Take(c.Known), *c.Known.Index
-	}
-	watcher := discovery.New(discovery.Options{Address: c.Discovery, Index: index,
-		ConnectTimeout: c.Settings.ConnectTimeout, ModuleAsks: c.Settings.MustSubscribe, Log: log.Printf})
-	eng, err := engine.New(engine.Options{Settings: c.Settings.Settings, Seed: c.Seed, Clock: clk, Known: known.Entries,
-		Subscribe: watcher.Ask, Log: func(text string) { log.Print(text) }})
-	if err != nil {
+	if p.File != nil {
+		d.logger = logs.New(os.Stderr, p.Log)
+		d.log = d.logger.Logger
+		d.besides.Go(func() { d.logger.Run(rest) })
+	}
+	if p.SeedDrawn {
+		d.log.Info("seed drawn", "seed", fmt.Sprintf("%016x", p.Seed))
+	}
+	connections := (p.Limits.Sockets - ownSockets) / 2
+	if err := d.share(connections); err != nil {
 		return err
 	}
-	defer eng.Close()
-	if look != nil {
-		look(eng)
+	defer d.end()
+	if err := d.apply(p); err != nil {
+		return err
 	}
-	go pool.Sweep(running)
-	go watcher.Run(running, feed)
-	go followReloads(running, c, path, reload, watcher.Redirect)
-
-	s := &server{engine: eng, pool: pool, checker: intake.Platform(c.Settings.Classes),
-		ready: func() bool { return dir.Len() > 0 }}
-	var longest time.Duration
-	for _, class := range c.Settings.Classes {
-		longest = max(longest, class.Deadline)
+	if look != nil {
+		look(d.routing.Load().services[p.Services[0].Name].engine)
 	}
+	s := &server{d: d, ids: newIDs(p.Seed)}
 	conns := intake.NewConns(listener, connections)
-	srv := &http.Server{Handler: s, ReadHeaderTimeout: headPatience, IdleTimeout: clientIdle,
-		MaxHeaderBytes: httphead.MaxBytes, DisableGeneralOptionsHandler: true, ConnState: conns.State}
+	srv := &http.Server{Handler: s, ReadHeaderTimeout: p.HeadTimeout, IdleTimeout: clientIdle,
+		MaxHeaderBytes: httphead.MaxBytes, DisableGeneralOptionsHandler: true, ConnState: conns.State,
+		ErrorLog: slog.NewLogLogger(d.log.Handler(), slog.LevelDebug)}
+	var front net.Listener = conns
+	if p.TLS.On() {
+		front = tls.NewListener(conns, &tls.Config{MinVersion: tls.VersionTLS12,
+			GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) { return d.tls.Load(), nil }})
+	}
 	ended := make(chan error, 1)
-	go func() { ended <- srv.Serve(conns) }()
+	go func() { ended <- srv.Serve(front) }()
+	d.besides.Go(func() { d.followReloads(rest, files, reload) })
 	select {
 	case err := <-ended:
 		return fmt.Errorf("serving: %w", err)
 	case <-ctx.Done():
 	}
-	return drain(srv, s, conns, eng, min(longest, killLongest)+killMargin)
+	return drain(srv, s, conns, d, p.Grace)
 }
 
-// followReloads reads the configuration again each time that reload brings something. What can change under way is
-// discovery's address; the rest is for the next start. A file that can't be used changes nothing.
-func followReloads(ctx context.Context, c *config.Config, path string, reload <-chan os.Signal, redirect func(string)) {
-	for {
-		select {
-		case <-reload:
-		case <-ctx.Done():
-			return
-		}
-		next, err := config.Load(path)
-		if err != nil {
-			log.Printf("reload: the old configuration stays: %v", err)
+// share makes what services share.
+func (d *daemon) share(connections int) error {
+	p := d.plan
+	d.shared = &shared{clock: clock.New(), log: d.log, seed: p.Seed,
+		maxAnswer: int(p.Limits.MemoryMB * (1 << 20) / answerPart)}
+	var err error
+	if d.shared.slots, err = bulkhead.NewSemaphore(int64(connections), p.Guaranteed, nil); err != nil {
+		return err
+	}
+	if p.File == nil {
+		return nil
+	}
+	if d.shared.inHand, err = bulkhead.NewSemaphore(int64(connections-connections/handSpare), p.Guaranteed, nil); err != nil {
+		return err
+	}
+	d.shared.bytes, err = bulkhead.NewSemaphore(int64(p.Limits.MemoryMB*(1<<20)/bytesPart), p.Guaranteed, nil)
+	return err
+}
+
+// setShares sets the services' shares of all that is shared, by their names in it.
+func (d *daemon) setShares(p *config.Plan, names map[string]string) error {
+	shares := make([]bulkhead.Share, len(p.Services))
+	for i, s := range p.Services {
+		shares[i] = bulkhead.Share{Name: names[s.Name], Weight: s.Share}
+	}
+	for _, of := range []*bulkhead.Semaphore{d.shared.slots, d.shared.inHand, d.shared.bytes} {
+		if of == nil {
 			continue
 		}
-		log.Printf("reload: discovery at %s", next.Discovery)
-		if next.Name != c.Name || next.Listen != c.Listen || next.Limits != c.Limits ||
-			!reflect.DeepEqual(next.Settings, c.Settings) {
-			log.Print("reload: a change of name, listen, limits or settings counts from the next start")
+		if err := of.Set(p.Guaranteed, shares); err != nil {
+			return fmt.Errorf("shares: %w", err)
+		}
+	}
+	return nil
+}
+
+// abort fails every request in hand: the process is about to be killed.
+func (d *daemon) abort() {
+	for _, s := range d.routing.Load().services {
+		s.engine.Abort()
+	}
+}
+
+// end ends the services.
+func (d *daemon) end() {
+	if r := d.routing.Load(); r != nil {
+		for _, s := range r.services {
+			s.close()
 		}
-		redirect(next.Discovery)
 	}
+	if d.stopKeys != nil {
+		d.stopKeys()
+	}
+	d.retiring.Wait()
 }
 
 // drain goes on accepting while clients still come, answers everything that was taken, and ends before the
 // process is killed.
-func drain(srv *http.Server, s *server, conns *intake.Conns, eng *engine.Engine, killAfter time.Duration) error {
+func drain(srv *http.Server, s *server, conns *intake.Conns, d *daemon, killAfter time.Duration) error {
 	begun := time.Now()
 	s.stopping.Store(true)
-	last := time.AfterFunc(killAfter, eng.Abort)
+	last := time.AfterFunc(killAfter, d.abort)
 	defer last.Stop()
 	time.Sleep(quietAfter)
 	conns.CloseQuiet(justOpened) // where that crosses a request, the client comes on a new connection
--- /dev/null
+++ b/internal/daemon/reload.go
@@ -0,0 +1,178 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"reflect"
+	"time"
+
+	"orchiddrift/internal/config"
+	"orchiddrift/internal/keys"
+	"orchiddrift/internal/tomlfile"
+)
+
+// followReloads reads the files again each time that reload brings something. What can change under way is applied all
+// at once; a file that can't be used, or asks for what can't be had, changes nothing.
+func (d *daemon) followReloads(ctx context.Context, files config.Sources, reload <-chan os.Signal) {
+	for {
+		select {
+		case <-reload:
+		case <-ctx.Done():
+			return
+		}
+		if err := d.reload(files); err != nil {
+			d.log.Error("reload: the old configuration stays", "reason", err)
+		}
+	}
+}
+
+// reload takes over what the files say now. When it returns, nothing more is sent by a route or to a service that they
+// no longer have as it was.
+func (d *daemon) reload(files config.Sources) error {
+	next, err := config.LoadPlan(files)
+	if err != nil {
+		return err
+	}
+	was := d.plan
+	if was.File != nil && next.File != nil {
+		for _, c := range tomlfile.Diff(was.File, next.File) {
+			if c.Start {
+				d.log.Warn("reload: counts from the next start", "key", c.Key)
+			}
+		}
+	}
+	if was.File == nil && next.File == nil {
+		d.log.Info("reload", "discovery", next.Services[0].Discovery)
+		if next.Name != was.Name || next.Listen != was.Listen || next.Limits != was.Limits ||
+			!reflect.DeepEqual(next.Services[0].Settings, was.Services[0].Settings) {
+			d.log.Warn("reload: a change of name, listen, limits or settings counts from the next start")
+			next.Services[0].Settings, next.Table = was.Services[0].Settings, was.Table
+		}
+	}
+	if (was.File == nil) != (next.File == nil) || was.TLS.On() != next.TLS.On() {
+		return errors.New("a change between the platform's file and the operator's, or of tls between on and off, needs a new start")
+	}
+	// What counts from the next start stays as it is.
+	next.Name, next.Listen, next.Seed, next.SeedDrawn = was.Name, was.Listen, was.Seed, was.SeedDrawn
+	next.Limits, next.HeadTimeout, next.Grace = was.Limits, was.HeadTimeout, was.Grace
+	if err := d.apply(next); err != nil {
+		return err
+	}
+	if d.logger != nil {
+		d.logger.Set(next.Log)
+	}
+	d.log.Info("reloaded", "services", len(next.Services), "routes", len(next.Table.Routes()))
+	return nil
+}
+
+// apply makes a plan the one that runs, all of it or nothing.
+func (d *daemon) apply(p *config.Plan) (err error) {
+	now := d.routing.Load()
+	services := make(map[string]*service, len(p.Services)) // by the plan's names
+	names := make(map[string]string, len(p.Services))      // in the semaphores
+	var fresh []config.ServicePlan
+	var moves []func()
+	for _, plan := range p.Services {
+		if now != nil {
+			if s := now.services[plan.Name]; s != nil && s.plan.Same(&plan) {
+				move, err := s.move(plan)
+				if err == nil {
+					services[plan.Name], names[plan.Name] = s, s.name
+					if move != nil {
+						moves = append(moves, move)
+					}
+					continue
+				}
+				if s.plan.ListFile == plan.ListFile || plan.Discovery == "" { // the new list can't be had
+					return err
+				}
+			}
+		}
+		d.started++
+		names[plan.Name] = fmt.Sprintf("%s#%d", plan.Name, d.started)
+		fresh = append(fresh, plan)
+	}
+	var started []*service
+	defer func() {
+		if err == nil {
+			return
+		}
+		for _, s := range started {
+			s.close()
+		}
+		if now != nil { // the shares are as they were
+			names := map[string]string{}
+			for name, s := range now.services {
+				names[name] = s.name
+			}
+			_ = d.setShares(d.plan, names) // they have been set before
+		}
+	}()
+	if err := d.setShares(p, names); err != nil {
+		return err
+	}
+	for _, plan := range fresh {
+		s, err := startService(plan, names[plan.Name], d.shared, nil)
+		if err != nil {
+			return err
+		}
+		started = append(started, s)
+		services[plan.Name] = s
+	}
+	takeKeys, err := d.prepareKeys(p)
+	if err != nil {
+		return err
+	}
+
+	// From here on nothing fails.
+	next, ended := now.next(p.Table, services, p.BodyTimeout)
+	for _, move := range moves {
+		move()
+	}
+	takeKeys()
+	d.routing.Store(next)
+	endAll(ended)
+	if now != nil {
+		for name, s := range now.services {
+			if services[name] != s {
+				d.retiring.Go(func() { s.retire(longestDeadline(d.plan) + time.Second) })
+			}
+		}
+	}
+	d.plan = p
+	return nil
+}
+
+func longestDeadline(p *config.Plan) (longest time.Duration) {
+	for _, s := range p.Services {
+		for _, class := range s.Settings.Classes {
+			longest = max(longest, class.Deadline)
+		}
+	}
+	return longest
+}
+
+// prepareKeys reads what the clients' listener is to show, where that is another one; the returned function takes it
+// over.
+func (d *daemon) prepareKeys(p *config.Plan) (func(), error) {
+	if !p.TLS.On() || d.keys.Load() != nil && reflect.DeepEqual(p.TLS, d.plan.TLS) {
+		return func() {}, nil
+	}
+	store, err := keys.Open(keys.Files{Certificate: p.TLS.Certificate, Key: p.TLS.Key, CA: p.TLS.ClientCA},
+		p.TLS.WarnBefore.D(), func(format string, args ...any) { d.log.Warn(fmt.Sprintf(format, args...)) })
+	if err != nil {
+		return nil, fmt.Errorf("tls: %w", err)
+	}
+	return func() {
+		if d.stopKeys != nil {
+			d.stopKeys()
+		}
+		ctx, stop := context.WithCancel(d.rest)
+		d.stopKeys = stop
+		d.besides.Go(func() { store.Run(ctx) })
+		d.keys.Store(store)
+		d.tls.Store(keys.Server(store, p.TLS))
+	}, nil
+}
--- /dev/null
+++ b/internal/daemon/routing.go
@@ -0,0 +1,141 @@
+package daemon
+
+import (
+	"maps"
+	"reflect"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"orchiddrift/internal/engine"
+	"orchiddrift/internal/intake"
+	"orchiddrift/internal/routes"
+	"orchiddrift/internal/upstream"
+)
+
+// routing is what requests are decided by at one time. It is immutable.
+type routing struct {
+	checker  *intake.Checker
+	table    *routes.Table
+	services map[string]*service
+	leases   map[*routes.Route]*lease
+	body     time.Duration // that a client may take for a request's body
+}
+
+// lease is a route's right to send. A route that a reload takes away or changes loses it: nothing is sent by it once the
+// reload has returned.
+type lease struct {
+	ended   atomic.Bool
+	writing atomic.Int64 // attempts whose request is being written
+}
+
+// Enter is upstream.Gate's.
+func (l *lease) Enter() bool {
+	l.writing.Add(1)
+	if l.ended.Load() {
+		l.writing.Add(-1)
+		return false
+	}
+	return true
+}
+
+// Leave is upstream.Gate's.
+func (l *lease) Leave() { l.writing.Add(-1) }
+
+// writePart bounds how long the end of a lease waits for requests whose writing has begun: the first byte of those was
+// written before.
+const writePart = 250 * time.Millisecond
+
+// endAll takes leases away, and waits for writes under way.
+func endAll(leases []*lease) {
+	for _, l := range leases {
+		l.ended.Store(true)
+	}
+	end := time.Now().Add(writePart)
+	for _, l := range leases {
+		for l.writing.Load() > 0 && time.Now().Before(end) {
+			time.Sleep(100 * time.Microsecond)
+		}
+	}
+}
+
+// next makes the routing for a table and its services. Routes that stay as they are, to a service that stays, keep their
+// lease; ended are the leases of the others.
+func (r *routing) next(table *routes.Table, services map[string]*service, body time.Duration) (n *routing, ended []*lease) {
+	n = &routing{checker: intake.NewChecker(table), table: table, services: services,
+		leases: make(map[*routes.Route]*lease, len(table.Routes())), body: body}
+	before := map[string]*routes.Route{}
+	if r != nil {
+		for _, old := range r.table.Routes() {
+			before[key(old)] = old
+		}
+	}
+	kept := map[*lease]bool{}
+	for _, route := range table.Routes() {
+		if old := before[key(route)]; old != nil && r.services[old.Service] == services[route.Service] && sameRoute(old, route) {
+			n.leases[route] = r.leases[old]
+			kept[r.leases[old]] = true
+		} else {
+			n.leases[route] = &lease{}
+		}
+	}
+	if r != nil {
+		for _, l := range r.leases {
+			if !kept[l] {
+				ended = append(ended, l)
+			}
+		}
+	}
+	return n, ended
+}
+
+// key tells routes of one table apart.
+func key(r *routes.Route) string {
+	text := r.Pattern.String()
+	for _, name := range slices.Sorted(maps.Keys(r.Pattern.Headers)) {
+		text += "\x00" + name + "\x00" + strings.ToLower(r.Pattern.Headers[name])
+	}
+	return text
+}
+
+func sameRoute(a, b *routes.Route) bool { return reflect.DeepEqual(a, b) }
+
+// exchange carries out the attempts of one request.
+type exchange struct {
+	pool    *upstream.Pool
+	request *upstream.Request
+	begun   atomic.Int32 // attempts that may have sent something
+
+	mu   sync.Mutex
+	done bool             // the request has its answer
+	held []upstream.Reply // what its attempts brought, to be given back with it
+}
+
+// keep holds on to an attempt's reply until the request is done.
+func (x *exchange) keep(r upstream.Reply) {
+	if r.Held == 0 {
+		return
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.done {
+		x.pool.Free(r)
+		return
+	}
+	x.held = append(x.held, r)
+}
+
+// end gives back what was held.
+func (x *exchange) end() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.done = true
+	for _, r := range x.held {
+		x.pool.Free(r)
+	}
+	x.held = nil
+}
+
+var _ engine.Carrier = (*exchange)(nil)
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -6,47 +6,43 @@
 	"fmt"
 	"io"
 	"maps"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"orchiddrift/balancer"
 	"orchiddrift/internal/engine"
+	"orchiddrift/internal/httphead"
 	"orchiddrift/internal/intake"
 	"orchiddrift/internal/upstream"
 )
 
-const (
-	// Limits on clients are the sidecar's own: what they say of themselves may be wrong.
-	headPatience  = 2 * time.Second        // for a request's head
-	bodyPatience  = 900 * time.Millisecond // and for its body
-	writePatience = 5 * time.Second        // for a client to take its answer
-)
+// writePatience is how long a client may take for its answer.
+const writePatience = 5 * time.Second
 
-// server takes the clients' requests, has the engine answer them, and words the answers as the platform's protocol
-// says.
+// server takes the clients' requests, has the engine of their service answer them, and words the answers as the
+// platform's protocol says.
 type server struct {
-	engine   *engine.Engine
-	pool     *upstream.Pool
-	checker  *intake.Checker
-	ready    func() bool
+	d        *daemon
+	ids      *ids
 	stopping atomic.Bool // connections are to end with their next answer
 }
 
-// exchange carries out the attempts of one request.
-type exchange struct {
-	pool    *upstream.Pool
-	request *upstream.Request
-}
-
+// Carry is engine.Carrier's.
 func (x *exchange) Carry(ctx context.Context, a engine.Attempt) engine.Reply {
 	rep := x.pool.Attempt(ctx, a.Upstream, x.request, a.Deadline)
+	if rep.Result != balancer.Moot && rep.Result != balancer.ConnectFailed {
+		x.begun.Add(1)
+	}
 	if rep.Result != balancer.OK {
 		return engine.Reply{Result: rep.Result}
 	}
+	x.keep(rep)
 	return engine.Reply{Result: balancer.OK, Value: &rep}
 }
 
@@ -55,25 +51,102 @@
 		s.own(w, r)
 		return
 	}
-	req, bad := s.read(w, r)
-	if bad != nil {
-		w.Header().Set("Connection", "close")
-		if bad.Allow != "" {
-			w.Header().Set("Allow", bad.Allow)
+	var body []byte
+	read := false
+	begun := s.d.shared.clock.Now()
+	for {
+		routing := s.d.routing.Load()
+		req, bad := routing.checker.Check(r)
+		if bad != nil {
+			s.turnDown(w, bad)
+			return
+		}
+		svc := routing.services[req.Route.Service]
+		if !svc.enter() { // a reload has just taken it away: the routing is another one by now
+			continue
+		}
+		again := s.serve(w, r, routing, svc, req, &body, &read, begun)
+		svc.leave()
+		if !again {
+			return
+		}
+	}
+}
+
+// serve answers a request by its service, or tells that it is to be decided anew: its route ended before anything was
+// sent.
+func (s *server) serve(w http.ResponseWriter, r *http.Request, routing *routing, svc *service, req intake.Request,
+	body *[]byte, read *bool, begun time.Duration) (again bool) {
+	sh := s.d.shared
+	if sh.inHand != nil {
+		if !sh.inHand.TryAcquire(svc.name, 1) {
+			s.crowded(w, svc, "requests")
+			return false
+		}
+		defer sh.inHand.Release(svc.name, 1)
+		if n := r.ContentLength; n > 0 {
+			if !sh.bytes.TryAcquire(svc.name, n) {
+				s.crowded(w, svc, "bytes")
+				return false
+			}
+			defer sh.bytes.Release(svc.name, n)
+		}
+	}
+	if !*read {
+		var bad *intake.Rejection
+		if *body, bad = s.read(w, r, routing.body); bad != nil {
+			s.turnDown(w, bad)
+			return false
+		}
+		*read = true
+		begun = sh.clock.Now()
+	}
+	id := req.ID
+	if id == "" {
+		id = s.ids.next()
+		if len(req.Header[httphead.ID]) == 0 {
+			req.Header[httphead.ID] = []string{id}
 		}
-		// The library reads on for a while, so that the answer is not lost to a reset.
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyPatience))
-		s.say(w, bad.Status, bad.Text)
-		return
 	}
-	call := engine.Call{ID: req.ID, Class: req.Class.Name, Tenant: req.Tenant, Hint: req.Hint,
-		Expires: s.engine.Clock().Now() + req.Timeout}
-	a := s.engine.Do(r.Context(), call, &exchange{s.pool,
-		upstream.NewRequest(req.Method, req.Target, req.Host, req.Header, req.Body)})
+	lease := routing.leases[req.Route]
+	out := upstream.NewRequest(req.Method, req.Target, req.Host, req.Header, *body)
+	out.Gate = lease
+	x := &exchange{pool: svc.pool, request: out}
+	defer x.end()
+	a := svc.engine.Do(r.Context(), engine.Call{ID: id, Class: req.Class.Name, Tenant: req.Tenant, Hint: req.Hint,
+		Expires: begun + req.Timeout}, x)
+	if (a.Kind == engine.Refused || a.Kind == engine.Failed || a.Kind == engine.Closed) && lease.ended.Load() &&
+		x.begun.Load() == 0 && r.Context().Err() == nil && !s.stopping.Load() {
+		return true // nothing was sent: it is as new
+	}
 	if a.Kind == engine.Abandoned { // should the client be there after all, it is told
 		w.Header().Set("Connection", "close")
 	}
 	s.finish(w, a)
+	return false
+}
+
+// turnDown answers a request that is not taken.
+func (s *server) turnDown(w http.ResponseWriter, bad *intake.Rejection) {
+	w.Header().Set("Connection", "close")
+	if bad.Allow != "" {
+		w.Header().Set("Allow", bad.Allow)
+	}
+	// The library reads on for a while, so that the answer is not lost to a reset.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingering))
+	s.say(w, bad.Status, bad.Text)
+}
+
+// lingering is how long a request that is turned down is read on.
+const lingering = 900 * time.Millisecond
+
+// crowded answers a request whose service holds as much as the bulkhead lets it. The module has not seen it, so that this
+// is no refusal of its.
+func (s *server) crowded(w http.ResponseWriter, svc *service, what string) {
+	s.d.log.Warn("bulkhead", "service", svc.plan.Name, "reason", "no more "+what+" in hand")
+	w.Header().Set("Connection", "close")
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingering))
+	s.say(w, http.StatusInternalServerError, "not done: the service has all that it may hold in hand")
 }
 
 // own serves the sidecar's own pages.
@@ -81,7 +154,7 @@
 	switch {
 	case r.URL.Path != "/-/ready":
 		s.say(w, http.StatusNotFound, "no such page")
-	case s.stopping.Load() || !s.ready():
+	case s.stopping.Load() || !s.d.ready():
 		s.say(w, http.StatusServiceUnavailable, "not ready")
 	default:
 		s.say(w, http.StatusOK, "ready")
@@ -94,7 +167,7 @@
 	case engine.Served:
 		rep := a.Value.(*upstream.Reply)
 		maps.Copy(w.Header(), rep.Header)
-		s.write(w, http.StatusOK, rep.Body)
+		s.write(w, rep.Status, rep.Body)
 	case engine.Refused:
 		if a.RetryIn > 0 {
 			w.Header().Set("Retry-After", strconv.FormatFloat(a.RetryIn.Seconds(), 'f', -1, 64))
@@ -124,30 +197,58 @@
 	if w.Header().Get("Content-Type") == "" {
 		w.Header()["Content-Type"] = nil // none is guessed
 	}
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	switch { // an answer to HEAD, or without a body, keeps the length that it came with
+	case status == http.StatusNoContent || status == http.StatusNotModified:
+		w.Header().Del("Content-Length")
+	case len(body) > 0 || w.Header().Get("Content-Length") == "":
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
 	w.WriteHeader(status)
 	_, _ = w.Write(body) // a client that does not take its answer has gone
 }
 
-// read takes in a whole request.
-func (s *server) read(w http.ResponseWriter, r *http.Request) (intake.Request, *intake.Rejection) {
-	req, bad := s.checker.Check(r)
-	if bad != nil || r.ContentLength == 0 {
-		return req, bad
+// read takes in a request's body.
+func (s *server) read(w http.ResponseWriter, r *http.Request, patience time.Duration) ([]byte, *intake.Rejection) {
+	if r.ContentLength == 0 {
+		return nil, nil
 	}
 	// Without a body the library already reads on, to see whether the client leaves.
-	conn, end := http.NewResponseController(w), time.Now().Add(bodyPatience)
+	conn, end := http.NewResponseController(w), time.Now().Add(patience)
 	_ = conn.SetReadDeadline(end)  // see write
 	_ = conn.SetWriteDeadline(end) // reading may first write 100 Continue
 	// It is at most what the head says, and takes memory as it comes: the head may be all that does.
 	body, err := io.ReadAll(r.Body)
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return req, &intake.Rejection{Status: http.StatusRequestTimeout, Text: "the body did not come in time"}
+		return nil, &intake.Rejection{Status: http.StatusRequestTimeout, Text: "the body did not come in time"}
 	case err != nil:
-		return req, &intake.Rejection{Status: http.StatusBadRequest, Text: fmt.Sprintf("reading the body: %v", err)}
+		return nil, &intake.Rejection{Status: http.StatusBadRequest, Text: fmt.Sprintf("reading the body: %v", err)}
 	}
-	req.Body = body
 	_ = conn.SetReadDeadline(time.Time{})
-	return req, nil
+	return body, nil
+}
+
+// ready tells whether some service has an upstream.
+func (d *daemon) ready() bool {
+	for _, s := range d.routing.Load().services {
+		if s.dir.Len() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// ids makes ids for requests that bring none. It is safe for concurrent use.
+type ids struct {
+	mu  sync.Mutex
+	rng *rand.Rand
+}
+
+func newIDs(seed uint64) *ids { return &ids{rng: rand.New(rand.NewPCG(seed, 0x6f72636869646964))} }
+
+func (i *ids) next() string {
+	i.mu.Lock()
+	a, b := i.rng.Uint64(), i.rng.Uint64()
+	i.mu.Unlock()
+	return fmt.Sprintf("%016x%016x", a, b)
 }
--- a/internal/daemon/server_test.go
+++ b/internal/daemon/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -12,10 +13,8 @@
 	"testing"
 	"time"
 
-	"orchiddrift/internal/clock"
-	"orchiddrift/internal/engine"
 	"orchiddrift/internal/httphead"
-	"orchiddrift/internal/intake"
+	"orchiddrift/internal/logs"
 	"orchiddrift/internal/standin"
 	"orchiddrift/internal/testkit"
 )
@@ -235,7 +234,7 @@
 			t.Error(end)
 		}
 	}
-	if headPatience+bodyPatience >= 3*time.Second {
+	if p := testkit.Config(t, "127.0.0.1:1").Plan(); p.HeadTimeout+p.BodyTimeout >= 3*time.Second {
 		t.Error("an end is owed within 3 s")
 	}
 }
@@ -292,12 +291,12 @@
 // deadline that fires as the body ends does the same.
 func TestEndedContextIsAnswered(t *testing.T) {
 	c := testkit.Config(t, "127.0.0.1:1")
-	e, err := engine.New(engine.Options{Settings: c.Settings.Settings, Clock: clock.New()})
-	if err != nil {
+	d := &daemon{plan: c.Plan(), log: logs.Discard(), rest: t.Context()}
+	if err := errors.Join(d.share(8), d.apply(d.plan)); err != nil {
 		t.Fatal(err)
 	}
-	defer e.Close()
-	s := &server{engine: e, checker: intake.Platform(c.Settings.Classes)}
+	defer d.end()
+	s := &server{d: d, ids: newIDs(1)}
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	req := httptest.NewRequest(http.MethodGet, "/search/1", nil).WithContext(ctx)
--- /dev/null
+++ b/internal/daemon/service.go
@@ -0,0 +1,244 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"reflect"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"orchiddrift/balancer"
+	"orchiddrift/internal/bulkhead"
+	"orchiddrift/internal/clock"
+	"orchiddrift/internal/config"
+	"orchiddrift/internal/directory"
+	"orchiddrift/internal/discovery"
+	"orchiddrift/internal/engine"
+	"orchiddrift/internal/filewatch"
+	"orchiddrift/internal/keys"
+	"orchiddrift/internal/upstream"
+)
+
+// shared is what the services of a daemon have in common.
+type shared struct {
+	clock     clock.Clock
+	log       *slog.Logger
+	slots     *bulkhead.Semaphore // connections to upstreams
+	inHand    *bulkhead.Semaphore // requests; nil: only the connections bound them
+	bytes     *bulkhead.Semaphore // of bodies, both ways; nil: not counted
+	maxAnswer int
+	seed      uint64
+}
+
+// service is one service's module, list and connections. It is used by requests that hold it (enter) and ended by
+// retire, once none does.
+type service struct {
+	plan   config.ServicePlan
+	shared *shared
+	name   string // of it in the semaphores: one name for each that runs, since an older one may still hold some
+	engine *engine.Engine
+	pool   *upstream.Pool
+	dir    *directory.Directory
+	feed   *discovery.Feed
+	keys   *keys.Store // nil: connections are not encrypted
+
+	stop    context.CancelFunc // of what runs beside requests
+	running sync.WaitGroup
+
+	mu         sync.Mutex // of the source
+	source     discovery.Source
+	stopSource context.CancelFunc
+	sourceDone chan struct{}
+
+	held    atomic.Int64
+	retired atomic.Bool
+	idle    chan struct{} // gets something when held may have fallen to 0 after retired
+}
+
+// startService starts one under a name that its shares have been set for. known is a list held by an earlier one.
+func startService(plan config.ServicePlan, name string, sh *shared, known *directory.Listing) (*service, error) {
+	s := &service{plan: plan, shared: sh, name: name, idle: make(chan struct{}, 1)}
+	log := sh.log
+	if plan.Name != config.Platform {
+		log = log.With("service", plan.Name)
+	}
+	o := upstream.Options{ConnectTimeout: plan.Settings.ConnectTimeout, Idle: plan.Settings.ConnIdle, Slots: sh.slots,
+		Service: name, Bytes: sh.bytes, MaxAnswer: sh.maxAnswer, Answers: plan.Answers}
+	logf := func(format string, args ...any) { log.Warn(fmt.Sprintf(format, args...)) }
+	if plan.TLS.On() {
+		var err error
+		s.keys, err = keys.Open(keys.Files{Certificate: plan.TLS.Certificate, Key: plan.TLS.Key, CA: plan.TLS.CA},
+			plan.TLS.WarnBefore.D(), logf)
+		if err != nil {
+			return nil, fmt.Errorf("service %s: %w", plan.Name, err)
+		}
+		o.Secure = keys.NewClient(s.keys, plan.TLS)
+	}
+	list, source, err := s.openSource(plan, known, log)
+	if err != nil {
+		return nil, fmt.Errorf("service %s: %w", plan.Name, err)
+	}
+	s.pool = upstream.New(o)
+	s.dir = directory.New(sh.clock, s.pool.Drop)
+	s.pool.SetDirectory(s.dir)
+	s.feed = discovery.NewFeed(s.dir, func(m balancer.Members) { s.engine.Update(m) })
+	var first balancer.Members
+	if list != nil {
+		first = s.feed.Take(list)
+	}
+	seed := sh.seed
+	if plan.Name != config.Platform { // services draw apart
+		seed ^= xxhash.Sum64String(plan.Name)
+	}
+	s.engine, err = engine.New(engine.Options{Settings: plan.Settings.Settings, Seed: seed, Clock: sh.clock,
+		Known: first.Entries, Subscribe: s.ask, Log: func(text string) { log.Info(text) }})
+	if err != nil {
+		s.pool.Close()
+		return nil, fmt.Errorf("service %s: %w", plan.Name, err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	s.stop = stop
+	s.running.Go(func() { s.pool.Sweep(ctx) })
+	if s.keys != nil {
+		s.running.Go(func() { s.keys.Run(ctx) })
+	}
+	s.follow(source)
+	return s, nil
+}
+
+// openSource makes the source of a plan's list, and the list to begin with; nil, nil: the plan has all of it.
+func (s *service) openSource(plan config.ServicePlan, known *directory.Listing, log *slog.Logger) (*directory.Listing,
+	discovery.Source, error) {
+	logf := func(format string, args ...any) { log.Warn(fmt.Sprintf(format, args...)) }
+	switch {
+	case plan.Discovery != "":
+		list := plan.Known
+		if known != nil {
+			list = known
+		}
+		var index int64
+		if list != nil {
+			index = *list.Index
+		}
+		return list, discovery.New(discovery.Options{Address: plan.Discovery, Index: index,
+			ConnectTimeout: plan.Settings.ConnectTimeout, ModuleAsks: plan.Settings.MustSubscribe, Log: logf}), nil
+	case plan.ListFile != "":
+		source := discovery.NewFile(plan.ListFile, filewatch.Every, logf)
+		list, err := source.Load()
+		return list, source, err
+	}
+	return plan.Known, nil, nil
+}
+
+// follow has a source followed in place of the one before; nil: none.
+func (s *service) follow(source discovery.Source) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopSource != nil {
+		s.stopSource()
+		<-s.sourceDone
+		s.stopSource = nil
+	}
+	if s.source = source; source == nil {
+		return
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	s.stopSource, s.sourceDone = stop, done
+	go func() {
+		defer close(done)
+		source.Run(ctx, s.feed)
+	}()
+}
+
+// ask is the module's wish for the list.
+func (s *service) ask() {
+	go func() { // it must not block, and follow may hold the lock for a moment
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.source != nil {
+			s.source.Ask()
+		}
+	}()
+}
+
+// move makes ready to follow another list in place of the one now, in the same service; the returned function does so.
+// It returns nil where the lists are the same.
+func (s *service) move(plan config.ServicePlan) (func(), error) {
+	was := s.plan
+	if was.Discovery == plan.Discovery && was.ListFile == plan.ListFile &&
+		(plan.Discovery != "" || plan.ListFile != "" || reflect.DeepEqual(was.Known, plan.Known)) {
+		return nil, nil
+	}
+	if was.Discovery != "" && plan.Discovery != "" {
+		return func() {
+			s.plan = plan
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.source.(*discovery.Watcher).Redirect(plan.Discovery)
+		}, nil
+	}
+	if plan.Discovery != "" {
+		return nil, errors.New("a change between kinds of lists needs a new service")
+	}
+	list, source, err := s.openSource(plan, nil, s.shared.log)
+	if err != nil {
+		return nil, fmt.Errorf("service %s: %w", plan.Name, err)
+	}
+	return func() {
+		s.plan = plan
+		s.follow(nil)
+		s.feed.Update(list)
+		s.follow(source)
+	}, nil
+}
+
+// enter takes the service for a request; false: it has been retired.
+func (s *service) enter() bool {
+	s.held.Add(1)
+	if s.retired.Load() {
+		s.leave()
+		return false
+	}
+	return true
+}
+
+func (s *service) leave() {
+	if s.held.Add(-1) == 0 && s.retired.Load() {
+		select {
+		case s.idle <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// retire ends the service once no request holds it, or after patience at the latest.
+func (s *service) retire(patience time.Duration) {
+	s.retired.Store(true)
+	last := time.NewTimer(patience)
+	defer last.Stop()
+	for s.held.Load() > 0 {
+		select {
+		case <-s.idle:
+		case <-last.C:
+			s.close()
+			return
+		}
+	}
+	s.close()
+}
+
+// close fails what is in hand and waits for all that runs.
+func (s *service) close() {
+	s.retired.Store(true)
+	s.follow(nil)
+	s.stop()
+	s.engine.Close()
+	s.pool.Close()
+	s.running.Wait()
+}
--- /dev/null
+++ b/internal/discovery/file.go
@@ -0,0 +1,69 @@
+package discovery
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"orchiddrift/internal/directory"
+	"orchiddrift/internal/filewatch"
+	"orchiddrift/internal/listfile"
+)
+
+// File is a Source that follows a file of upstreams, as package listfile reads it. The file is replaced by renaming a new
+// one to its name; one that is caught half-written, or can't be used, keeps the last good list.
+type File struct {
+	reader  *filewatch.Reader
+	every   time.Duration
+	log     func(format string, args ...any)
+	version int64
+}
+
+// NewFile returns one. Load reads the file for the first time, Run follows it.
+func NewFile(path string, every time.Duration, log func(format string, args ...any)) *File {
+	return &File{reader: filewatch.NewReader(path, listfile.MaxBytes), every: every, log: log}
+}
+
+// Load reads the file now.
+func (s *File) Load() (*directory.Listing, error) {
+	c, changed := s.reader.Look()
+	if !changed {
+		return nil, errors.New("unchanged")
+	}
+	if c.Err != nil {
+		return nil, c.Err
+	}
+	entries, err := listfile.Parse(s.reader.Path(), c.Text)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", s.reader.Path(), err)
+	}
+	s.version++
+	return listfile.Listing(s.version, entries), nil
+}
+
+// Run is Source's.
+func (s *File) Run(ctx context.Context, sink Sink) {
+	filewatch.Watch(ctx, s.every, func() {
+		c, changed := s.reader.Look()
+		if !changed {
+			return
+		}
+		if c.Err != nil {
+			s.log("list file: the last good list stays: %v", c.Err)
+			sink.Lost(c.Err, true)
+			return
+		}
+		entries, err := listfile.Parse(s.reader.Path(), c.Text)
+		if err != nil {
+			s.log("list file %s: the last good list stays: %v", s.reader.Path(), err)
+			sink.Lost(err, true)
+			return
+		}
+		s.version++
+		sink.Update(listfile.Listing(s.version, entries))
+	})
+}
+
+// Ask is Source's: the file is looked at anyway.
+func (s *File) Ask() {}
--- a/internal/listfile/listfile.go
+++ b/internal/listfile/listfile.go
@@ -1,11 +1,9 @@
-// Package listfile is a discovery.Source that follows a file of upstreams, JSON or TOML by its ending. The file is
-// replaced by renaming a new one to its name; one that is caught half-written, or can't be used, keeps the last good
-// list. The whole list counts: who is missing from it has gone.
+// Package listfile reads files of upstreams, JSON or TOML by their ending, and the same entries in the operator's file.
+// The whole list counts: who is missing from it has gone. discovery.File follows such a file.
 package listfile
 
 import (
 	"bytes"
-	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -14,8 +12,6 @@
 	"time"
 
 	"orchiddrift/internal/directory"
-	"orchiddrift/internal/discovery"
-	"orchiddrift/internal/filewatch"
 	"orchiddrift/internal/tomlfile"
 )
 
@@ -148,61 +144,3 @@
 	}
 	return nil
 }
-
-// Source follows one file. It implements discovery.Source.
-type Source struct {
-	reader  *filewatch.Reader
-	every   time.Duration
-	log     func(format string, args ...any)
-	version int64
-}
-
-var _ discovery.Source = (*Source)(nil)
-
-// New returns one. Load reads the file for the first time, Run follows it.
-func New(path string, every time.Duration, log func(format string, args ...any)) *Source {
-	return &Source{reader: filewatch.NewReader(path, MaxBytes), every: every, log: log}
-}
-
-// Load reads the file now.
-func (s *Source) Load() (*directory.Listing, error) {
-	c, changed := s.reader.Look()
-	if !changed {
-		return nil, errors.New("unchanged")
-	}
-	if c.Err != nil {
-		return nil, c.Err
-	}
-	entries, err := Parse(s.reader.Path(), c.Text)
-	if err != nil {
-		return nil, fmt.Errorf("%s: %w", s.reader.Path(), err)
-	}
-	s.version++
-	return Listing(s.version, entries), nil
-}
-
-// Run is discovery.Source's.
-func (s *Source) Run(ctx context.Context, sink discovery.Sink) {
-	filewatch.Watch(ctx, s.every, func() {
-		c, changed := s.reader.Look()
-		if !changed {
-			return
-		}
-		if c.Err != nil {
-			s.log("list file: the last good list stays: %v", c.Err)
-			sink.Lost(c.Err, true)
-			return
-		}
-		entries, err := Parse(s.reader.Path(), c.Text)
-		if err != nil {
-			s.log("list file %s: the last good list stays: %v", s.reader.Path(), err)
-			sink.Lost(err, true)
-			return
-		}
-		s.version++
-		sink.Update(Listing(s.version, entries))
-	})
-}
-
-// Ask is discovery.Source's: the file is looked at anyway.
-func (s *Source) Ask() {}
--- /dev/null
+++ b/internal/routes/declaration.go
@@ -0,0 +1,80 @@
+package routes
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+
+	"orchiddrift/internal/units"
+)
+
+// Declaration is one route in the operator's file.
+type Declaration struct {
+	Match    string            `toml:"match" sample:"\"GET /search/\"" doc:"Which requests: [METHOD ][HOST]/PATH, with {name} for one segment, {name...} for all that is left, a last slash for all that begins so, {$} for nothing behind a last slash. Of two that match, the more specific goes first."`
+	Headers  map[string]string `toml:"headers" sample:"{X-Version = \"2\"}" doc:"What these headers have to be, besides."`
+	Set      string            `toml:"set" oneof:"|platform" doc:"In place of match: the platform's own header rules, a route for each class of the service."`
+	Service  string            `toml:"service" sample:"\"seats\"" doc:"Where they go. Absent: the only service."`
+	Class    string            `toml:"class" sample:"\"search\"" doc:"What they are. Absent: \"read\" for GET, HEAD and OPTIONS, \"write\" for the rest."`
+	Repeats  []string          `toml:"repeats" sample:"[\"POST\"]" doc:"Methods that HTTP calls unsafe, and that all the same may be sent twice here: they may reach a class that is safe to repeat."`
+	Key      Source            `toml:"key" default:"header:Idempotency-Key" doc:"Where a keyed class's key stands: \"header:NAME\", \"path:WILDCARD\" or \"fixed:TEXT\"."`
+	Tenant   Source            `toml:"tenant" doc:"Where the tenant stands. A header is what a client says of itself."`
+	Cost     Source            `toml:"cost" doc:"Where the expected work stands, a number of microseconds."`
+	ID       Source            `toml:"id" doc:"Where the request's id stands; while it is in hand, another of the same id is answered 409. Absent: one is made."`
+	Deadline Source            `toml:"deadline" doc:"Where the time stands that the client waits: a number with m (milliseconds) or u (microseconds). Absent: the class's."`
+	MaxBody  units.Size        `toml:"max_body" default:"64KiB" doc:"What a body may have."`
+}
+
+// MaxMaxBody bounds max_body.
+const MaxMaxBody = 16 * units.MiB
+
+// Check is tomlfile.Checker's.
+func (d *Declaration) Check(report func(key, format string, args ...any)) {
+	if d.MaxBody > MaxMaxBody {
+		report("max_body", "%v is over %v", d.MaxBody, MaxMaxBody)
+	}
+	if d.Set != "" {
+		if d.Match != "" || len(d.Headers) > 0 || d.Class != "" || len(d.Repeats) > 0 {
+			report("set", "a set brings its own match, headers, class and repeats")
+		}
+		return
+	}
+	p, err := ParsePattern(d.Match, d.Headers)
+	if err != nil {
+		report("match", "%v", err)
+		return
+	}
+	if len(p.segments) > 0 && p.segments[0].text == "-" && p.segments[0].kind == literal {
+		report("match", "/-/ is the daemon's own")
+	}
+	for _, s := range []struct {
+		key string
+		of  Source
+	}{{"key", d.Key}, {"tenant", d.Tenant}, {"cost", d.Cost}, {"id", d.ID}, {"deadline", d.Deadline}} {
+		if s.of.kind == fromPath && !slices.Contains(p.Wildcards(), s.of.name) {
+			report(s.key, "the pattern has no wildcard %q", s.of.name)
+		}
+	}
+	for _, m := range d.Repeats {
+		if m != strings.ToUpper(m) || !isToken(m) || m == http.MethodConnect || m == http.MethodTrace {
+			report("repeats", "%q is no method that can be repeated", m)
+		}
+	}
+}
+
+// Route is the declared one. Service and classes are the caller's to fill in.
+func (d *Declaration) Route() (*Route, error) {
+	p, err := ParsePattern(d.Match, d.Headers)
+	if err != nil {
+		return nil, err
+	}
+	return &Route{Pattern: p, Key: d.Key, Tenant: d.Tenant, Cost: d.Cost, ID: d.ID, Deadline: d.Deadline,
+		Repeats: d.Repeats, MaxBody: int64(d.MaxBody)}, nil
+}
+
+// Unreachable tells why the route's class can't be reached by the one method that its pattern is for; or nothing.
+func (r *Route) Unreachable() string {
+	if m := r.Pattern.Method; m != "" && r.class(m) == nil {
+		return "class " + r.Class.Name + " may be repeated, and " + m + " is not safe by HTTP: say repeats = [\"" + m + "\"] if it is"
+	}
+	return ""
+}
--- a/internal/suite/child_test.go
+++ b/internal/suite/child_test.go
@@ -17,6 +17,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
+	"orchiddrift/internal/config"
 	"orchiddrift/internal/daemon"
 	"orchiddrift/internal/standin"
 	"orchiddrift/internal/testkit"
@@ -31,7 +32,7 @@
 	}
 	var err error
 	if os.Getenv("SUITE_FRONT") == string(overHTTP) {
-		err = daemon.Run(context.Background(), path, nil)
+		err = daemon.Run(context.Background(), config.Sources{Config: path}, nil)
 	} else {
 		err = callingProcess(path, os.Getenv("SUITE_PREFIX"))
 	}
--- a/internal/tomlfile/decode.go
+++ b/internal/tomlfile/decode.go
@@ -13,22 +13,29 @@
 
 // field is one declared key.
 type field struct {
-	index                     int
+	index                     []int
 	name, doc, preset, sample string
 	oneof                     []string
 	start, secret, hasPreset  bool
 }
 
-// fields lists a declaration's keys, in its order.
+// fields lists a declaration's keys, in its order. Those of an embedded struct count as its own.
 func fields(t reflect.Type) []field {
 	var out []field
 	for i := range t.NumField() {
 		tag := t.Field(i).Tag
 		name := tag.Get("toml")
+		if t.Field(i).Anonymous && name == "" {
+			for _, f := range fields(t.Field(i).Type) {
+				f.index = append([]int{i}, f.index...)
+				out = append(out, f)
+			}
+			continue
+		}
 		if name == "" || name == "-" {
 			continue
 		}
-		f := field{index: i, name: name, doc: tag.Get("doc"), sample: tag.Get("sample"),
+		f := field{index: []int{i}, name: name, doc: tag.Get("doc"), sample: tag.Get("sample"),
 			start: tag.Get("reload") == "start", secret: tag.Get("secret") != ""}
 		f.preset, f.hasPreset = tag.Lookup("default")
 		if words := tag.Get("oneof"); words != "" {
@@ -55,7 +62,7 @@
 // setDefaults fills in what the tags say. A default that its own field can't hold is a mistake of the program.
 func setDefaults(v reflect.Value) {
 	for _, f := range fields(v.Type()) {
-		fv := v.Field(f.index)
+		fv := v.FieldByIndex(f.index)
 		if table, _ := isTable(fv.Type()); table {
 			setDefaults(fv)
 		} else if f.hasPreset {
@@ -111,7 +118,7 @@
 			d.Report(at, "no such key%s", nearest(key, declared))
 			continue
 		}
-		d.field(at, tree[key], declared[i], v.Field(declared[i].index))
+		d.field(at, tree[key], declared[i], v.FieldByIndex(declared[i].index))
 	}
 	if c, ok := v.Addr().Interface().(Checker); ok {
 		c.Check(func(key, format string, args ...any) {
--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -14,7 +14,8 @@
 //
 // Field types are string, bool, int, float64, types that implement encoding.TextUnmarshaler, slices of those,
 // map[string]string, structs (tables) and slices of structs (arrays of tables). A declaration that implements Checker
-// is asked for what else is wrong once it is decoded.
+// is asked for what else is wrong once it is decoded; one that embeds another and has a Check of its own calls that
+// one's. The keys of an embedded struct count as its own.
 package tomlfile
 
 import (
--- a/internal/tomlfile/write.go
+++ b/internal/tomlfile/write.go
@@ -40,7 +40,7 @@
 	var walk func(path string, t reflect.Type)
 	walk = func(path string, t reflect.Type) {
 		for _, f := range fields(t) {
-			at, ft := join(path, f.name), t.Field(f.index).Type
+			at, ft := join(path, f.name), t.FieldByIndex(f.index).Type
 			if f.doc == "" {
 				missing = append(missing, at)
 			}
@@ -82,7 +82,7 @@
 	v := reflect.New(t).Elem()
 	setDefaults(v)
 	for _, f := range fields(t) {
-		if table, array := isTable(t.Field(f.index).Type); table || array {
+		if table, array := isTable(t.FieldByIndex(f.index).Type); table || array {
 			continue
 		}
 		fmt.Fprintln(w)
@@ -94,18 +94,18 @@
 			doc += " A change counts from the next start."
 		}
 		w.comment(doc, commented)
-		value := literal(v.Field(f.index))
+		value := literal(v.FieldByIndex(f.index))
 		switch {
 		case commented && f.sample != "":
 			value = f.sample
-		case f.sample != "" && v.Field(f.index).IsZero():
+		case f.sample != "" && v.FieldByIndex(f.index).IsZero():
 			fmt.Fprintf(w, "#%s = %s\n", f.name, f.sample)
 			continue
 		}
 		fmt.Fprintf(w, "%s%s = %s\n", prefix, f.name, value)
 	}
 	for _, f := range fields(t) {
-		at, ft := join(path, f.name), t.Field(f.index).Type
+		at, ft := join(path, f.name), t.FieldByIndex(f.index).Type
 		switch table, array := isTable(ft); {
 		case table:
 			fmt.Fprintln(w)
@@ -123,7 +123,7 @@
 
 func (w *writer) show(path string, v reflect.Value) {
 	for _, f := range fields(v.Type()) {
-		fv := v.Field(f.index)
+		fv := v.FieldByIndex(f.index)
 		if table, array := isTable(fv.Type()); table || array {
 			continue
 		}
@@ -134,7 +134,7 @@
 		fmt.Fprintf(w, "%s = %s\n", f.name, value)
 	}
 	for _, f := range fields(v.Type()) {
-		at, fv := join(path, f.name), v.Field(f.index)
+		at, fv := join(path, f.name), v.FieldByIndex(f.index)
 		switch table, array := isTable(fv.Type()); {
 		case table:
 			fmt.Fprintf(w, "\n[%s]\n", at)
@@ -218,7 +218,7 @@
 
 func diff(path string, a, b reflect.Value, start bool, out *[]Change) {
 	for _, f := range fields(a.Type()) {
-		at, av, bv, fs := join(path, f.name), a.Field(f.index), b.Field(f.index), start || f.start
+		at, av, bv, fs := join(path, f.name), a.FieldByIndex(f.index), b.FieldByIndex(f.index), start || f.start
 		switch table, array := isTable(av.Type()); {
 		case table:
 			diff(at, av, bv, fs, out)
@@ -233,8 +233,8 @@
 func diffArray(at string, a, b reflect.Value, start bool, out *[]Change) {
 	name := func(v reflect.Value, i int) string {
 		for _, f := range fields(v.Type().Elem()) {
-			if f.name == "name" && v.Index(i).Field(f.index).Kind() == reflect.String {
-				return v.Index(i).Field(f.index).String()
+			if f.name == "name" && v.Index(i).FieldByIndex(f.index).Kind() == reflect.String {
+				return v.Index(i).FieldByIndex(f.index).String()
 			}
 		}
 		return strconv.Itoa(i)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -153,7 +153,7 @@
 	if err != nil {
 		return ended(in.failure()), false
 	}
-	served := resp.StatusCode < len(u.answers) && u.answers[resp.StatusCode]
+	served := u.answers.Has(resp.StatusCode)
 	// The body is not closed: that would first read the rest of it.
 	delimited := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	var body []byte
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -16,6 +16,7 @@
 
 	"orchiddrift/internal/bulkhead"
 	"orchiddrift/internal/directory"
+	"orchiddrift/internal/httphead"
 )
 
 const (
@@ -35,7 +36,7 @@
 	Slots   *bulkhead.Semaphore // of connections, shared with other services
 	Service string              // the name that Slots knows this one by
 	Bytes   *bulkhead.Semaphore // of answers in hand, shared with other services; nil: not counted
-	Answers *Statuses           // what counts as served; nil: 200 alone
+	Answers *httphead.Statuses  // what counts as served; nil: 200 alone
 	Secure  Secure              // nil: connections are not encrypted
 }
 
@@ -48,34 +49,25 @@
 	Trusts(conn *tls.Conn, at directory.Place) bool
 }
 
-// Statuses is a set of HTTP statuses.
-type Statuses [600]bool
-
 // Pool holds the connections to upstreams. It is safe for concurrent use.
 type Pool struct {
 	dir            *directory.Directory
 	connectTimeout time.Duration
 	maxIdle        time.Duration
 	sweepEvery     time.Duration
-	rest           time.Duration // of a connection between an answer and the next request, see take
-	maxAnswer      int           // bytes
+	rest           time.Duration       // of a connection between an answer and the next request, see take
+	maxAnswer      int                 // bytes
 	slots          *bulkhead.Semaphore // one for each connection that is open
 	service        string
 	bytes          *bulkhead.Semaphore
-	answers        *Statuses
+	answers        *httphead.Statuses
 	secure         Secure
 
-	mu   sync.Mutex
+	mu     sync.Mutex
 	idle   map[string][]*poolConn // by upstream, the one idle for longest first
 	closed bool
 }
 
-var only200 = func() *Statuses {
-	s := &Statuses{}
-	s[200] = true
-	return s
-}()
-
 // New returns an empty Pool. Whoever owns the Directory tells it of upstreams whose connections are no longer
 // wanted, by Drop.
 func New(o Options) *Pool {
@@ -84,7 +76,7 @@
 		maxIdle:    time.Duration(float64(o.Idle) * idlePart),
 		sweepEvery: time.Duration(float64(o.Idle) * sweepPart), idle: map[string][]*poolConn{}}
 	if u.answers == nil {
-		u.answers = only200
+		u.answers = httphead.Only200()
 	}
 	if u.slots == nil {
 		var err error
@@ -120,9 +112,9 @@
 	net.Conn                 // what requests are written to
 	raw      syscall.RawConn // of the socket below
 	secure   *tls.Conn       // nil: not encrypted
-	name  string
-	at    directory.Place
-	since time.Time // when it became idle
+	name     string
+	at       directory.Place
+	since    time.Time // when it became idle
 }
 
 var errSaturated = errors.New("all upstream connections that the limits allow are busy")
