--- a/cmd/orchiddrift/main.go
+++ b/cmd/orchiddrift/main.go
@@ -11,7 +11,7 @@
 
 // cli is the command line. Each command is a file of its own.
 type cli struct {
-	Serve   serveCmd   `cmd:"" default:"1" help:"Run the sidecar daemon, as the configuration tells (the default)."`
+	Serve   serveCmd   `cmd:"" default:"withargs" help:"Run the sidecar daemon, as the configuration tells (the default)."`
 	Check   checkCmd   `cmd:"" help:"Say whether a configuration can be used, and all that is wrong with it."`
 	Config  configCmd  `cmd:"" help:"Print an operator's file: an example, or what one comes to."`
 	Demo    demoCmd    `cmd:"" help:"Show the main job on a fleet of stand-in nodes, beside plain random choice."`
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -117,6 +117,9 @@
 	if err := d.apply(p); err != nil {
 		return err
 	}
+	if testDaemon != nil {
+		testDaemon(d)
+	}
 	if look != nil {
 		look(d.routing.Load().services[p.Services[0].Name].engine)
 	}
@@ -141,6 +144,9 @@
 	return drain(srv, s, conns, d, p.Grace)
 }
 
+// testDaemon, where a test sets it, is given the daemon before its first request.
+var testDaemon func(*daemon)
+
 // share makes what services share.
 func (d *daemon) share(connections int) error {
 	p := d.plan
--- /dev/null
+++ b/internal/daemon/file_test.go
@@ -0,0 +1,368 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"orchiddrift/internal/config"
+	"orchiddrift/internal/testkit"
+)
+
+// fileRig is a daemon by an operator's file that a test rewrites.
+type fileRig struct {
+	*running
+	d    *daemon
+	path string
+}
+
+// plan reads an operator's file.
+func plan(t testing.TB, text string) *config.Plan {
+	t.Helper()
+	p, err := config.ParseFile([]byte(text))
+	if err != nil {
+		t.Fatalf("%v\n%s", err, text)
+	}
+	return p
+}
+
+// startFile starts a daemon, whose reloads the test itself calls.
+func startFile(t *testing.T, text string) *fileRig {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &fileRig{path: testkit.File(t, "o.toml", []byte(text)), running: &running{address: l.Addr().String(),
+		ended: make(chan struct{}), client: &http.Client{Timeout: testkit.Patience, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}}
+	ctx, cancel := context.WithCancel(context.Background())
+	r.stop = cancel
+	up := make(chan *daemon, 1)
+	testDaemon = func(d *daemon) { up <- d }
+	go func() {
+		r.err = ServePlan(ctx, plan(t, text), l, config.Sources{Config: r.path}, nil, nil)
+		close(r.ended)
+	}()
+	t.Cleanup(func() {
+		r.client.CloseIdleConnections()
+		cancel()
+		<-r.ended
+		if r.err != nil {
+			t.Error(r.err)
+		}
+	})
+	select {
+	case r.d = <-up:
+	case <-r.ended:
+		t.Fatal(r.err)
+	}
+	return r
+}
+
+func (r *fileRig) reload(t testing.TB, text string) error {
+	t.Helper()
+	testkit.Replace(t, r.path, []byte(text))
+	return r.d.reload(config.Sources{Config: r.path})
+}
+
+// get asks, and returns status and body.
+func (r *fileRig) get(method, path string, body string) (int, string) {
+	req, err := http.NewRequest(method, "http://"+r.address+path, strings.NewReader(body))
+	if err != nil {
+		return 0, err.Error()
+	}
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return resp.StatusCode, string(text)
+}
+
+func says(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, text) }
+}
+
+// services is a file of services at addresses, by name, with one route a line "pattern service".
+func services(addresses map[string]string, routes ...string) string {
+	var b strings.Builder
+	b.WriteString("[log]\nlevel = \"error\"\n")
+	for name, address := range addresses {
+		fmt.Fprintf(&b, "[[service]]\nname = %q\naddresses = [%q]\n", name, address)
+	}
+	for _, line := range routes {
+		pattern, service, _ := strings.Cut(line, " -> ")
+		fmt.Fprintf(&b, "[[route]]\nmatch = %q\nservice = %q\n", pattern, service)
+	}
+	return b.String()
+}
+
+// Guards against answers that are not the upstream's: with an operator's file its statuses are passed on, with and
+// without bodies, and the client's ways of asking for a part.
+func TestAnswersPassOn(t *testing.T) {
+	upstream := testkit.HTTP(t, nil, func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/empty":
+			w.WriteHeader(http.StatusNoContent)
+		case "/same":
+			if r.Header.Get("If-None-Match") != "" {
+				w.WriteHeader(http.StatusNotModified)
+			}
+		case "/missing":
+			http.Error(w, "no such thing", http.StatusNotFound)
+		case "/broken":
+			http.Error(w, "out of order", http.StatusInternalServerError)
+		case "/full":
+			w.WriteHeader(http.StatusTooManyRequests)
+		default:
+			w.Header().Set("X-Saw", r.Header.Get("X-Request-Id"))
+			_, _ = io.WriteString(w, "whole")
+		}
+	})
+	r := startFile(t, services(map[string]string{"a": upstream}))
+	for _, c := range []struct {
+		method, path string
+		status       int
+		body         string
+	}{{"GET", "/", 200, "whole"}, {"HEAD", "/", 200, ""}, {"GET", "/empty", 204, ""}, {"GET", "/missing", 404, "no such thing\n"},
+		{"POST", "/broken", 502, "failed\n"}, {"POST", "/full", 502, "failed\n"}, {"GET", "/same", 200, ""}} {
+		if status, body := r.get(c.method, c.path, ""); status != c.status || body != c.body {
+			t.Errorf("%s %s: %d %q", c.method, c.path, status, body)
+		}
+	}
+	req, _ := http.NewRequest("GET", "http://"+r.address+"/same", nil)
+	req.Header.Set("If-None-Match", `"1"`)
+	if resp, _ := r.do(t, req); resp.StatusCode != http.StatusNotModified {
+		t.Errorf("a conditional request: %s", resp.Status)
+	}
+	req, _ = http.NewRequest("GET", "http://"+r.address+"/", nil)
+	if resp, _ := r.do(t, req); resp.Header.Get("X-Saw") == "" || resp.ContentLength != 5 {
+		t.Errorf("no id was made: %v", resp.Header)
+	}
+	req, _ = http.NewRequest("HEAD", "http://"+r.address+"/", nil)
+	if resp, _ := r.do(t, req); resp.ContentLength != 5 {
+		t.Errorf("HEAD tells a length of %d", resp.ContentLength)
+	}
+}
+
+// Guards against reloads that lose requests or leave an old route sending: a thousand under load, half of them with files
+// that can't be used. What is asked for after a reload has returned goes by it or by a later one.
+func TestThousandReloadsUnderLoad(t *testing.T) {
+	names := []string{"a", "b", "c"}
+	addresses := map[string]string{}
+	for _, name := range names {
+		addresses[name] = testkit.HTTP(t, nil, says(name))
+	}
+	at := func(n int) string { return services(addresses, "/ -> "+names[n%3], "/same/ -> a") }
+	r := startFile(t, at(0))
+	var begun, ended atomic.Int64 // reloads that have begun, and that have returned
+	ctx, stop := context.WithCancel(t.Context())
+	var clients sync.WaitGroup
+	var asked atomic.Int64
+	for range 8 {
+		clients.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				from := ended.Load()
+				method, path := "GET", "/x"
+				if n%3 == 1 {
+					method = "POST"
+				} else if n%3 == 2 {
+					path = "/same/x"
+				}
+				status, body := r.get(method, path, "")
+				to := begun.Load()
+				asked.Add(1)
+				good := path == "/same/x" && body == "a"
+				for k := from; path == "/x" && k <= to; k++ {
+					good = good || body == names[k%3]
+				}
+				if status != 200 || !good {
+					t.Errorf("%s %s between reloads %d and %d: %d %q", method, path, from, to, status, body)
+				}
+			}
+		})
+	}
+	bad := []string{"", "[[service]]", "[daemon]\nlisten = 7", services(addresses, "/ -> d"), at(1) + "[[route]]\nmatch = \"/same/\"\nservice = \"a\"\n",
+		strings.Replace(at(1), "addresses", "list_file = \"/nonexistent.json\"\n#", 1)}
+	for n := range 500 {
+		if err := r.reload(t, bad[n%len(bad)]); err == nil {
+			t.Fatalf("taken: %s", bad[n%len(bad)])
+		}
+		begun.Store(int64(n + 1))
+		if err := r.reload(t, at(n+1)); err != nil {
+			t.Fatal(err)
+		}
+		ended.Store(int64(n + 1))
+	}
+	stop()
+	clients.Wait()
+	if asked.Load() < 500 {
+		t.Errorf("only %d requests beside the reloads", asked.Load())
+	}
+	for _, s := range r.d.routing.Load().services {
+		testkit.Eventually(t, "nothing is left in hand", func() bool {
+			return r.d.shared.inHand.Used(s.name) == 0 && s.engine.InHand() == 0
+		})
+	}
+}
+
+// Guards against a request that goes on by a route that is gone: its attempt that is out may answer, and a further one
+// is not sent.
+func TestRouteRemovedWithRequestsInHand(t *testing.T) {
+	var seen atomic.Int64
+	release := make(chan struct{})
+	held := testkit.HTTP(t, nil, func(w http.ResponseWriter, r *http.Request) {
+		seen.Add(1)
+		<-release
+		if r.URL.Path == "/old/turned-away" {
+			w.Header().Set("X-Not-Processed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = io.WriteString(w, "held")
+	})
+	addresses := map[string]string{"a": held, "b": testkit.HTTP(t, nil, says("b"))}
+	r := startFile(t, services(addresses, "/ -> b", "/old/ -> a"))
+	type answer struct {
+		status int
+		body   string
+	}
+	answers := make(chan answer, 2)
+	for _, path := range []string{"/old/turned-away", "/old/answered"} {
+		go func() {
+			status, body := r.get("GET", path, "")
+			answers <- answer{status, body}
+		}()
+	}
+	testkit.Eventually(t, "both are out", func() bool { return seen.Load() == 2 })
+	if err := r.reload(t, services(addresses, "/ -> b")); err != nil {
+		t.Fatal(err)
+	}
+	close(release)
+	got := map[answer]bool{<-answers: true, <-answers: true}
+	if !got[answer{200, "held"}] || !got[answer{503, "refused: not done, trying again is harmless\n"}] {
+		t.Errorf("%v", got)
+	}
+	if seen.Load() != 2 {
+		t.Errorf("%d attempts by the old route", seen.Load())
+	}
+	if status, body := r.get("GET", "/old/answered", ""); status != 200 || body != "b" {
+		t.Errorf("after the reload: %d %q", status, body)
+	}
+}
+
+// Guards against a service in trouble that takes what another needs: all of one's nodes hang under many clients, and
+// every request of the other is served meanwhile.
+func TestHungServiceLeavesTheOtherAlone(t *testing.T) {
+	release := make(chan struct{})
+	hung := testkit.HTTP(t, nil, func(_ http.ResponseWriter, r *http.Request) {
+		select {
+		case <-release:
+		case <-r.Context().Done():
+		}
+	})
+	text := "[limits]\ndescriptors = 160\n" + services(map[string]string{"a": hung, "b": testkit.HTTP(t, nil, says("b"))},
+		"/a/ -> a", "/b/ -> b")
+	r := startFile(t, text)
+	ctx, stop := context.WithCancel(t.Context())
+	var clients sync.WaitGroup
+	defer func() {
+		stop()
+		close(release)
+		clients.Wait()
+	}()
+	var crowded atomic.Int64
+	for range 100 { // over the 56 that may be in hand at once
+		clients.Go(func() {
+			client := &http.Client{Transport: &http.Transport{}}
+			defer client.CloseIdleConnections()
+			for ctx.Err() == nil {
+				req, _ := http.NewRequestWithContext(ctx, "POST", "http://"+r.address+"/a/x", nil)
+				if resp, err := client.Do(req); err == nil {
+					if resp.StatusCode == http.StatusInternalServerError {
+						crowded.Add(1)
+					}
+					resp.Body.Close()
+				}
+				select {
+				case <-ctx.Done():
+				case <-time.After(20 * time.Millisecond):
+				}
+			}
+		})
+	}
+	testkit.Eventually(t, "the hung one has all that it may", func() bool { return crowded.Load() > 50 })
+	for n := range 300 {
+		if status, body := r.get("GET", "/b/x", ""); status != 200 || body != "b" {
+			t.Fatalf("request %d beside the hung service: %d %q", n, status, body)
+		}
+	}
+	s := r.d.routing.Load().services["a"]
+	if used := r.d.shared.inHand.Used(s.name); used > 42 { // 64-8 = 56: 14 its own, 28 common
+		t.Errorf("the hung service holds %d", used)
+	}
+}
+
+// Guards against a watched list that takes the good one with it: emptied, cut in half, replaced by a directory.
+func TestListFileKeepsTheLastGoodList(t *testing.T) {
+	addresses := [2]string{testkit.HTTP(t, nil, says("one")), testkit.HTTP(t, nil, says("two"))}
+	entry := func(i int) string { return fmt.Sprintf(`{"name":"n%d","address":%q}`, i, addresses[i]) }
+	whole := `{"count":1,"endpoints":[` + entry(0) + `]}`
+	list := testkit.File(t, "list.json", []byte(whole))
+	r := startFile(t, fmt.Sprintf("[log]\nlevel = \"error\"\n[[service]]\nname = \"a\"\nlist_file = %q\n", list))
+	served := func() string {
+		_, body := r.get("GET", "/", "")
+		return body
+	}
+	dir := r.d.routing.Load().services["a"].dir
+	if got := served(); got != "one" {
+		t.Fatalf("served by %q", got)
+	}
+	for name, text := range map[string]string{"emptied": "", "half": whole[:len(whole)/2], "no list": "{}", "none": `{"endpoints":[]}`,
+		"miscounted": `{"count":2,"endpoints":[` + entry(0) + `]}`, "twice": `{"endpoints":[` + entry(0) + "," + entry(0) + `]}`,
+		"more behind": whole + whole, "unknown key": `{"endpoint":[]}`} {
+		testkit.Replace(t, list, []byte(text))
+		looked(t, r)
+		if got := served(); got != "one" || dir.Len() != 1 {
+			t.Errorf("%s: served by %q", name, got)
+		}
+	}
+	if err := os.Remove(list); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Mkdir(list, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	looked(t, r)
+	if got := served(); got != "one" {
+		t.Errorf("a directory in its place: served by %q", got)
+	}
+	if err := os.Remove(list); err != nil {
+		t.Fatal(err)
+	}
+	testkit.Replace(t, list, []byte(`{"endpoints":[`+entry(1)+`,{"name":"n0","status":"Terminating"}]}`))
+	testkit.Eventually(t, "the new list", func() bool { _, on := dir.Place("n1"); return on && dir.Len() == 1 })
+	if got := served(); got != "two" {
+		t.Errorf("served by %q", got)
+	}
+}
+
+// looked waits until a list file has been looked at twice more.
+func looked(t testing.TB, r *fileRig) {
+	t.Helper()
+	s := r.d.routing.Load().services["a"]
+	from := s.source.(interface{ Looks() int64 }).Looks()
+	testkit.Eventually(t, "the file is looked at", func() bool { return s.source.(interface{ Looks() int64 }).Looks() > from+1 })
+}
--- a/internal/discovery/file.go
+++ b/internal/discovery/file.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"orchiddrift/internal/directory"
@@ -18,6 +19,7 @@
 	every   time.Duration
 	log     func(format string, args ...any)
 	version int64
+	looks   atomic.Int64
 }
 
 // NewFile returns one. Load reads the file for the first time, Run follows it.
@@ -46,6 +48,7 @@
 func (s *File) Run(ctx context.Context, sink Sink) {
 	filewatch.Watch(ctx, s.every, func() {
 		c, changed := s.reader.Look()
+		defer s.looks.Add(1)
 		if !changed {
 			return
 		}
@@ -67,3 +70,6 @@
 
 // Ask is Source's: the file is looked at anyway.
 func (s *File) Ask() {}
+
+// Looks is how often the file has been looked at, and what was new in it taken, since Run.
+func (s *File) Looks() int64 { return s.looks.Load() }
--- /dev/null
+++ b/internal/standin/ca.go
@@ -0,0 +1,80 @@
+package standin
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+// CA is a stand-in for an authority that issues certificates.
+type CA struct {
+	PEM  []byte // its own certificate
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+var serial atomic.Int64
+
+// NewCA makes one.
+func NewCA(name string) (*CA, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, err
+	}
+	of := &x509.Certificate{SerialNumber: big.NewInt(serial.Add(1)), Subject: pkix.Name{CommonName: name}, IsCA: true,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(24 * time.Hour), BasicConstraintsValid: true,
+		KeyUsage: x509.KeyUsageCertSign | x509.KeyUsageDigitalSignature}
+	der, err := x509.CreateCertificate(rand.Reader, of, of, &key.PublicKey, key)
+	if err != nil {
+		return nil, err
+	}
+	cert, err := x509.ParseCertificate(der)
+	return &CA{PEM: pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}), cert: cert, key: key}, err
+}
+
+// Issued is a certificate and its key, PEM.
+type Issued struct{ Certificate, Key []byte }
+
+// Issue makes a certificate for names, each an IP address, a URI or a DNS name, that ends after life.
+func (c *CA) Issue(life time.Duration, names ...string) (Issued, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return Issued{}, err
+	}
+	of := &x509.Certificate{SerialNumber: big.NewInt(serial.Add(1)), Subject: pkix.Name{CommonName: names[0]},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(life), KeyUsage: x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}}
+	for _, name := range names {
+		if ip := net.ParseIP(name); ip != nil {
+			of.IPAddresses = append(of.IPAddresses, ip)
+		} else if strings.Contains(name, "://") {
+			uri, err := url.Parse(name)
+			if err != nil {
+				return Issued{}, err
+			}
+			of.URIs = append(of.URIs, uri)
+		} else {
+			of.DNSNames = append(of.DNSNames, name)
+		}
+	}
+	der, err := x509.CreateCertificate(rand.Reader, of, c.cert, &key.PublicKey, c.key)
+	if err != nil {
+		return Issued{}, err
+	}
+	private, err := x509.MarshalPKCS8PrivateKey(key)
+	return Issued{pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}),
+		pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: private})}, err
+}
+
+// Pair is what crypto/tls takes.
+func (i Issued) Pair() (tls.Certificate, error) { return tls.X509KeyPair(i.Certificate, i.Key) }
