--- a/internal/daemon/file_test.go
+++ b/internal/daemon/file_test.go
@@ -15,6 +15,7 @@
 
 	"orchiddrift/internal/config"
 	"orchiddrift/internal/testkit"
+	"orchiddrift/internal/testkit/base"
 )
 
 // fileRig is a daemon by an operator's file that a test rewrites.
@@ -41,7 +42,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &fileRig{path: testkit.File(t, "o.toml", []byte(text)), running: &running{address: l.Addr().String(),
+	r := &fileRig{path: base.File(t, "o.toml", []byte(text)), running: &running{address: l.Addr().String(),
 		ended: make(chan struct{}), client: &http.Client{Timeout: testkit.Patience, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}}
 	ctx, cancel := context.WithCancel(context.Background())
 	r.stop = cancel
@@ -69,7 +70,7 @@
 
 func (r *fileRig) reload(t testing.TB, text string) error {
 	t.Helper()
-	testkit.Replace(t, r.path, []byte(text))
+	base.Replace(t, r.path, []byte(text))
 	return r.d.reload(config.Sources{Config: r.path})
 }
 
@@ -112,7 +113,7 @@
 // Guards against answers that are not the upstream's: with an operator's file its statuses are passed on, with and
 // without bodies, and the client's ways of asking for a part.
 func TestAnswersPassOn(t *testing.T) {
-	upstream := testkit.HTTP(t, nil, func(w http.ResponseWriter, r *http.Request) {
+	upstream := base.HTTP(t, nil, func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case "/empty":
 			w.WriteHeader(http.StatusNoContent)
@@ -163,7 +164,7 @@
 	names := []string{"a", "b", "c"}
 	addresses := map[string]string{}
 	for _, name := range names {
-		addresses[name] = testkit.HTTP(t, nil, says(name))
+		addresses[name] = base.HTTP(t, nil, says(name))
 	}
 	at := func(n int) string { return services(addresses, "/ -> "+names[n%3], "/same/ -> a") }
 	r := startFile(t, at(0))
@@ -223,7 +224,7 @@
 func TestRouteRemovedWithRequestsInHand(t *testing.T) {
 	var seen atomic.Int64
 	release := make(chan struct{})
-	held := testkit.HTTP(t, nil, func(w http.ResponseWriter, r *http.Request) {
+	held := base.HTTP(t, nil, func(w http.ResponseWriter, r *http.Request) {
 		seen.Add(1)
 		<-release
 		if r.URL.Path == "/old/turned-away" {
@@ -233,7 +234,7 @@
 		}
 		_, _ = io.WriteString(w, "held")
 	})
-	addresses := map[string]string{"a": held, "b": testkit.HTTP(t, nil, says("b"))}
+	addresses := map[string]string{"a": held, "b": base.HTTP(t, nil, says("b"))}
 	r := startFile(t, services(addresses, "/ -> b", "/old/ -> a"))
 	type answer struct {
 		status int
@@ -267,13 +268,13 @@
 // every request of the other is served meanwhile.
 func TestHungServiceLeavesTheOtherAlone(t *testing.T) {
 	release := make(chan struct{})
-	hung := testkit.HTTP(t, nil, func(_ http.ResponseWriter, r *http.Request) {
+	hung := base.HTTP(t, nil, func(_ http.ResponseWriter, r *http.Request) {
 		select {
 		case <-release:
 		case <-r.Context().Done():
 		}
 	})
-	text := "[limits]\ndescriptors = 160\n" + services(map[string]string{"a": hung, "b": testkit.HTTP(t, nil, says("b"))},
+	text := "[limits]\ndescriptors = 160\n" + services(map[string]string{"a": hung, "b": base.HTTP(t, nil, says("b"))},
 		"/a/ -> a", "/b/ -> b")
 	r := startFile(t, text)
 	ctx, stop := context.WithCancel(t.Context())
@@ -317,10 +318,10 @@
 
 // Guards against a watched list that takes the good one with it: emptied, cut in half, replaced by a directory.
 func TestListFileKeepsTheLastGoodList(t *testing.T) {
-	addresses := [2]string{testkit.HTTP(t, nil, says("one")), testkit.HTTP(t, nil, says("two"))}
+	addresses := [2]string{base.HTTP(t, nil, says("one")), base.HTTP(t, nil, says("two"))}
 	entry := func(i int) string { return fmt.Sprintf(`{"name":"n%d","address":%q}`, i, addresses[i]) }
 	whole := `{"count":1,"endpoints":[` + entry(0) + `]}`
-	list := testkit.File(t, "list.json", []byte(whole))
+	list := base.File(t, "list.json", []byte(whole))
 	r := startFile(t, fmt.Sprintf("[log]\nlevel = \"error\"\n[[service]]\nname = \"a\"\nlist_file = %q\n", list))
 	served := func() string {
 		_, body := r.get("GET", "/", "")
@@ -333,7 +334,7 @@
 	for name, text := range map[string]string{"emptied": "", "half": whole[:len(whole)/2], "no list": "{}", "none": `{"endpoints":[]}`,
 		"miscounted": `{"count":2,"endpoints":[` + entry(0) + `]}`, "twice": `{"endpoints":[` + entry(0) + "," + entry(0) + `]}`,
 		"more behind": whole + whole, "unknown key": `{"endpoint":[]}`} {
-		testkit.Replace(t, list, []byte(text))
+		base.Replace(t, list, []byte(text))
 		looked(t, r)
 		if got := served(); got != "one" || dir.Len() != 1 {
 			t.Errorf("%s: served by %q", name, got)
@@ -352,7 +353,7 @@
 	if err := os.Remove(list); err != nil {
 		t.Fatal(err)
 	}
-	testkit.Replace(t, list, []byte(`{"endpoints":[`+entry(1)+`,{"name":"n0","status":"Terminating"}]}`))
+	base.Replace(t, list, []byte(`{"endpoints":[`+entry(1)+`,{"name":"n0","status":"Terminating"}]}`))
 	testkit.Eventually(t, "the new list", func() bool { _, on := dir.Place("n1"); return on && dir.Len() == 1 })
 	if got := served(); got != "two" {
 		t.Errorf("served by %q", got)
--- a/internal/testkit/keys.go
+++ b/internal/testkit/base/base.go
@@ -1,7 +1,11 @@
-package testkit
+// Package base is the part of testkit that knows no configuration, so that tests of what configurations are made of can
+// use it: waiting on conditions, files, certificates and plain servers. Only tests import it.
+package base
 
 import (
 	"crypto/tls"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"os"
@@ -12,6 +16,19 @@
 	"orchiddrift/internal/standin"
 )
 
+// Patience bounds every wait of the tests; on a good run none comes near it.
+const Patience = 20 * time.Second
+
+// Eventually waits for a condition.
+func Eventually(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(Patience); !ok(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("waited in vain: %s", what)
+		}
+	}
+}
+
 // CA makes an authority.
 func CA(t testing.TB, name string) *standin.CA {
 	t.Helper()
@@ -62,7 +79,7 @@
 	if config != nil {
 		l = tls.NewListener(l, config)
 	}
-	srv := &http.Server{Handler: h, ErrorLog: nil, ReadHeaderTimeout: Patience}
+	srv := &http.Server{Handler: h, ErrorLog: log.New(io.Discard, "", 0), ReadHeaderTimeout: Patience}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -18,19 +18,16 @@
 	"orchiddrift/internal/config"
 	"orchiddrift/internal/directory"
 	"orchiddrift/internal/standin"
+	"orchiddrift/internal/testkit/base"
 )
 
-// Patience bounds every wait of the tests; on a good run none comes near it.
-const Patience = 20 * time.Second
+// Patience is base.Patience.
+const Patience = base.Patience
 
-// Eventually waits for a condition.
+// Eventually is base.Eventually.
 func Eventually(t testing.TB, what string, ok func() bool) {
 	t.Helper()
-	for end := time.Now().Add(Patience); !ok(); time.Sleep(2 * time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("waited in vain: %s", what)
-		}
-	}
+	base.Eventually(t, what, ok)
 }
 
 // Raw starts an upstream that answers as told.
