--- /dev/null
+++ b/internal/config/file_test.go
@@ -0,0 +1,240 @@
+package config
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"orchiddrift/internal/httphead"
+	"orchiddrift/internal/tomlfile"
+	"orchiddrift/internal/units"
+)
+
+// uncommented takes the example's comment signs off, so that each table stands there once.
+func uncommented(text string) string {
+	var out []string
+	for line := range strings.Lines(text) {
+		if strings.HasPrefix(line, "#") && !strings.HasPrefix(line, "# ") && !strings.HasPrefix(line, "##") {
+			line = line[1:]
+		}
+		out = append(out, line)
+	}
+	return strings.Join(out, "")
+}
+
+// Guards against an example, or an effective file, that says other than the declarations: it decodes to the defaults,
+// names every key, and what "show" prints decodes to the same again.
+func TestExampleIsTheDefaults(t *testing.T) {
+	if keys := tomlfile.Undocumented(File{}); len(keys) > 0 {
+		t.Errorf("undocumented: %v", keys)
+	}
+	var text bytes.Buffer
+	if err := Example(&text); err != nil {
+		t.Fatal(err)
+	}
+	var plain, example, again File
+	tomlfile.Decode(nil, &plain)
+	if bad := tomlfile.Decode(text.Bytes(), &example).Mistakes(); len(bad) > 0 || !reflect.DeepEqual(plain, example) {
+		t.Errorf("%v\n%+v\n%+v", bad, plain, example)
+	}
+	var all File
+	for _, m := range tomlfile.Decode([]byte(uncommented(text.String())), &all).Mistakes() {
+		if strings.Contains(m.Reason, "no such key") || strings.Contains(m.Reason, "and not") {
+			t.Errorf("of the example's tables: %v", m)
+		}
+	}
+	if len(all.Services) != 1 || len(all.Services[0].Classes) != 1 || len(all.Services[0].Endpoints) != 1 || len(all.Routes) != 1 {
+		t.Errorf("not every table stands in the example: %+v", all)
+	}
+	var shown bytes.Buffer
+	if err := all.Show(&shown); err != nil {
+		t.Fatal(err)
+	}
+	tomlfile.Decode(shown.Bytes(), &again)
+	if !reflect.DeepEqual(all, again) {
+		t.Errorf("shown\n%s\nis read as\n%+v, and was\n%+v", shown.String(), again, all)
+	}
+}
+
+// Guards against a check that stops early, points to the wrong place, or passes what would fail later. Each want is a
+// line, a key and a part of the reason.
+func TestMistakes(t *testing.T) {
+	const web = "[[service]]\nname = \"web\"\naddresses = [\"127.0.0.1:1\"]\n" // lines 1 to 3
+	for _, c := range []struct {
+		text string
+		want []string
+	}{
+		{"a = [", []string{"1: file: array is incomplete"}},
+		{"[daemon]\nlisten = \"nowhere\"\nseed = \"xyz\"\n" + web, []string{"2: daemon.listen: address nowhere", "3: daemon.seed: \"xyz\""}},
+		{"[limtis]\ncores = 2\n" + web, []string{`1: limtis: no such key; the nearest is "limits"`}},
+		{"[limits]\nmemory = \"1MiB\"\ndescriptors = 3\ncores = -1\nhead_timeout = \"0s\"\n" + web,
+			[]string{"2: limits.memory", "3: limits.descriptors", "4: limits.cores", "5: limits.head_timeout"}},
+		{"[limits]\nmemory = \"many\"\nhead_timeout = \"-1s\"\ncores = \"two\"\n" + web,
+			[]string{`2: limits.memory: "many" is no size`, `3: limits.head_timeout: "-1s" is no duration`, "4: limits.cores: is a string, and not a number"}},
+		{"[log]\nlevle = \"info\"\nformat = \"xml\"\nper_second = 0\n" + web,
+			[]string{`2: log.levle: no such key; the nearest is "level"`, `3: log.format: "xml" is none of text, json`, "4: log.per_second"}},
+		{"[shares]\nguaranteed = 2\n" + web, []string{"2: shares.guaranteed"}},
+		{"[tls]\ncertificate = \"/c\"\nclients = \"wanted\"\n" + web, []string{"2: tls.certificate: stands there without a key", "3: tls.clients: there is no client_ca"}},
+		{web + "list_file = \"/l\"\nidle = \"0s\"\nanswers = [\"2xx\", \"503\"]\nshare = 0\n",
+			[]string{"1: service[0]: upstreams come from one of", "5: service[0].idle", "6: service[0].answers: 503 says", "7: service[0].share"}},
+		{web + web, []string{`5: service[1].name: "web" is taken`}},
+		{"[[service]]\nname = \"web\"\naddresses = [\"127.0.0.1:1\", \"127.0.0.1:1\"]\n", []string{"listed twice"}},
+		{"[[service]]\nname = \"web\"\n[[service.endpoint]]\naddress = \"node:1\"\nsince = \"today\"\n",
+			[]string{"4: service[0].endpoint[0].address", "5: service[0].endpoint[0].since"}},
+		{web + "[[service.class]]\nname = \"c\"\neffect = \"kyed\"\ndeadline = \"0s\"\n[[service.class]]\nname = \"k\"\neffect = \"keyed\"\n",
+			[]string{`6: service[0].class[0].effect: "kyed" is none of`, "7: service[0].class[0].deadline", "service[0].class[1].window", "route: missing: service web has no classes"}},
+		{web + "[service.tls]\nname = \"a\"\n", []string{"4: service[0].tls: there is no ca"}},
+		{web + "[[route]]\nmatch = \"/a/{x}\"\n[[route]]\nmatch = \"/{y}/b\"\n", []string{"7: route[1].match: conflicts with line 5: /{y}/b and /a/{x} both match some"}},
+		{web + "[[route]]\nmatch = \"/a\"\nservice = \"wbe\"\nkey = \"path:x\"\n[[route]]\nmatch = \"a\"\nclass = \"c\"\n",
+			[]string{`6: route[0].service: there is no service "wbe"`, `7: route[0].key: the pattern has no wildcard "x"`, "9: route[1].match: the path begins"}},
+		{web + "[[route]]\nmatch = \"POST /a\"\nclass = \"read\"\n", []string{`6: route[0].class: class read may be repeated, and POST is not safe`}},
+		{web + "[[route]]\nmatch = \"/-/ready\"\n", []string{"5: route[0].match: /-/ is the daemon's own"}},
+		{web + "[[route]]\nset = \"platform\"\nmatch = \"/\"\nmax_body = \"1GiB\"\n", []string{"5: route[0].set", "7: route[0].max_body"}},
+		{"[daemon]\nname = \"x\"\n", []string{"service: there is none"}},
+		{web + "[[service]]\nname = \"b\"\naddresses = [\"127.0.0.1:2\"]\n", []string{`1: service[0]: no route leads to "web"`, "4: service[1]: no route"}},
+	} {
+		_, err := ParseFile([]byte(c.text))
+		var bad Problems
+		if !errors.As(err, &bad) {
+			t.Errorf("%q is taken: %v", c.text, err)
+			continue
+		}
+		for _, want := range c.want {
+			line, rest, ok := strings.Cut(want, ": ")
+			found := false
+			for _, p := range bad {
+				text := p.Error()
+				found = found || strings.Contains(text, want) || ok && strings.HasPrefix(text, line+":") && strings.Contains(text, rest)
+			}
+			if !found {
+				t.Errorf("%q: no %q among\n%v", c.text, want, []Problem(bad))
+			}
+		}
+		if len(bad) > len(c.want) {
+			t.Errorf("%q: more than %q:\n%v", c.text, c.want, []Problem(bad))
+		}
+	}
+}
+
+const platformText = `{"name":"n1","listen":"127.0.0.1:9000","discovery":"127.0.0.1:8500","seed":"2a",
+	"limits":{"cores":1,"memory_mb":64,"sockets":256},"settings":{"Discovery":"ask","TickMs":5,"Classes":[
+	{"Name":"search","Semantics":"retryable","AimMs":1000,"DeadlineMs":2000}]}}`
+
+// Guards against an operator's file that takes over what is the platform's to say.
+func TestPrecedence(t *testing.T) {
+	c, err := Parse([]byte(platformText))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := ParseBeside(c, []byte(`[daemon]
+listen = "127.0.0.1:1"
+seed = "ff"
+name = "mine"
+[limits]
+memory = "1GiB"
+[shares]
+guaranteed = 0.25
+[[service]]
+name = "web"
+addresses = ["127.0.0.1:9001"]
+[[route]]
+match = "/web/"
+service = "web"
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if p.Listen != c.Listen || p.Seed != 0x2a || p.Name != "n1" || p.Limits != c.Limits || p.HeadTimeout != 2*time.Second ||
+		p.Guaranteed != 0.25 || len(p.Services) != 2 || p.Services[0].Name != Platform || len(p.Table.Routes()) != 3 {
+		t.Errorf("%+v", p)
+	}
+	if _, err := ParseBeside(c, []byte("[[service]]\nname = \"web\"\naddresses = [\"127.0.0.1:1\"]\n[[route]]\nmatch = \"GET /search\"\nservice = \"web\"\n")); err == nil ||
+		!strings.Contains(err.Error(), "conflicts with the platform's rules") {
+		t.Errorf("a route in the platform's place: %v", err)
+	}
+	alone := c.Plan()
+	if alone.Services[0].Answers.Has(404) || !alone.Services[0].Answers.Has(200) || alone.Grace != 2550*time.Millisecond ||
+		alone.BodyTimeout != 900*time.Millisecond {
+		t.Errorf("%+v", alone)
+	}
+}
+
+// Guards against a file that is read as one of the other kind, or a start with none.
+func TestLoadPlan(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		if err := os.WriteFile(dir+name, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return dir + name
+	}
+	platform := write("/p.json", "\n "+platformText)
+	file := write("/o.toml", "[[service]]\nname = \"web\"\naddresses = [\"127.0.0.1:1\"]\n")
+	for _, c := range []struct {
+		files    Sources
+		services int // 0: not taken
+	}{{Sources{Config: platform}, 1}, {Sources{Config: file}, 1}, {Sources{Beside: file}, 1}, {Sources{platform, file}, 0},
+		{Sources{file, file}, 0}, {Sources{}, 0}, {Sources{Config: dir + "/missing"}, 0}, {Sources{platform, dir + "/missing"}, 0}} {
+		p, err := LoadPlan(c.files)
+		if (err == nil) != (c.services > 0) || err == nil && len(p.Services) != c.services {
+			t.Errorf("%+v: %v", c.files, err)
+		}
+		if err != nil && strings.Contains(err.Error(), "\n") {
+			t.Errorf("%+v: more than a line: %q", c.files, err)
+		}
+	}
+}
+
+func TestUnits(t *testing.T) {
+	var s units.Size
+	for text, want := range map[string]units.Size{"64KiB": 64 << 10, "1.5MiB": 3 << 19, "7B": 7, "2 GiB": 2 << 30} {
+		if err := s.UnmarshalText([]byte(text)); err != nil || s != want {
+			t.Errorf("%s: %v, %v", text, s, err)
+		}
+	}
+	for _, text := range []string{"", "64", "KiB", "-1B", "1e30GiB", "NaNB", "64kb"} {
+		if s.UnmarshalText([]byte(text)) == nil {
+			t.Errorf("%q is taken as %v", text, s)
+		}
+	}
+	for _, words := range [][]string{{"1xx"}, {"6xx"}, {"abc"}, {"100"}, {"429"}, {"503"}, {"-1"}} {
+		if _, err := httphead.ParseStatuses(words); err == nil {
+			t.Errorf("%q is taken", words)
+		}
+	}
+}
+
+// FuzzFile holds the decoder: no text may end it, every mistake is one line, and a file that is taken is taken again as
+// it is shown.
+func FuzzFile(f *testing.F) {
+	f.Add("[[service]]\nname = \"web\"\naddresses = [\"127.0.0.1:1\"]\n[[route]]\nmatch = \"/a/{x}\"\n")
+	f.Add("a.b.c = {d = [1, {e = 2}]}\n[[a.b]]\n[x]\n[x.y]\n")
+	f.Add("[[service]]\nservice = 1\n[[service.class]]\n[service.tls]\n[service.cold]\nfrom = nan\n")
+	f.Add("route = [{match = \"/\"}, 3, [], {headers = {a = 1}}]\nservice = {name = \"a\"}\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		p, err := ParseFile([]byte(text))
+		var bad Problems
+		if err != nil {
+			if !errors.As(err, &bad) || len(bad) == 0 {
+				t.Fatalf("%v", err)
+			}
+			for _, m := range bad {
+				if strings.Contains(m.Error(), "\n") {
+					t.Fatalf("%q", m.Error())
+				}
+			}
+			return
+		}
+		var shown bytes.Buffer
+		if err := p.File.Show(&shown); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := ParseFile(shown.Bytes()); err != nil {
+			t.Fatalf("shown\n%s\nis not taken: %v", shown.String(), err)
+		}
+	})
+}
--- a/internal/config/plan.go
+++ b/internal/config/plan.go
@@ -147,7 +147,10 @@
 func parseFile(beside *Config, text []byte) (*Plan, error) {
 	f := &File{}
 	doc := tomlfile.Decode(text, f)
-	p := f.plan(beside, doc)
+	var p *Plan
+	if !doc.Broken() {
+		p = f.plan(beside, doc)
+	}
 	if mistakes := doc.Mistakes(); len(mistakes) > 0 {
 		bad := make(Problems, len(mistakes))
 		for i, m := range mistakes {
@@ -202,21 +205,33 @@
 	if beside == nil {
 		p.Grace = cmp.Or(p.Grace, longest) + killMargin
 	}
-	declared := f.Routes
-	if len(declared) == 0 && len(f.Services) == 1 && beside == nil {
+	declared, good := f.Routes, true
+	if len(declared) == 0 && len(p.Services) == 1 {
 		declared = []routes.Declaration{{Match: "/", Key: routes.Header(httphead.Key), MaxBody: routes.MaxMaxBody}}
 	}
+	led := map[string]bool{}
 	for i := range declared {
 		at := fmt.Sprintf("route[%d]", i)
+		if len(f.Routes) == 0 {
+			at = "route" // there is none, and what is made in its place can't be
+		}
 		made := routesOf(p, names, &declared[i], func(key, format string, args ...any) {
+			good = false
+			if at == "route" {
+				key = ""
+			}
 			doc.Report(at+key, format, args...)
 		})
+		good = good && len(made) > 0
 		for _, r := range made {
 			all, places = append(all, r), append(places, at+".match")
+			led[r.Service] = true
 		}
 	}
-	if len(all) == 0 && len(p.Services) > 0 {
-		doc.Report("route", "there is none, and more than one service")
+	for i := range f.Services {
+		if s := &f.Services[i]; good && s.Name != "" && !led[s.Name] {
+			doc.Report(fmt.Sprintf("service[%d]", i), "no route leads to %q: [[route]]", s.Name)
+		}
 	}
 	table, conflicts := routes.New(all)
 	for _, c := range conflicts {
--- a/internal/keys/declaration.go
+++ b/internal/keys/declaration.go
@@ -24,6 +24,8 @@
 		report("certificate", "stands there without a key")
 	case l.Key != "" && l.Certificate == "":
 		report("key", "stands there without a certificate")
+	}
+	switch {
 	case l.Clients != "none" && l.Certificate == "":
 		report("clients", "clients can show none where connections are not encrypted")
 	case l.Clients != "none" && l.ClientCA == "":
--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -57,8 +57,12 @@
 	at       map[string]unstable.Position
 	mistakes []Mistake
 	seen     map[Mistake]bool
+	broken   bool
 }
 
+// Broken tells whether the text is no TOML, so that nothing of it could be read.
+func (d *Document) Broken() bool { return d.broken }
+
 // MaxBytes bounds a text.
 const MaxBytes = 8 << 20
 
@@ -66,14 +70,16 @@
 // with the text; what could be read has been filled in all the same.
 func Decode(text []byte, into any) *Document {
 	d := &Document{text: text, at: map[string]unstable.Position{}, seen: map[Mistake]bool{}}
-	into2 := reflect.ValueOf(into).Elem()
-	setDefaults(into2)
+	v := reflect.ValueOf(into).Elem()
+	setDefaults(v)
 	if len(text) > MaxBytes {
+		d.broken = true
 		d.Report("", "the file has %d bytes, %d at most", len(text), MaxBytes)
 		return d
 	}
 	var tree map[string]any
 	if err := toml.Unmarshal(text, &tree); err != nil {
+		d.broken = true
 		m := Mistake{Line: 1, Column: 1, Key: "file", Reason: oneLine(err.Error())}
 		var de *toml.DecodeError
 		if errors.As(err, &de) {
@@ -85,7 +91,7 @@
 		return d
 	}
 	d.locate()
-	d.table("", tree, into2)
+	d.table("", tree, v)
 	return d
 }
 
