--- a/balancer/api.go
+++ b/balancer/api.go
@@ -191,7 +191,7 @@
 	Fail                        // final answer: no promise
 	SetTimer                    // report Wake at time At; an earlier SetTimer may be dropped
 	Subscribe                   // ask for the list and its changes
-	Log                         // a line for the operators
+	Log                         // a line for the operators, of Upstream if that is set
 )
 
 // Action is one thing to do. Only the fields named at its Kind are set.
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -181,4 +181,8 @@
 	b.act(Action{Kind: Log, Text: fmt.Sprintf(format, args...)})
 }
 
+func (b *Balancer) logOf(u *upstream, format string, args ...any) {
+	b.act(Action{Kind: Log, Upstream: u.id, Text: fmt.Sprintf(format, args...)})
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/balancer/members.go
+++ b/balancer/members.go
@@ -122,7 +122,7 @@
 	case OK, Overloaded:
 		u.heard = b.now
 		if u.ejections > 0 {
-			b.log("return %s after %d ejections", u.id, u.ejections)
+			b.logOf(u, "return %s after %d ejections", u.id, u.ejections)
 		}
 		u.fails, u.errors, u.ejections, u.until = 0, 0, 0, 0
 	case Timeout, ConnectFailed, Reset, Cancelled:
@@ -151,6 +151,6 @@
 	u.ejections++
 	u.until = b.now + d
 	if u.ejections == 1 {
-		b.log("eject %s: %d failures unheard, %d errors in a row", u.id, u.fails, u.errors)
+		b.logOf(u, "eject %s: %d failures unheard, %d errors in a row", u.id, u.fails, u.errors)
 	}
 }
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -161,7 +161,7 @@
 		return func() {}, nil
 	}
 	store, err := keys.Open(keys.Files{Certificate: p.TLS.Certificate, Key: p.TLS.Key, CA: p.TLS.ClientCA},
-		p.TLS.WarnBefore.D(), func(format string, args ...any) { d.log.Warn(fmt.Sprintf(format, args...)) })
+		p.TLS.WarnBefore.D(), d.log)
 	if err != nil {
 		return nil, fmt.Errorf("tls: %w", err)
 	}
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -69,11 +69,10 @@
 	}
 	o := upstream.Options{ConnectTimeout: plan.Settings.ConnectTimeout, Idle: plan.Settings.ConnIdle, Slots: sh.slots,
 		Service: name, Bytes: sh.bytes, MaxAnswer: sh.maxAnswer, Answers: plan.Answers}
-	logf := func(format string, args ...any) { log.Warn(fmt.Sprintf(format, args...)) }
 	if plan.TLS.On() {
 		var err error
 		s.keys, err = keys.Open(keys.Files{Certificate: plan.TLS.Certificate, Key: plan.TLS.Key, CA: plan.TLS.CA},
-			plan.TLS.WarnBefore.D(), logf)
+			plan.TLS.WarnBefore.D(), log)
 		if err != nil {
 			return nil, fmt.Errorf("service %s: %w", plan.Name, err)
 		}
@@ -96,7 +95,7 @@
 		seed ^= xxhash.Sum64String(plan.Name)
 	}
 	s.engine, err = engine.New(engine.Options{Settings: plan.Settings.Settings, Seed: seed, Clock: sh.clock,
-		Known: first.Entries, Subscribe: s.ask, Log: func(text string) { log.Info(text) }})
+		Known: first.Entries, Subscribe: s.ask, Log: log})
 	if err != nil {
 		s.pool.Close()
 		return nil, fmt.Errorf("service %s: %w", plan.Name, err)
@@ -114,7 +113,6 @@
 // openSource makes the source of a plan's list, and the list to begin with; nil, nil: the plan has all of it.
 func (s *service) openSource(plan config.ServicePlan, known *directory.Listing, log *slog.Logger) (*directory.Listing,
 	discovery.Source, error) {
-	logf := func(format string, args ...any) { log.Warn(fmt.Sprintf(format, args...)) }
 	switch {
 	case plan.Discovery != "":
 		list := plan.Known
@@ -126,9 +124,9 @@
 			index = *list.Index
 		}
 		return list, discovery.New(discovery.Options{Address: plan.Discovery, Index: index,
-			ConnectTimeout: plan.Settings.ConnectTimeout, ModuleAsks: plan.Settings.MustSubscribe, Log: logf}), nil
+			ConnectTimeout: plan.Settings.ConnectTimeout, ModuleAsks: plan.Settings.MustSubscribe, Log: log}), nil
 	case plan.ListFile != "":
-		source := discovery.NewFile(plan.ListFile, filewatch.Every, logf)
+		source := discovery.NewFile(plan.ListFile, filewatch.Every, log)
 		list, err := source.Load()
 		return list, source, err
 	}
--- a/internal/discovery/file.go
+++ b/internal/discovery/file.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"sync/atomic"
 	"time"
 
@@ -17,13 +18,13 @@
 type File struct {
 	reader  *filewatch.Reader
 	every   time.Duration
-	log     func(format string, args ...any)
+	log     *slog.Logger
 	version int64
 	looks   atomic.Int64
 }
 
 // NewFile returns one. Load reads the file for the first time, Run follows it.
-func NewFile(path string, every time.Duration, log func(format string, args ...any)) *File {
+func NewFile(path string, every time.Duration, log *slog.Logger) *File {
 	return &File{reader: filewatch.NewReader(path, listfile.MaxBytes), every: every, log: log}
 }
 
@@ -53,13 +54,13 @@
 			return
 		}
 		if c.Err != nil {
-			s.log("list file: the last good list stays: %v", c.Err)
+			s.log.Warn("the last good list stays", "file", s.reader.Path(), "reason", c.Err)
 			sink.Lost(c.Err, true)
 			return
 		}
 		entries, err := listfile.Parse(s.reader.Path(), c.Text)
 		if err != nil {
-			s.log("list file %s: the last good list stays: %v", s.reader.Path(), err)
+			s.log.Warn("the last good list stays", "file", s.reader.Path(), "reason", err)
 			sink.Lost(err, true)
 			return
 		}
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -5,10 +5,12 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -34,14 +36,14 @@
 	Address        string
 	Index          int64 // version of the list as last held
 	ConnectTimeout time.Duration
-	ModuleAsks     bool // the module asks for the list, and asks again when it is lost; else the Watcher does
-	Log            func(format string, args ...any)
+	ModuleAsks     bool         // the module asks for the list, and asks again when it is lost; else the Watcher does
+	Log            *slog.Logger // nil: lines are dropped
 }
 
 // Watcher follows discovery: one watch at a time, each on a connection of its own so that no library sends
 // a call again by itself.
 type Watcher struct {
-	log        func(format string, args ...any)
+	log        *slog.Logger
 	client     *http.Client
 	silence    time.Duration // after this without a line a watch is dead
 	moduleAsks bool
@@ -58,7 +60,7 @@
 // New returns a Watcher; Run makes it work.
 func New(o Options) *Watcher {
 	w := &Watcher{address: o.Address, index: o.Index, silence: watchSilence, moduleAsks: o.ModuleAsks,
-		log: o.Log, asked: make(chan struct{}, 1), end: func(error) {}}
+		log: cmp.Or(o.Log, slog.New(slog.DiscardHandler)), asked: make(chan struct{}, 1), end: func(error) {}}
 	w.client = &http.Client{Transport: &http.Transport{
 		DialContext:            (&net.Dialer{Timeout: o.ConnectTimeout}).DialContext,
 		DisableKeepAlives:      true,
@@ -110,7 +112,7 @@
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, errRedirected):
-			w.log("watch ended: %v", err)
+			w.log.Warn("watch ended", "reason", err)
 			wait = rewatchFirst
 			w.Ask()
 			continue
@@ -119,14 +121,14 @@
 		untold := w.untold
 		w.mu.Unlock()
 		if w.moduleAsks && !untold {
-			w.log("watch ended: %v", err)
+			w.log.Warn("watch ended", "reason", err)
 			sink.Lost(err, false)
 			continue
 		}
 		if told {
 			wait = rewatchFirst
 		}
-		w.log("watch ended, next in %v: %v", wait, err)
+		w.log.Warn("watch ended", "next", wait, "reason", err)
 		sink.Lost(err, true)
 		again.Reset(wait)
 		wait = min(2*wait, rewatchMost)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -13,6 +13,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -96,7 +97,7 @@
 	Clock     clock.Clock
 	Known     []balancer.Member // the list as last held; may be stale
 	Subscribe func()            // the module asks for the list; must not block or call the engine; nil: nobody is asked
-	Log       func(string)      // a line for the operators; nil: dropped. Called without the engine's lock
+	Log       *slog.Logger      // nil: lines are dropped. Written to without the engine's lock
 	// CancelWithCaller ends a call's attempts when its caller's context ends. Without it they run on to their time-out,
 	// so that what they tell of their upstreams is heard, and Do returns with them.
 	CancelWithCaller bool
@@ -106,7 +107,7 @@
 type Engine struct {
 	clock     clock.Clock
 	subscribe func()
-	log       func(string)
+	log       *slog.Logger
 	inline    bool // the caller's goroutine carries out attempts
 	cancelAll bool
 
@@ -114,7 +115,7 @@
 	b       *balancer.Balancer
 	flights map[string]*flight
 	acts    []balancer.Action
-	lines   []string // for log, once the lock is free
+	lines   []balancer.Action // for log, once the lock is free
 	timer   *time.Timer
 	closed  bool
 	running sync.WaitGroup // attempts on goroutines of their own
@@ -326,8 +327,12 @@
 	e.lines = nil
 	e.mu.Unlock()
 	if e.log != nil {
-		for _, text := range lines {
-			e.log(text)
+		for _, line := range lines {
+			if line.Upstream == "" {
+				e.log.Info(line.Text)
+			} else {
+				e.log.Info(line.Text, "upstream", line.Upstream)
+			}
 		}
 	}
 }
@@ -394,7 +399,7 @@
 			e.subscribe()
 		}
 	case balancer.Log:
-		e.lines = append(e.lines, a.Text)
+		e.lines = append(e.lines, *a)
 	}
 }
 
@@ -445,7 +450,8 @@
 		if p := recover(); p != nil {
 			r = Reply{Result: balancer.Reset}
 			if e.log != nil {
-				e.log(fmt.Sprintf("attempt %d of %s: panic: %v", a.at.Number, f.call.ID, p))
+				e.log.Error("an attempt's panic", "class", f.call.Class, "upstream", a.at.Upstream, "attempt", a.at.Number,
+					"reason", fmt.Sprint(p))
 			}
 		}
 	}()
--- a/internal/keys/store.go
+++ b/internal/keys/store.go
@@ -10,6 +10,7 @@
 	"crypto/x509"
 	"errors"
 	"fmt"
+	"log/slog"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,7 +38,7 @@
 type Store struct {
 	files      Files
 	warnBefore time.Duration
-	log        func(format string, args ...any)
+	log        *slog.Logger
 	now        func() time.Time
 
 	current atomic.Pointer[Material]
@@ -51,7 +52,7 @@
 }
 
 // Open reads the files for the first time; what can't be used is an error here. Run follows them.
-func Open(files Files, warnBefore time.Duration, log func(format string, args ...any)) (*Store, error) {
+func Open(files Files, warnBefore time.Duration, log *slog.Logger) (*Store, error) {
 	s := &Store{files: files, warnBefore: warnBefore, log: log, now: time.Now}
 	reader := func(path string) *filewatch.Reader {
 		if path == "" {
@@ -82,7 +83,7 @@
 	defer s.mu.Unlock()
 	err := errors.Join(s.lookPair(), s.lookCA())
 	if err != nil && err.Error() != s.said {
-		s.log("keys: what is in use stays: %s", oneLine(err))
+		s.log.Warn("keys: what is in use stays", "reason", oneLine(err))
 		s.said = err.Error()
 	}
 	s.warn()
@@ -133,7 +134,7 @@
 	s.current.Store(&m)
 	s.warned, s.said = time.Time{}, ""
 	if !first {
-		s.log("keys: %s taken over, good until %s", s.files.Certificate, pair.Leaf.NotAfter.UTC().Format(time.RFC3339))
+		s.log.Info("keys: taken over", "file", s.files.Certificate, "until", pair.Leaf.NotAfter.UTC())
 	}
 	return nil
 }
@@ -160,7 +161,7 @@
 	s.current.Store(&m)
 	s.said = ""
 	if !first {
-		s.log("keys: %s taken over", s.files.CA)
+		s.log.Info("keys: taken over", "file", s.files.CA)
 	}
 	return nil
 }
@@ -177,11 +178,10 @@
 	}
 	s.warned = now
 	if now.After(end) {
-		s.log("keys: %s has ended on %s, and there is no new one", s.files.Certificate, end.UTC().Format(time.RFC3339))
+		s.log.Error("keys: the certificate has ended, and there is no new one", "file", s.files.Certificate, "until", end.UTC())
 		return
 	}
-	s.log("keys: %s ends on %s, in %s", s.files.Certificate, end.UTC().Format(time.RFC3339),
-		end.Sub(now).Round(time.Minute))
+	s.log.Warn("keys: the certificate ends soon", "file", s.files.Certificate, "until", end.UTC())
 }
 
 func oneLine(err error) string {
--- a/orchidgrpc/plugin.go
+++ b/orchidgrpc/plugin.go
@@ -34,6 +34,7 @@
 	"orchiddrift/internal/directory"
 	"orchiddrift/internal/discovery"
 	"orchiddrift/internal/engine"
+	"orchiddrift/internal/logs"
 )
 
 // Options are a Plugin's parameters. Either Discovery or Endpoints is needed.
@@ -137,11 +138,7 @@
 	p.directory = directory.New(clk, p.dropped)
 	feed := discovery.NewFeed(p.directory, p.update)
 	members := feed.Take(known)
-	log := func(format string, args ...any) {
-		if o.Log != nil {
-			o.Log(fmt.Sprintf(format, args...))
-		}
-	}
+	log := logs.To(o.Log)
 	var watcher *discovery.Watcher
 	subscribe := func() {}
 	if o.Discovery != "" {
@@ -150,7 +147,7 @@
 		subscribe = watcher.Ask
 	}
 	p.engine, err = engine.New(engine.Options{Settings: set, Seed: o.Seed, Clock: clk, Known: members.Entries,
-		Subscribe: subscribe, Log: o.Log, CancelWithCaller: true})
+		Subscribe: subscribe, Log: log, CancelWithCaller: true})
 	if err != nil {
 		return nil, fmt.Errorf("orchidgrpc: Settings: %w", err)
 	}
