Mend a test that could hang for ever; a service without a route is a note, not a mistake

Cause: the rig's hook was a global that outlived its test, and it read the file in a goroutine whose failure nobody waited for; a new check of the file turned such files down.

--- a/cmd/orchiddrift/check.go
+++ b/cmd/orchiddrift/check.go
@@ -103,6 +103,9 @@
 		for _, c := range s.Settings.Classes {
 			fmt.Fprintf(w, " %s (%s)", c.Name, []string{"safe", "keyed", "unsafe"}[c.Effect])
 		}
+		if s.Unrouted {
+			fmt.Fprint(w, "; no route leads to it")
+		}
 		fmt.Fprintln(w)
 	}
 	for _, r := range p.Table.Routes() {
--- a/internal/config/plan.go
+++ b/internal/config/plan.go
@@ -53,6 +53,8 @@
 	Discovery string
 	ListFile  string
 	Known     *directory.Listing // as last held, or the whole of it; nil: none
+
+	Unrouted bool // no route leads to it
 }
 
 // Platform is the name of the service that the platform's file tells of.
@@ -205,7 +207,7 @@
 	if beside == nil {
 		p.Grace = cmp.Or(p.Grace, longest) + killMargin
 	}
-	declared, good := f.Routes, true
+	declared := f.Routes
 	if len(declared) == 0 && len(p.Services) == 1 {
 		declared = []routes.Declaration{{Match: "/", Key: routes.Header(httphead.Key), MaxBody: routes.MaxMaxBody}}
 	}
@@ -216,22 +218,21 @@
 			at = "route" // there is none, and what is made in its place can't be
 		}
 		made := routesOf(p, names, &declared[i], func(key, format string, args ...any) {
-			good = false
 			if at == "route" {
 				key = ""
 			}
 			doc.Report(at+key, format, args...)
 		})
-		good = good && len(made) > 0
 		for _, r := range made {
 			all, places = append(all, r), append(places, at+".match")
 			led[r.Service] = true
 		}
 	}
-	for i := range f.Services {
-		if s := &f.Services[i]; good && s.Name != "" && !led[s.Name] {
-			doc.Report(fmt.Sprintf("service[%d]", i), "no route leads to %q: [[route]]", s.Name)
-		}
+	if len(declared) == 0 && len(f.Services) > 0 {
+		doc.Report("route", "there is none, and more than one service: [[route]]")
+	}
+	for i := range p.Services {
+		p.Services[i].Unrouted = !led[p.Services[i].Name] && p.Services[i].Name != Platform
 	}
 	table, conflicts := routes.New(all)
 	for _, c := range conflicts {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -96,6 +96,15 @@
 // first service's engine, to look on, before the first request.
 func ServePlan(ctx context.Context, p *config.Plan, listener net.Listener, files config.Sources, reload <-chan os.Signal,
 	look func(*engine.Engine)) error {
+	return serve(ctx, p, listener, files, reload, func(d *daemon) {
+		if look != nil {
+			look(d.routing.Load().services[p.Services[0].Name].engine)
+		}
+	})
+}
+
+func serve(ctx context.Context, p *config.Plan, listener net.Listener, files config.Sources, reload <-chan os.Signal,
+	look func(*daemon)) error {
 	defer listener.Close()
 	rest, stop := context.WithCancel(context.Background())
 	d := &daemon{plan: p, log: slog.Default(), rest: rest, listening: listener}
@@ -117,12 +126,7 @@
 	if err := d.apply(p); err != nil {
 		return err
 	}
-	if testDaemon != nil {
-		testDaemon(d)
-	}
-	if look != nil {
-		look(d.routing.Load().services[p.Services[0].Name].engine)
-	}
+	look(d)
 	s := &server{d: d, ids: newIDs(p.Seed)}
 	conns := intake.NewConns(listener, connections)
 	srv := &http.Server{Handler: s, ReadHeaderTimeout: p.HeadTimeout, IdleTimeout: clientIdle,
@@ -144,9 +148,6 @@
 	return drain(srv, s, conns, d, p.Grace)
 }
 
-// testDaemon, where a test sets it, is given the daemon before its first request.
-var testDaemon func(*daemon)
-
 // share makes what services share.
 func (d *daemon) share(connections int) error {
 	p := d.plan
