--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -111,6 +111,7 @@
 	if o.Ledger == nil {
 		o.Ledger = NewLedger()
 	}
+	o.Ledger.count(o.Name, func(*NodeCount) {}) // it is listed, also if nothing is ever sent to it
 	if o.Answer == nil {
 		o.Answer = func(Job) []byte { return []byte(o.Name) }
 	}
--- a/test.sh
+++ b/test.sh
@@ -22,4 +22,5 @@
 test -n "$build"
 sh -ec "$build"
 bin/orchiddrift check deploy/grpc.example.json
+bin/orchiddrift check deploy/operator.example.toml
 go test -count=1 -timeout 4m $race ./...
