--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -1,6 +1,7 @@
 // Command measure prints tables that hold orchiddrift beside named peers, as medians of runs in turn:
 //
 //	go run ./cmd/measure daemon    # beside net/http/httputil.ReverseProxy
+//	go run ./cmd/measure tls       # the same with encryption on both sides
 //	go run ./cmd/measure grpc      # beside grpc-go's round_robin, weighted_round_robin and least_request
 package main
 
@@ -26,6 +27,10 @@
 
 func (c daemonCmd) Run() error { return measure.Daemon(c.options.options()) }
 
+type tlsCmd struct{ options }
+
+func (c tlsCmd) Run() error { return measure.TLS(c.options.options()) }
+
 type grpcCmd struct{ options }
 
 func (c grpcCmd) Run() error { return measure.GRPC(c.options.options()) }
@@ -40,6 +45,7 @@
 	}
 	var cli struct {
 		Daemon daemonCmd `cmd:"" help:"The daemon beside ReverseProxy."`
+		TLS    tlsCmd    `cmd:"" name:"tls" help:"The daemon beside ReverseProxy, with encryption on both sides."`
 		GRPC   grpcCmd   `cmd:"" name:"grpc" help:"The plug-in beside grpc-go's balancers."`
 	}
 	ctx := kong.Parse(&cli, kong.Name("measure"), kong.UsageOnError())
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -32,6 +32,15 @@
 	Service string            `json:"service"` // names the service in targets
 	Methods map[string]string `json:"methods"` // full method name, or /package.Service/*, to class
 	Answers []string          `json:"answers"` // status codes that are the application's answer, as NOT_FOUND
+	TLS     *GRPCTLS          `json:"tls"`     // nil: credentials are the program's
+}
+
+// GRPCTLS is how the plug-in's connections are encrypted; all but Name are files.
+type GRPCTLS struct {
+	CA          string `json:"ca"`
+	Name        string `json:"name"`
+	Certificate string `json:"certificate"`
+	Key         string `json:"key"`
 }
 
 // Limits is what the platform allows the process.
--- a/internal/daemon/file_test.go
+++ b/internal/daemon/file_test.go
@@ -36,7 +36,7 @@
 }
 
 // startFile starts a daemon, whose reloads the test itself calls.
-func startFile(t *testing.T, text string) *fileRig {
+func startFile(t testing.TB, text string) *fileRig {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- /dev/null
+++ b/internal/daemon/scale_test.go
@@ -0,0 +1,156 @@
+package daemon
+
+import (
+	"fmt"
+	"net/http"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"orchiddrift/internal/config"
+	"orchiddrift/internal/logs"
+	"orchiddrift/internal/testkit/base"
+)
+
+// manyServices is a file of so many, with a route each and one upstream that nobody asks.
+func manyServices(n int) string {
+	var b strings.Builder
+	b.WriteString("[limits]\ndescriptors = 4096\n")
+	for i := range n {
+		fmt.Fprintf(&b, "[[service]]\nname = \"s%d\"\naddresses = [\"127.0.0.1:1\"]\n[[route]]\nmatch = \"/s%d/\"\nservice = \"s%d\"\n", i, i, i)
+	}
+	return b.String()
+}
+
+// BenchmarkService tells what a service takes: heap and goroutines.
+//
+//	go test -run '^$' -bench Service -benchtime 1x ./internal/daemon
+func BenchmarkService(b *testing.B) {
+	heap := func() float64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapAlloc)
+	}
+	for b.Loop() {
+		p := plan(b, manyServices(200))
+		d := &daemon{plan: p, log: logs.Discard(), rest: b.Context()}
+		before, goroutines := heap(), runtime.NumGoroutine()
+		if err := d.share(2032); err != nil {
+			b.Fatal(err)
+		}
+		if err := d.apply(p); err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric((heap()-before)/200, "heap-B/service")
+		b.ReportMetric(float64(runtime.NumGoroutine()-goroutines)/200, "goroutines/service")
+		d.end()
+	}
+}
+
+// BenchmarkReload is a whole reload of a service with 5,000 endpoints, a tenth of them replaced each time; and of 10,000
+// routes.
+func BenchmarkReload(b *testing.B) {
+	endpoints := func(turn int) string {
+		var b strings.Builder
+		b.WriteString("[[service]]\nname = \"a\"\n")
+		for i := range 5000 {
+			generation := 0
+			if i%10 == turn%10 {
+				generation = turn
+			}
+			fmt.Fprintf(&b, "[[service.endpoint]]\nname = \"n%d-%d\"\naddress = \"127.0.%d.%d:9000\"\n", i, generation, i/250, 1+i%250)
+		}
+		return b.String()
+	}
+	routes := func(turn int) string {
+		var b strings.Builder
+		b.WriteString("[[service]]\nname = \"a\"\naddresses = [\"127.0.0.1:1\"]\n")
+		for i := range 10_000 {
+			fmt.Fprintf(&b, "[[route]]\nmatch = \"/svc%d/{id}/v%d/\"\n", i, turn)
+		}
+		return b.String()
+	}
+	for name, text := range map[string]func(int) string{"5000-endpoints": endpoints, "10000-routes": routes} {
+		b.Run(name, func(b *testing.B) {
+			p := plan(b, text(0))
+			d := &daemon{plan: p, log: logs.Discard(), rest: b.Context()}
+			if err := d.share(496); err != nil {
+				b.Fatal(err)
+			}
+			if err := d.apply(p); err != nil {
+				b.Fatal(err)
+			}
+			defer d.end()
+			path, turn := base.File(b, "o.toml", nil), 0
+			for b.Loop() {
+				turn++
+				base.Replace(b, path, []byte(text(turn)))
+				if err := d.reload(config.Sources{Config: path}); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkBesideHung is a service's p99 with and without another one whose nodes hang under a hundred clients, in turn.
+//
+//	go test -run '^$' -bench BesideHung -benchtime 5x ./internal/daemon
+func BenchmarkBesideHung(b *testing.B) {
+	release := make(chan struct{})
+	defer close(release)
+	hung := base.HTTP(b, nil, func(_ http.ResponseWriter, r *http.Request) {
+		select {
+		case <-release:
+		case <-r.Context().Done():
+		}
+	})
+	text := services(map[string]string{"a": hung, "b": base.HTTP(b, nil, says("b"))}, "/a/ -> a", "/b/ -> b")
+	r := startFile(b, "[limits]\ndescriptors = 160\n"+text)
+	p99 := func() time.Duration {
+		var took []time.Duration
+		for range 1000 {
+			begun := time.Now()
+			if status, _ := r.get("GET", "/b/x", ""); status != 200 {
+				b.Fatalf("status %d", status)
+			}
+			took = append(took, time.Since(begun))
+		}
+		slices.Sort(took)
+		return took[990]
+	}
+	var ratios []float64
+	p99()
+	for b.Loop() {
+		alone := p99()
+		stop := make(chan struct{})
+		var clients sync.WaitGroup
+		for range 40 {
+			clients.Go(func() {
+				for {
+					select {
+					case <-stop:
+						return
+					default:
+					}
+					if status, _ := r.get("POST", "/a/x", ""); status == 500 {
+						time.Sleep(100 * time.Millisecond)
+					}
+				}
+			})
+		}
+		s := r.d.routing.Load().services["a"]
+		base.Eventually(b, "the hung one has its requests in hand", func() bool { return r.d.shared.inHand.Used(s.name) >= 40 })
+		beside := p99()
+		ratios = append(ratios, float64(beside)/float64(alone))
+		close(stop)
+		s.engine.Abort()
+		clients.Wait()
+	}
+	slices.Sort(ratios)
+	b.ReportMetric(ratios[len(ratios)/2], "p99-ratio")
+}
--- a/internal/measure/roles.go
+++ b/internal/measure/roles.go
@@ -51,6 +51,7 @@
 	Workers   int           `json:",omitempty"`
 	Calls     int           `json:",omitempty"`
 	Warm      int           `json:",omitempty"`
+	Dir       string        `json:",omitempty"` // of the keys, where connections are encrypted
 }
 
 // usage is what a process has used so far.
@@ -75,6 +76,8 @@
 	switch r.Part {
 	case "nodes":
 		return true, r.serveNodes()
+	case "tlsnodes":
+		return true, r.serveTLSNodes()
 	case "daemon", "reverseproxy":
 		return true, r.serveProxy()
 	case "client":
@@ -148,6 +151,12 @@
 	if err != nil {
 		return err
 	}
+	switch {
+	case r.Dir != "" && r.Part == "daemon":
+		return r.serveTLSDaemon(l)
+	case r.Dir != "":
+		return r.serveTLSProxy(l)
+	}
 	if r.Part == "daemon" {
 		known := &directory.Listing{Index: new(int64), Snapshot: true}
 		for i, address := range r.Addresses {
--- /dev/null
+++ b/internal/measure/tls.go
@@ -0,0 +1,229 @@
+package measure
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"orchiddrift/internal/config"
+	"orchiddrift/internal/daemon"
+	"orchiddrift/internal/standin"
+)
+
+// TLS prints the daemon beside ReverseProxy with the same certificates on both sides, and the same nodes: kept
+// connections, then a new connection for each request.
+func TLS(o Options) (err error) {
+	dir, err := os.MkdirTemp("", "orchiddrift-measure-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	if err := writeKeys(dir); err != nil {
+		return err
+	}
+	var addresses []string
+	nodes, err := start(role{Part: "tlsnodes", Nodes: 12, Dir: dir}, &addresses)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, nodes.stop()) }()
+	w := tabwriter.NewWriter(o.Out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "connections\tpeer\tCPU a request\tallocations\tp50\tp99\tCPU ratio\tp99 ratio\trequests a second\tratio\t")
+	for _, c := range []struct {
+		name        string
+		connections int
+		fresh       bool
+		calls       int
+	}{{"16 kept", 16, false, o.Calls}, {"64 kept", 64, false, o.Calls}, {"new each, by 16", 16, true, max(200, o.Calls/5)}} {
+		all, rates := map[string][]Figures{}, map[string][]float64{}
+		for range o.Rounds {
+			for _, part := range []string{"reverseproxy", "daemon"} {
+				f, rate, err := tlsRound(part, dir, addresses, c.connections, c.calls, c.fresh)
+				if err != nil {
+					return err
+				}
+				all[part], rates[part] = append(all[part], f), append(rates[part], rate)
+			}
+		}
+		base, baseRate := median(all["reverseproxy"]), middle(rates["reverseproxy"])
+		for _, part := range []string{"reverseproxy", "daemon"} {
+			f, rate := median(all[part]), middle(rates[part])
+			fmt.Fprintf(w, "%s\t%s\t%v\t%.0f\t%v\t%v\t%.2f\t%.2f\t%.0f\t%.2f\t\n", c.name, part, f.CPU.Round(100*time.Nanosecond),
+				f.Mallocs, f.P50.Round(time.Microsecond), f.P99.Round(time.Microsecond), float64(f.CPU)/float64(base.CPU),
+				float64(f.P99)/float64(base.P99), rate, rate/baseRate)
+		}
+	}
+	return w.Flush()
+}
+
+// writeKeys puts an authority's certificates into a folder.
+func writeKeys(dir string) error {
+	ca, err := standin.NewCA("measure")
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(dir, "ca.crt"), ca.PEM, 0o600); err != nil {
+		return err
+	}
+	for _, name := range []string{"front", "node"} {
+		i, err := ca.Issue(time.Hour, "127.0.0.1")
+		if err != nil {
+			return err
+		}
+		if err := errors.Join(os.WriteFile(filepath.Join(dir, name+".crt"), i.Certificate, 0o600),
+			os.WriteFile(filepath.Join(dir, name+".key"), i.Key, 0o600)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r role) pair(name string) (*tls.Config, error) {
+	pair, err := tls.LoadX509KeyPair(filepath.Join(r.Dir, name+".crt"), filepath.Join(r.Dir, name+".key"))
+	return &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS13, NextProtos: []string{"http/1.1"}}, err
+}
+
+func trusting(dir string) (*tls.Config, error) {
+	text, err := os.ReadFile(filepath.Join(dir, "ca.crt"))
+	roots := x509.NewCertPool()
+	roots.AppendCertsFromPEM(text)
+	return &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS13}, err
+}
+
+// serveTLSNodes are instant nodes.
+func (r role) serveTLSNodes() error {
+	config, err := r.pair("node")
+	if err != nil {
+		return err
+	}
+	var addresses []string
+	for range r.Nodes {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		srv := &http.Server{ReadHeaderTimeout: 10 * time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "ok") // a client that left is no matter here
+		})}
+		go func() { _ = srv.Serve(tls.NewListener(l, config)) }() // ends with Close
+		defer srv.Close()
+		addresses = append(addresses, l.Addr().String())
+	}
+	return attend(addresses)
+}
+
+// serveTLSDaemon is the daemon by an operator's file.
+func (r role) serveTLSDaemon(l net.Listener) error {
+	quoted := make([]string, len(r.Addresses))
+	for i, a := range r.Addresses {
+		quoted[i] = fmt.Sprintf("%q", a)
+	}
+	p, err := config.ParseFile(fmt.Appendf(nil, `
+[daemon]
+seed = "1"
+[limits]
+cores = 1
+[log]
+level = "error"
+[tls]
+certificate = "%[1]s/front.crt"
+key = "%[1]s/front.key"
+[[service]]
+name = "nodes"
+addresses = [%[2]s]
+[service.tls]
+ca = "%[1]s/ca.crt"
+`, r.Dir, strings.Join(quoted, ", ")))
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- daemon.ServePlan(ctx, p, l, config.Sources{}, nil, nil) }()
+	err = attend(l.Addr().String())
+	cancel()
+	return errors.Join(err, <-ended)
+}
+
+// serveTLSProxy is ReverseProxy.
+func (r role) serveTLSProxy(l net.Listener) error {
+	front, err := r.pair("front")
+	if err != nil {
+		return err
+	}
+	upstreams, err := trusting(r.Dir)
+	if err != nil {
+		return err
+	}
+	var targets []*url.URL
+	for _, address := range r.Addresses {
+		targets = append(targets, &url.URL{Scheme: "https", Host: address})
+	}
+	n := 0
+	srv := &http.Server{ReadHeaderTimeout: 10 * time.Second, Handler: &httputil.ReverseProxy{
+		Rewrite:   func(p *httputil.ProxyRequest) { n++; p.SetURL(targets[n%len(targets)]) }, // on one core
+		Transport: &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true, TLSClientConfig: upstreams}}}
+	ended := make(chan error, 1)
+	go func() { ended <- srv.Serve(tls.NewListener(l, front)) }()
+	err = attend(l.Addr().String())
+	srv.Close()
+	<-ended
+	return err
+}
+
+func tlsRound(part, dir string, addresses []string, connections, calls int, fresh bool) (f Figures, rate float64, err error) {
+	var address string
+	proxy, err := start(role{Part: part, Addresses: addresses, Listen: "127.0.0.1:0", GC: 100, Dir: dir}, &address)
+	if err != nil {
+		return f, 0, err
+	}
+	config, err := trusting(dir)
+	if err != nil {
+		return f, 0, errors.Join(err, proxy.stop())
+	}
+	client := &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: connections,
+		TLSClientConfig: config, DisableKeepAlives: fresh}}
+	defer client.CloseIdleConnections()
+	ask := func(int, int) error {
+		resp, err := client.Get("https://" + address + "/")
+		if err != nil {
+			return err
+		}
+		defer resp.Body.Close()
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			return err
+		}
+		if resp.StatusCode != http.StatusOK {
+			return fmt.Errorf("%s answered %s", part, resp.Status)
+		}
+		return nil
+	}
+	var before usage
+	var begun time.Time
+	took, err := closedLoop(connections, calls/5, calls, ask, func() (err error) {
+		before, err = proxy.used()
+		begun = time.Now()
+		return err
+	})
+	rate = float64(len(took)) / time.Since(begun).Seconds()
+	after, usedErr := proxy.used()
+	return figures(before, after, took), rate, errors.Join(err, usedErr, proxy.stop())
+}
+
+func middle(values []float64) float64 {
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[len(sorted)/2]
+}
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -13,6 +14,7 @@
 type NodeOptions struct {
 	Name, Zone, Type string
 	Group            int
+	TLS              *tls.Config // absent: connections are not encrypted
 
 	Cores int           // requests worked on at once; absent: 1
 	Speed float64       // absent: 1, the yardstick
@@ -210,7 +212,11 @@
 			if !down {
 				n.conns[c] = true
 				n.wg.Go(func() {
-					serve(c)
+					if n.o.TLS != nil {
+						serve(tls.Server(c, n.o.TLS))
+					} else {
+						serve(c)
+					}
 					c.Close()
 					n.mu.Lock()
 					delete(n.conns, c)
--- /dev/null
+++ b/orchidgrpc/keys_test.go
@@ -0,0 +1,100 @@
+package orchidgrpc_test
+
+import (
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/types/known/wrapperspb"
+
+	"orchiddrift/internal/standin"
+	"orchiddrift/internal/testkit"
+	"orchiddrift/internal/testkit/base"
+	"orchiddrift/orchidgrpc"
+)
+
+// encrypted starts nodes that show a certificate of an authority, and a plug-in that trusts a file.
+func encrypted(t *testing.T, ca *standin.CA, identity string, log func(string), names ...string) (*fleet, *grpc.ClientConn, string) {
+	t.Helper()
+	var options []standin.NodeOptions
+	for _, name := range names {
+		config := base.ServerTLS(t, base.Issue(t, ca, "127.0.0.1", name))
+		config.NextProtos = []string{"h2"}
+		options = append(options, standin.NodeOptions{Name: name, TLS: config})
+	}
+	f := newFleet(t, options...)
+	for i := range f.endpoints {
+		f.endpoints[i].Identity = identity
+	}
+	trusted := filepath.Join(t.TempDir(), "ca.crt")
+	base.Replace(t, trusted, ca.PEM)
+	p, err := orchidgrpc.New(orchidgrpc.Options{Settings: settings(), Seed: 7, Endpoints: f.endpoints, Files: files(t),
+		TLS: &orchidgrpc.TLS{CA: trusted}, Log: log})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	conn, err := grpc.NewClient(p.Target(), p.DialOptions()...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return f, conn, trusted
+}
+
+// Guards against a node that is taken for another one, and against a handshake that counts as a call that may have run.
+func TestEncryptedCalls(t *testing.T) {
+	ca := base.CA(t, "one")
+	for identity, want := range map[string]codes.Code{"": codes.OK, "node.example": codes.OK, "other.example": codes.Unavailable} {
+		f, conn, _ := encrypted(t, ca, identity, nil, "node.example")
+		_, err := ask(t.Context(), conn, confirm)
+		if status.Code(err) != want || err != nil && orchidgrpc.MayHaveRun(err) {
+			t.Errorf("%q: %v", identity, err)
+		}
+		if n := f.ledger.Nodes()["node.example"].Ran; (n > 0) != (want == codes.OK) {
+			t.Errorf("%q: %d ran", identity, n)
+		}
+	}
+	for _, bad := range []orchidgrpc.TLS{{}, {CA: "/nonexistent"}, {CA: "/nonexistent", Certificate: "/c"}} {
+		if _, err := orchidgrpc.New(orchidgrpc.Options{Settings: settings(), Endpoints: []orchidgrpc.Endpoint{{Name: "a",
+			Address: "127.0.0.1:1"}}, TLS: &bad}); err == nil {
+			t.Errorf("%+v is taken", bad)
+		}
+	}
+}
+
+// Guards against connections that outlive the authority they were made under, and against streams that its end breaks.
+func TestAuthorityIsWithdrawn(t *testing.T) {
+	ca, next := base.CA(t, "one"), base.CA(t, "two")
+	var taken atomic.Int64
+	_, conn, trusted := encrypted(t, ca, "", func(line string) {
+		if contains(line, "taken over") {
+			taken.Add(1)
+		}
+	}, "node.example")
+	if _, err := ask(t.Context(), conn, search); err != nil {
+		t.Fatal(err)
+	}
+	running := open(t, t.Context(), conn, search, 100, 10*time.Millisecond)
+	if err := running.RecvMsg(&wrapperspb.StringValue{}); err != nil {
+		t.Fatal(err)
+	}
+	base.Replace(t, trusted, next.PEM)
+	testkit.Eventually(t, "the new authority", func() bool { return taken.Load() > 0 })
+	testkit.Eventually(t, "no call goes by the old connection", func() bool {
+		_, err := ask(t.Context(), conn, confirm)
+		return status.Code(err) == codes.Unavailable && !orchidgrpc.MayHaveRun(err)
+	})
+	if got, err := drainStream(running); err != nil || len(got) != 99 {
+		t.Errorf("%d messages of the stream that ran, %v", len(got), err)
+	}
+	base.Replace(t, trusted, append(append([]byte{}, next.PEM...), ca.PEM...))
+	testkit.Eventually(t, "served again by overlap", func() bool {
+		_, err := ask(t.Context(), conn, search)
+		return err == nil
+	})
+}
--- a/orchidgrpc/load.go
+++ b/orchidgrpc/load.go
@@ -16,7 +16,8 @@
 )
 
 // LoadOptions reads Options from a file of the daemon's form: "settings", "seed", "known" and "discovery" mean the
-// same, "listen" and "limits" are not needed, and "grpc" holds "service", "methods" and "answers". Its error names the
+// same, "listen" and "limits" are not needed, and "grpc" holds "service", "methods",
+// "answers" and "tls". Its error names the
 // file and the first mistake; "orchiddrift check FILE" lists all.
 func LoadOptions(path string) (Options, error) {
 	text, err := os.ReadFile(path)
@@ -52,6 +53,12 @@
 	}
 	o := Options{Service: c.GRPC.Service, Settings: c.Settings.Settings, Seed: c.Seed, Discovery: c.Discovery,
 		Methods: c.GRPC.Methods}
+	if t := c.GRPC.TLS; t != nil {
+		o.TLS = &TLS{CA: t.CA, Name: t.Name, Certificate: t.Certificate, Key: t.Key}
+		if t.CA == "" || (t.Certificate == "") != (t.Key == "") {
+			bad = append(bad, config.Problem{Key: "grpc.tls", Reason: "ca is needed, and certificate and key belong together"})
+		}
+	}
 	for _, word := range c.GRPC.Answers {
 		var code codes.Code
 		quoted, err := json.Marshal(word)
@@ -87,7 +94,7 @@
 				since = time.UnixMilli(int64(e.SinceMs))
 			}
 			o.Endpoints = append(o.Endpoints, Endpoint{Name: e.Name, Address: e.Address, Zone: e.Zone, Type: e.Type,
-				Group: e.Group, Since: since})
+				Group: e.Group, Since: since, Identity: e.Identity})
 		}
 		slices.SortStableFunc(o.Endpoints, func(a, b Endpoint) int { return cmp.Compare(a.Name, b.Name) })
 	}
--- a/orchidgrpc/picker.go
+++ b/orchidgrpc/picker.go
@@ -43,9 +43,10 @@
 }
 
 type sub struct {
-	sc    balancer.SubConn
-	place directory.Place
-	state connectivity.State
+	sc      balancer.SubConn
+	place   directory.Place
+	address resolver.Address
+	state   connectivity.State
 }
 
 func (p *policy) UpdateClientConnState(s balancer.ClientConnState) error {
@@ -82,7 +83,12 @@
 	if old != nil && old.place == place {
 		return
 	}
-	s := &sub{place: place, state: connectivity.Idle}
+	p.replace(name, place, address, old)
+}
+
+// replace makes a new sub-connection in the old one's place, if that is still there. Streams of the old one finish.
+func (p *policy) replace(name string, place directory.Place, address resolver.Address, old *sub) {
+	s := &sub{place: place, address: address, state: connectivity.Idle}
 	sc, err := p.cc.NewSubConn([]resolver.Address{address}, balancer.NewSubConnOptions{
 		StateListener: func(st balancer.SubConnState) {
 			p.mu.Lock()
@@ -95,8 +101,15 @@
 	}
 	s.sc = sc
 	p.mu.Lock()
-	p.subs[name] = s
+	gone := p.subs[name] != old
+	if !gone {
+		p.subs[name] = s
+	}
 	p.mu.Unlock()
+	if gone { // a drain went before
+		sc.Shutdown()
+		return
+	}
 	if old != nil {
 		old.sc.Shutdown()
 	}
--- a/orchidgrpc/plugin.go
+++ b/orchidgrpc/plugin.go
@@ -19,6 +19,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -55,6 +56,8 @@
 	Answers []codes.Code
 	Files   *protoregistry.Files // where idempotency levels are looked up; absent: protoregistry.GlobalFiles
 	Log     func(string)         // a line for the operators; absent: dropped
+	// TLS encrypts connections; absent: credentials are the caller's to add. With it, DialOptions bring them.
+	TLS *TLS
 }
 
 // Endpoint is an upstream.
@@ -65,6 +68,8 @@
 	Type    string // the kind of machine
 	Group   int
 	Since   time.Time // when it last started; zero: long ago
+	// Identity is the name that its certificate has to bear, a DNS name or a URI; absent: TLS.Name.
+	Identity string
 }
 
 // The metadata keys that travel with each attempt. What the caller sets is kept.
@@ -90,6 +95,7 @@
 	answers        map[codes.Code]bool
 	connectTimeout time.Duration
 	tick           time.Duration
+	guard          *guard // nil: connections are not encrypted by the plug-in
 	stop           context.CancelFunc
 	watching       sync.WaitGroup
 
@@ -139,6 +145,11 @@
 	feed := discovery.NewFeed(p.directory, p.update)
 	members := feed.Take(known)
 	log := logs.To(o.Log)
+	if o.TLS != nil {
+		if p.guard, err = newGuard(*o.TLS, log); err != nil {
+			return nil, fmt.Errorf("orchidgrpc: %w", err)
+		}
+	}
 	var watcher *discovery.Watcher
 	subscribe := func() {}
 	if o.Discovery != "" {
@@ -153,6 +164,9 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	p.stop = stop
+	if p.guard != nil {
+		p.watching.Go(func() { p.guard.follow(ctx, p.withdrawn) })
+	}
 	if watcher != nil {
 		p.watching.Go(func() { watcher.Run(ctx, feed) })
 	}
@@ -165,7 +179,7 @@
 // DialOptions make a ClientConn leave its decisions to the plug-in. Credentials and the like are the caller's to add;
 // further interceptors that stand before these options see calls, those after them see attempts.
 func (p *Plugin) DialOptions() []grpc.DialOption {
-	return []grpc.DialOption{
+	options := []grpc.DialOption{
 		grpc.WithResolvers(resolverBuilder{p}),
 		grpc.WithDefaultServiceConfig(`{"loadBalancingConfig":[{"` + policyName + `":{}}]}`),
 		grpc.WithDisableServiceConfig(),
@@ -175,6 +189,10 @@
 		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: p.connectTimeout, Backoff: backoff.Config{
 			BaseDelay: reconnectBase, Multiplier: reconnectMultiple, Jitter: 0.2, MaxDelay: reconnectMost}}),
 	}
+	if p.guard != nil {
+		options = append(options, grpc.WithTransportCredentials(p.guard))
+	}
+	return options
 }
 
 // SetEndpoints replaces the list, where it comes from elsewhere than Discovery. When it returns, nothing new is sent to an
@@ -222,7 +240,7 @@
 			since = float64(e.Since.UnixMilli())
 		}
 		l.Endpoints = append(l.Endpoints, directory.Endpoint{Name: e.Name, Address: e.Address, Zone: e.Zone, Type: e.Type,
-			Group: e.Group, Status: directory.StatusReady, SinceMs: since})
+			Group: e.Group, Status: directory.StatusReady, SinceMs: since, Identity: e.Identity})
 	}
 	return l, nil
 }
@@ -247,17 +265,18 @@
 // dropped shuts the sub-connections to an upstream at once, without the way through the resolvers.
 func (p *Plugin) dropped(name string) {
 	place, ready := p.directory.Place(name)
-	p.mu.Lock()
-	policies := make([]*policy, 0, len(p.policies))
-	for q := range p.policies {
-		policies = append(policies, q)
-	}
-	p.mu.Unlock()
-	for _, q := range policies {
+	for _, q := range p.allPolicies() {
 		q.drop(name, place, ready)
 	}
 }
 
+// allPolicies lists the policies that there are now.
+func (p *Plugin) allPolicies() []*policy {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Collect(maps.Keys(p.policies))
+}
+
 func (p *Plugin) addPolicy(q *policy)    { p.change(func() { p.policies[q] = true }) }
 func (p *Plugin) removePolicy(q *policy) { p.change(func() { delete(p.policies, q) }) }
 
