--- a/internal/tomlfile/decode.go
+++ b/internal/tomlfile/decode.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 )
 
 // field is one declared key.
@@ -21,13 +22,25 @@
 
 // fields lists a declaration's keys, in its order. Those of an embedded struct count as its own.
 func fields(t reflect.Type) []field {
+	if out, ok := declarations.Load(t); ok {
+		return out.([]field)
+	}
+	out := readFields(t)
+	declarations.Store(t, out)
+	return out
+}
+
+// declarations keeps what fields has read, one entry a type.
+var declarations sync.Map
+
+func readFields(t reflect.Type) []field {
 	var out []field
 	for i := range t.NumField() {
 		tag := t.Field(i).Tag
 		name := tag.Get("toml")
 		if t.Field(i).Anonymous && name == "" {
 			for _, f := range fields(t.Field(i).Type) {
-				f.index = append([]int{i}, f.index...)
+				f.index = append([]int{i}, f.index...) // a slice of its own: the other is kept
 				out = append(out, f)
 			}
 			continue
--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -54,7 +54,7 @@
 // Document is a decoded text, and where its keys stand.
 type Document struct {
 	text     []byte
-	at       map[string]unstable.Position
+	at       map[string]int // by path: where in the text
 	mistakes []Mistake
 	seen     map[Mistake]bool
 	broken   bool
@@ -69,7 +69,7 @@
 // Decode fills a pointer to a declaration, with defaults where the text has no key. The Document tells what is wrong
 // with the text; what could be read has been filled in all the same.
 func Decode(text []byte, into any) *Document {
-	d := &Document{text: text, at: map[string]unstable.Position{}, seen: map[Mistake]bool{}}
+	d := &Document{text: text, at: map[string]int{}, seen: map[Mistake]bool{}}
 	v := reflect.ValueOf(into).Elem()
 	setDefaults(v)
 	if len(text) > MaxBytes {
@@ -98,9 +98,7 @@
 // Report notes a mistake at a key's whole path; where that stands nowhere, at the nearest table round it.
 func (d *Document) Report(path, format string, args ...any) {
 	m := Mistake{Key: cmp.Or(path, "file"), Reason: oneLine(fmt.Sprintf(format, args...))}
-	if at, ok := d.position(path); ok {
-		m.Line, m.Column = at.Line, at.Column
-	}
+	m.Line, m.Column = d.position(path)
 	if !d.seen[m] {
 		d.seen[m] = true
 		d.mistakes = append(d.mistakes, m)
@@ -109,18 +107,21 @@
 
 // Line is where a key stands, or the nearest table round it; 0: nowhere.
 func (d *Document) Line(path string) int {
-	at, _ := d.position(path)
-	return at.Line
+	line, _ := d.position(path)
+	return line
 }
 
-func (d *Document) position(path string) (unstable.Position, bool) {
+// position is where a key stands, or the nearest table round it; 0, 0: nowhere. It counts through the text: only what is
+// reported is worth that.
+func (d *Document) position(path string) (line, column int) {
 	for {
 		if at, ok := d.at[path]; ok {
-			return at, true
+			before := d.text[:at]
+			return 1 + bytes.Count(before, []byte("\n")), at - bytes.LastIndexByte(before, '\n')
 		}
 		i := strings.LastIndexAny(path, ".[")
 		if i < 0 {
-			return unstable.Position{}, false
+			return 0, 0
 		}
 		path = path[:i]
 	}
@@ -152,15 +153,15 @@
 		e := p.Expression()
 		switch e.Kind {
 		case unstable.Table:
-			table = d.keys(&p, "", e.Key(), arrays)
+			table = d.keys("", e.Key(), arrays)
 		case unstable.ArrayTable:
-			path := d.keys(&p, "", e.Key(), nil)
+			path := d.keys("", e.Key(), nil)
 			path = last(path, arrays, true)
 			arrays[path]++
 			table = fmt.Sprintf("%s[%d]", path, arrays[path]-1)
 			d.at[table] = d.at[path]
 		case unstable.KeyValue:
-			d.keyValue(&p, table, e)
+			d.keyValue(table, e)
 		}
 	}
 }
@@ -186,38 +187,38 @@
 }
 
 // keys notes a dotted key and returns its path.
-func (d *Document) keys(p *unstable.Parser, path string, it unstable.Iterator, arrays map[string]int) string {
+func (d *Document) keys(path string, it unstable.Iterator, arrays map[string]int) string {
 	for it.Next() {
 		path = join(path, string(it.Node().Data))
 		if arrays != nil {
 			path = last(path, arrays, false)
 		}
 		if _, ok := d.at[path]; !ok || it.IsLast() {
-			d.at[path] = p.Shape(it.Node().Raw).Start
+			d.at[path] = int(it.Node().Raw.Offset)
 		}
 	}
 	return path
 }
 
-func (d *Document) keyValue(p *unstable.Parser, table string, e *unstable.Node) {
-	path := d.keys(p, table, e.Key(), nil)
-	d.value(p, path, e.Value())
+func (d *Document) keyValue(table string, e *unstable.Node) {
+	path := d.keys(table, e.Key(), nil)
+	d.value(path, e.Value())
 }
 
-func (d *Document) value(p *unstable.Parser, path string, v *unstable.Node) {
+func (d *Document) value(path string, v *unstable.Node) {
 	switch v.Kind {
 	case unstable.InlineTable:
 		for it := v.Children(); it.Next(); {
-			d.keyValue(p, path, it.Node())
+			d.keyValue(path, it.Node())
 		}
 	case unstable.Array:
 		i := 0
 		for it := v.Children(); it.Next(); i++ {
 			of := fmt.Sprintf("%s[%d]", path, i)
 			if it.Node().Raw.Length > 0 {
-				d.at[of] = p.Shape(it.Node().Raw).Start
+				d.at[of] = int(it.Node().Raw.Offset)
 			}
-			d.value(p, of, it.Node())
+			d.value(of, it.Node())
 		}
 	}
 }
