Encrypted connections outlive an attempt that is called off, by 20 ms at most

Change: where no byte of the answer has come, it is waited for beside the attempt, which ends at once; plain connections are closed as before.

--- a/internal/daemon/tls_test.go
+++ b/internal/daemon/tls_test.go
@@ -1,9 +1,11 @@
 package daemon
 
 import (
+	"context"
 	"crypto/tls"
 	"crypto/x509"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"path/filepath"
@@ -12,9 +14,11 @@
 	"testing"
 	"time"
 
+	"orchiddrift/balancer"
 	"orchiddrift/internal/standin"
 	"orchiddrift/internal/testkit"
 	"orchiddrift/internal/testkit/base"
+	"orchiddrift/internal/upstream"
 )
 
 // encrypted is a daemon with TLS on both sides, one upstream, and the files that a test replaces.
@@ -24,6 +28,8 @@
 	dir      string
 	upstream atomic.Pointer[tls.Config]
 	seen     atomic.Int64 // handshakes that the upstream has begun
+	slow     atomic.Int64 // how long it takes to answer, in nanoseconds
+	asked    atomic.Int64 // requests that have reached it
 }
 
 func (e *encrypted) write(t testing.TB, name string, text []byte) {
@@ -49,7 +55,11 @@
 	address := base.HTTP(t, &tls.Config{GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
 		e.seen.Add(1)
 		return e.upstream.Load(), nil
-	}}, says("encrypted"))
+	}}, func(w http.ResponseWriter, _ *http.Request) {
+		e.asked.Add(1)
+		time.Sleep(time.Duration(e.slow.Load()))
+		_, _ = io.WriteString(w, "encrypted")
+	})
 	e.fileRig = startFile(t, fmt.Sprintf(`
 [log]
 level = "error"
@@ -181,6 +191,41 @@
 	testkit.Eventually(t, "served under the new authority", func() bool { return ask() == "200 encrypted" })
 }
 
+// Guards against a handshake for each attempt that is called off: an encrypted connection whose answer comes in a moment
+// carries the next request, one whose answer does not is closed. The attempt has its end at once either way.
+func TestCalledOffAttemptKeepsItsConnection(t *testing.T) {
+	e := startEncrypted(t, "")
+	s := e.d.routing.Load().services["a"]
+	name := ""
+	for name = range s.dir.Places() {
+	}
+	for _, c := range []struct {
+		slow time.Duration
+		kept int64
+	}{{4 * time.Millisecond, 1}, {500 * time.Millisecond, 0}} {
+		e.slow.Store(int64(c.slow))
+		ctx, cancel := context.WithCancel(t.Context())
+		before, done := e.asked.Load(), make(chan upstream.Reply, 1)
+		go func() {
+			done <- s.pool.Attempt(ctx, name, upstream.NewRequest("GET", "/", "a", http.Header{}, nil), time.Time{})
+		}()
+		testkit.Eventually(t, "it is out", func() bool { return e.asked.Load() > before })
+		cancel()
+		begun := time.Now()
+		if rep := <-done; rep.Result != balancer.Cancelled && rep.Result != balancer.OK || time.Since(begun) > c.slow/2+200*time.Millisecond {
+			t.Errorf("%v: result %d after %v", c.slow, rep.Result, time.Since(begun))
+		}
+		testkit.Eventually(t, "it is kept, or closed", func() bool { return e.d.shared.slots.Used(s.name) == c.kept })
+		if c.kept == 1 {
+			testkit.Eventually(t, "it carries the next", func() bool {
+				rep := s.pool.Attempt(t.Context(), name, upstream.NewRequest("GET", "/", "a", http.Header{}, nil), time.Time{})
+				s.pool.Free(rep)
+				return rep.Result == balancer.OK && string(rep.Body) == "encrypted"
+			})
+		}
+	}
+}
+
 // Guards against clients' handshakes that stall, with no request's time running: the connection ends by the head's time-out.
 func TestClientHandshakeThatStalls(t *testing.T) {
 	e := startEncrypted(t, "")
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -7,6 +7,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"sync"
@@ -102,10 +103,12 @@
 		case err != nil:
 			return Reply{Result: balancer.ConnectFailed}
 		}
-		rep, reusable := u.exchange(ctx, c, r, deadline)
-		if reusable {
+		rep, reusable, lingers := u.exchange(ctx, c, r, deadline)
+		switch {
+		case lingers: // it is put back, or closed, by itself
+		case reusable:
 			u.put(c)
-		} else {
+		default:
 			u.discard(c)
 		}
 		if reused && rep.Result == balancer.ConnectFailed {
@@ -117,8 +120,8 @@
 
 // exchange writes the request and reads its answer, with nothing else of the connection's running beside it: what
 // was written and what came is known here to the byte. A connection is reusable only if nothing is left of it.
-func (u *Pool) exchange(ctx context.Context, c *poolConn, r *Request, deadline time.Time) (rep Reply, reusable bool) {
-	running := context.AfterFunc(ctx, c.end)
+func (u *Pool) exchange(ctx context.Context, c *poolConn, r *Request, deadline time.Time) (rep Reply, reusable, lingers bool) {
+	running := context.AfterFunc(ctx, func() { c.giveUp(context.Cause(ctx)) })
 	defer func() { reusable = running() && reusable }()
 	ended := func(otherwise balancer.Result) Reply {
 		switch {
@@ -135,23 +138,27 @@
 	// Guards against sends to an upstream that discovery reported draining between the decision and the write,
 	// while a connection was made, say.
 	if !u.dir.Ready(c.name, c.at) {
-		return Reply{Result: balancer.Moot}, false
+		return Reply{Result: balancer.Moot}, false, false
 	}
 	if r.Gate != nil && !r.Gate.Enter() {
-		return Reply{Result: balancer.Moot}, true
+		return Reply{Result: balancer.Moot}, true, false
 	}
 	_, err := c.Write(*buffer)
 	if r.Gate != nil {
 		r.Gate.Leave()
 	}
 	if err != nil { // then its last byte was not written, nor its last record whole
-		return ended(balancer.ConnectFailed), false
+		return ended(balancer.ConnectFailed), false, false
 	}
 	in := newAnswerReader(c)
 	defer in.release()
 	resp, err := in.head(r)
 	if err != nil {
-		return ended(in.failure()), false
+		if c.secure != nil && in.limited.left == httphead.MaxBytes && errors.Is(err, os.ErrDeadlineExceeded) {
+			go u.linger(c, r)
+			return ended(balancer.Cancelled), false, true
+		}
+		return ended(in.failure()), false, false
 	}
 	served := u.answers.Has(resp.StatusCode)
 	// The body is not closed: that would first read the rest of it.
@@ -164,7 +171,7 @@
 		whole = resp.StatusCode >= 200
 	case whole:
 		if held = u.hold(resp); held < 0 { // of ours, and says nothing of the upstream; it has run
-			return Reply{Result: balancer.Cancelled}, false
+			return Reply{Result: balancer.Cancelled}, false, false
 		}
 		defer func() {
 			if rep.Held == 0 {
@@ -173,7 +180,7 @@
 		}()
 		body, err = in.body(resp, u.maxAnswer)
 		if err != nil && served {
-			return ended(in.failure()), false
+			return ended(in.failure()), false, false
 		}
 		whole = err == nil
 	}
@@ -181,15 +188,53 @@
 	switch status := resp.StatusCode; {
 	case (status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout) &&
 		resp.Header.Get(httphead.NotProcessed) == "1":
-		return Reply{Result: balancer.Overloaded}, reusable
+		return Reply{Result: balancer.Overloaded}, reusable, false
 	case served && !whole: // of no end, or of too much: what came is not served in parts
-		return Reply{Result: balancer.Garbled}, false
+		return Reply{Result: balancer.Garbled}, false, false
 	case served:
 		header := httphead.EndToEnd(resp.Header)
 		delete(header, httphead.Load)
-		return Reply{balancer.OK, status, header, body, held}, reusable
+		return Reply{balancer.OK, status, header, body, held}, reusable, false
+	}
+	return Reply{Result: balancer.ServerError}, reusable, false
+}
+
+// lingerFor is how long an encrypted connection is kept for the answer of an attempt that was called off, and lingerMost
+// what that may have: a handshake costs both sides more than a short answer that nobody waits for. Without encryption the
+// connection is closed at once.
+const (
+	lingerFor  = 20 * time.Millisecond
+	lingerMost = 64 << 10
+)
+
+// giveUp ends what is read from the connection: it is closed, or where it is encrypted and the attempt was called off
+// before any byte of its answer had come, left for linger.
+func (c *poolConn) giveUp(cause error) {
+	if c.secure == nil || errors.Is(cause, context.DeadlineExceeded) || c.secure.SetReadDeadline(time.Unix(1, 0)) != nil {
+		c.end()
+	}
+}
+
+// linger waits a moment for an answer that nobody wants any more, so that its connection can carry another request.
+func (u *Pool) linger(c *poolConn, r *Request) {
+	whole := false
+	if c.SetReadDeadline(time.Now().Add(lingerFor)) == nil {
+		in := newAnswerReader(c)
+		defer in.release()
+		if resp, err := in.head(r); err == nil && resp.StatusCode >= 200 && !resp.Close {
+			none := r.isHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
+			delimited := resp.ContentLength >= 0 && resp.ContentLength <= lingerMost || len(resp.TransferEncoding) > 0
+			if !none && delimited {
+				_, err = in.body(resp, lingerMost)
+			}
+			whole = err == nil && (none || delimited) && in.Buffered() == 0
+		}
+	}
+	if whole && c.SetReadDeadline(time.Time{}) == nil {
+		u.put(c)
+		return
 	}
-	return Reply{Result: balancer.ServerError}, reusable
+	u.discard(c)
 }
 
 // hold takes the bytes of an answer's body out of what is shared: its length, or where none is told the most that it
