--- a/internal/daemon/scale_test.go
+++ b/internal/daemon/scale_test.go
@@ -97,7 +97,7 @@
 	}
 }
 
-// BenchmarkBesideHung is a service's p99 with and without another one whose nodes hang under a hundred clients, in turn.
+// BenchmarkBesideHung is a service's p99 with and without another one whose nodes hang under 40 clients, in turn.
 //
 //	go test -run '^$' -bench BesideHung -benchtime 5x ./internal/daemon
 func BenchmarkBesideHung(b *testing.B) {
