A service that a reload replaces or ends keeps its shares until it has finished

Cause: shares were set before the routes were others, and taken away while answers were still to come: under load a reload of a service's settings gave 500, 502 and 503. Found by a new test that failed so. Change: one name in the shares for a service and its successor; who leaves keeps its share until it has finished; a request that a reload overtook is decided anew. daemon.grace is named as counting from the next start. Result: 150 such reloads under load, every request served, also under -race; the keys from the next start and tls by reload have a test.

--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -33,7 +33,7 @@
 	Name   string         `toml:"name" reload:"start" doc:"The process's name, for logs."`
 	Listen string         `toml:"listen" default:"127.0.0.1:8080" reload:"start" doc:"Where clients connect: IP address and port."`
 	Seed   string         `toml:"seed" reload:"start" sample:"\"8c1f30d27a5be964\"" doc:"Where random numbers begin, 64 bits in hexadecimal: the same seed draws the same. Absent: a new one is drawn at each start and logged."`
-	Grace  units.Duration `toml:"grace" default:"0s" doc:"How long what is in hand may take after SIGTERM; 0s: as long as the longest deadline."`
+	Grace  units.Duration `toml:"grace" default:"0s" reload:"start" doc:"How long what is in hand may take after SIGTERM; 0s: as long as the longest deadline."`
 }
 
 // FileLimits is what the process may use.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -85,8 +85,9 @@
 	keys      atomic.Pointer[keys.Store] // of the clients' listener; nil: not encrypted
 	tls       atomic.Pointer[tls.Config]
 	stopKeys  context.CancelFunc
-	started   int            // services so far, for their names in the semaphores
 	retiring  sync.WaitGroup // services that only finish what they hold
+	applying  sync.Mutex     // of plan, leaving and the shares
+	leaving   map[*service]bool
 	besides   sync.WaitGroup
 	rest      context.Context // of what runs besides; ends with the daemon
 	listening net.Listener
@@ -167,17 +168,27 @@
 	return err
 }
 
-// setShares sets the services' shares of all that is shared, by their names in it.
-func (d *daemon) setShares(p *config.Plan, names map[string]string) error {
-	shares := make([]bulkhead.Share, len(p.Services))
-	for i, s := range p.Services {
-		shares[i] = bulkhead.Share{Name: names[s.Name], Weight: s.Share}
+// setShares sets the services' shares of all that is shared. A service that takes another's place holds with it, under
+// one name.
+func (d *daemon) setShares(guaranteed float64, services []config.ServicePlan) error {
+	shares, named := []bulkhead.Share{}, map[string]bool{}
+	add := func(s config.ServicePlan) {
+		if !named[s.Name] {
+			named[s.Name] = true
+			shares = append(shares, bulkhead.Share{Name: s.Name, Weight: s.Share})
+		}
+	}
+	for _, s := range services {
+		add(s)
+	}
+	for s := range d.leaving { // it still needs connections and room for answers
+		add(s.plan)
 	}
 	for _, of := range []*bulkhead.Semaphore{d.shared.slots, d.shared.inHand, d.shared.bytes} {
 		if of == nil {
 			continue
 		}
-		if err := of.Set(p.Guaranteed, shares); err != nil {
+		if err := of.Set(guaranteed, shares); err != nil {
 			return fmt.Errorf("shares: %w", err)
 		}
 	}
--- a/internal/daemon/file_test.go
+++ b/internal/daemon/file_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -14,6 +15,7 @@
 	"time"
 
 	"orchiddrift/internal/config"
+	"orchiddrift/internal/logs"
 	"orchiddrift/internal/testkit"
 	"orchiddrift/internal/testkit/base"
 )
@@ -218,6 +220,75 @@
 	}
 }
 
+// Guards against reloads that replace or end a service at the cost of what it serves: its settings change, and a service
+// beside it comes and goes, under load.
+func TestServicesReplacedUnderLoad(t *testing.T) {
+	addresses := map[string]string{"a": base.HTTP(t, nil, says("a")), "b": base.HTTP(t, nil, says("a"))}
+	at := func(n int) string {
+		attempts := strings.Replace(services(map[string]string{"a": addresses["a"]}, "/ -> a"), "addresses", fmt.Sprintf("attempts = %d\naddresses", 2+n%2), 1)
+		if n%3 == 0 {
+			return attempts
+		}
+		return attempts + strings.TrimPrefix(services(map[string]string{"b": addresses["b"]}, "/b/ -> b"), "[log]\nlevel = \"error\"\n")
+	}
+	r := startFile(t, at(0))
+	ctx, stop := context.WithCancel(t.Context())
+	var clients sync.WaitGroup
+	var asked atomic.Int64
+	for i := range 8 {
+		clients.Go(func() {
+			for ctx.Err() == nil {
+				asked.Add(1)
+				if status, body := r.get([]string{"GET", "POST"}[i%2], []string{"/x", "/b/x"}[i/2%2], ""); status != 200 || body != "a" {
+					t.Errorf("%d %q", status, body)
+				}
+			}
+		})
+	}
+	for n := range 150 {
+		if err := r.reload(t, at(n+1)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	stop()
+	clients.Wait()
+	if asked.Load() < 200 {
+		t.Errorf("only %d requests beside the reloads", asked.Load())
+	}
+	testkit.Eventually(t, "nothing is left in hand", func() bool { return r.d.shared.inHand.Used("a") == 0 })
+}
+
+// Guards against a key that a reload passes over in silence: what counts from the next start is named and stays, and tls
+// is not switched.
+func TestReloadNamesWhatCountsFromTheNextStart(t *testing.T) {
+	text := services(map[string]string{"a": base.HTTP(t, nil, says("a"))})
+	said := ""
+	d := &daemon{plan: plan(t, text), rest: t.Context(), log: logs.To(func(line string) { said += line + "\n" })}
+	if err := errors.Join(d.share(64), d.apply(d.plan)); err != nil {
+		t.Fatal(err)
+	}
+	defer d.end()
+	limits, path := d.plan.Limits, base.File(t, "o.toml", nil)
+	reload := func(text string) error {
+		base.Replace(t, path, []byte(text))
+		return d.reload(config.Sources{Config: path})
+	}
+	if err := reload("[daemon]\nlisten = \"127.0.0.1:1\"\ngrace = \"9s\"\n[limits]\ndescriptors = 2048\nbody_timeout = \"7s\"\n" + text); err != nil {
+		t.Fatal(err)
+	}
+	for _, key := range []string{"daemon.listen", "daemon.grace", "limits.descriptors"} {
+		if !strings.Contains(said, "key="+key+"\n") {
+			t.Errorf("%s is not named in\n%s", key, said)
+		}
+	}
+	if strings.Contains(said, "body_timeout") || d.plan.Limits != limits || d.routing.Load().body != 7*time.Second {
+		t.Errorf("limits %+v, body time-out %v, said\n%s", d.plan.Limits, d.routing.Load().body, said)
+	}
+	if err := reload("[tls]\ncertificate = \"/c\"\nkey = \"/k\"\n" + text); err == nil || !strings.Contains(err.Error(), "needs a new start") {
+		t.Errorf("tls is switched on: %v", err)
+	}
+}
+
 // Guards against a request that goes on by a route that is gone: its attempt that is out may answer, and a further one
 // is not sent.
 func TestRouteRemovedWithRequestsInHand(t *testing.T) {
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"reflect"
+	"slices"
 	"time"
 
 	"orchiddrift/internal/config"
@@ -69,9 +70,11 @@
 
 // apply makes a plan the one that runs, all of it or nothing.
 func (d *daemon) apply(p *config.Plan) (err error) {
+	d.applying.Lock()
+	defer d.applying.Unlock()
 	now := d.routing.Load()
 	services := make(map[string]*service, len(p.Services)) // by the plan's names
-	names := make(map[string]string, len(p.Services))      // in the semaphores
+	both := slices.Clone(p.Services)                       // and those that end: they go on until the routes are others
 	var fresh []config.ServicePlan
 	var moves []func()
 	for _, plan := range p.Services {
@@ -79,7 +82,7 @@
 			if s := now.services[plan.Name]; s != nil && s.plan.Same(&plan) {
 				move, err := s.move(plan)
 				if err == nil {
-					services[plan.Name], names[plan.Name] = s, s.name
+					services[plan.Name] = s
 					if move != nil {
 						moves = append(moves, move)
 					}
@@ -90,8 +93,6 @@
 				}
 			}
 		}
-		d.started++
-		names[plan.Name] = fmt.Sprintf("%s#%d", plan.Name, d.started)
 		fresh = append(fresh, plan)
 	}
 	var started []*service
@@ -102,19 +103,25 @@
 		for _, s := range started {
 			s.close()
 		}
-		if now != nil { // the shares are as they were
-			names := map[string]string{}
-			for name, s := range now.services {
-				names[name] = s.name
+		if now != nil { // all is as it was
+			_ = d.setShares(d.plan.Guaranteed, d.plan.Services) // they have been set before
+			for _, s := range now.services {
+				s.pool.Claim()
 			}
-			_ = d.setShares(d.plan, names) // they have been set before
 		}
 	}()
-	if err := d.setShares(p, names); err != nil {
+	if now != nil {
+		for _, old := range d.plan.Services {
+			if !slices.ContainsFunc(p.Services, func(s config.ServicePlan) bool { return s.Name == old.Name }) {
+				both = append(both, old)
+			}
+		}
+	}
+	if err := d.setShares(p.Guaranteed, both); err != nil {
 		return err
 	}
 	for _, plan := range fresh {
-		s, err := startService(plan, names[plan.Name], d.shared, nil)
+		s, err := startService(plan, d.shared, nil)
 		if err != nil {
 			return err
 		}
@@ -137,7 +144,7 @@
 	if now != nil {
 		for name, s := range now.services {
 			if services[name] != s {
-				d.retiring.Go(func() { s.retire(longestDeadline(d.plan) + time.Second) })
+				d.finish(s)
 			}
 		}
 	}
@@ -145,6 +152,25 @@
 	return nil
 }
 
+// finish lets a service that has been taken away finish what it holds, with its share until then.
+func (d *daemon) finish(s *service) {
+	if d.leaving == nil {
+		d.leaving = map[*service]bool{}
+	}
+	d.leaving[s] = true
+	patience := longestDeadline(d.plan) + time.Second
+	d.retiring.Go(func() {
+		s.retire(patience)
+		d.applying.Lock()
+		defer d.applying.Unlock()
+		delete(d.leaving, s)
+		if d.routing.Load().services[s.name] == nil {
+			d.shared.slots.OnWanted(s.name, nil)
+		}
+		_ = d.setShares(d.plan.Guaranteed, d.plan.Services) // fewer than there were
+	})
+}
+
 func longestDeadline(p *config.Plan) (longest time.Duration) {
 	for _, s := range p.Services {
 		for _, class := range s.Settings.Classes {
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -80,12 +80,18 @@
 	sh := s.d.shared
 	if sh.inHand != nil {
 		if !sh.inHand.TryAcquire(svc.name, 1) {
+			if s.d.routing.Load() != routing { // a reload has just ended the service
+				return true
+			}
 			s.crowded(w, svc, "requests")
 			return false
 		}
 		defer sh.inHand.Release(svc.name, 1)
 		if n := r.ContentLength; n > 0 {
 			if !sh.bytes.TryAcquire(svc.name, n) {
+				if s.d.routing.Load() != routing {
+					return true
+				}
 				s.crowded(w, svc, "bytes")
 				return false
 			}
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -40,7 +40,7 @@
 type service struct {
 	plan   config.ServicePlan
 	shared *shared
-	name   string // of it in the semaphores: one name for each that runs, since an older one may still hold some
+	name   string // of it in the semaphores, and of the one that it replaced
 	engine *engine.Engine
 	pool   *upstream.Pool
 	dir    *directory.Directory
@@ -60,15 +60,15 @@
 	idle    chan struct{} // gets something when held may have fallen to 0 after retired
 }
 
-// startService starts one under a name that its shares have been set for. known is a list held by an earlier one.
-func startService(plan config.ServicePlan, name string, sh *shared, known *directory.Listing) (*service, error) {
-	s := &service{plan: plan, shared: sh, name: name, idle: make(chan struct{}, 1)}
+// startService starts one whose shares have been set. known is a list held by an earlier one.
+func startService(plan config.ServicePlan, sh *shared, known *directory.Listing) (*service, error) {
+	s := &service{plan: plan, shared: sh, name: plan.Name, idle: make(chan struct{}, 1)}
 	log := sh.log
 	if plan.Name != config.Platform {
 		log = log.With("service", plan.Name)
 	}
 	o := upstream.Options{ConnectTimeout: plan.Settings.ConnectTimeout, Idle: plan.Settings.ConnIdle, Slots: sh.slots,
-		Service: name, Bytes: sh.bytes, MaxAnswer: sh.maxAnswer, Answers: plan.Answers}
+		Service: plan.Name, Bytes: sh.bytes, MaxAnswer: sh.maxAnswer, Answers: plan.Answers}
 	if plan.TLS.On() {
 		var err error
 		s.keys, err = keys.Open(keys.Files{Certificate: plan.TLS.Certificate, Key: plan.TLS.Key, CA: plan.TLS.CA},
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -85,14 +85,16 @@
 			panic(err)
 		}
 	}
-	u.slots.OnWanted(u.service, u.evict)
+	u.Claim()
 	return u
 }
 
+// Claim makes this pool the one that is asked for idle connections of its service, in place of another of that name.
+func (u *Pool) Claim() { u.slots.OnWanted(u.service, u.evict) }
+
 // Close closes all idle connections; those in use end with what they carry. Nothing is sent after it, since the
 // Directory is empty by then or its owner's Gates are shut.
 func (u *Pool) Close() {
-	u.slots.OnWanted(u.service, nil)
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.closed = true
