--- a/test.sh
+++ b/test.sh
@@ -17,6 +17,11 @@
 	echo "not gofmt clean:" "$unformatted" >&2
 	exit 1
 fi
+# What git leaves out is not there in a fresh clone, where everything seems to pass here.
+if left=$(git ls-files --others --ignored --exclude-standard -- '*.go' 2>/dev/null) && [ -n "$left" ]; then
+	echo "ignored by git:" "$left" >&2
+	exit 1
+fi
 go vet ./...
 build=$(sed -n 's/^build = "\(.*\)".*/\1/p' deploy/balancer.toml)
 test -n "$build"
