--- /dev/null
+++ b/internal/eureka/declaration.go
@@ -0,0 +1,127 @@
+package eureka
+
+import (
+	"fmt"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"orchiddrift/internal/directory"
+	"orchiddrift/internal/keys"
+	"orchiddrift/internal/units"
+)
+
+// Declaration is a Eureka registry in the operator's file.
+type Declaration struct {
+	Service      string         `toml:"service" sample:"\"seats\"" doc:"The service whose upstreams it lists, beside that one's own list; \"platform\" is the platform's."`
+	Name         string         `toml:"name" default:"eureka" doc:"What the log calls it. Two registries of a service differ in it."`
+	Servers      []string       `toml:"servers" sample:"[\"http://127.0.0.1:8761/eureka\"]" doc:"Its replicas' base addresses, tried in turn, up to and without /apps: .../eureka, or .../eureka/v2."`
+	Applications []string       `toml:"applications" sample:"[\"SEATS\"]" doc:"The applications whose instances are upstreams. Absent: all. One alone is asked for by name."`
+	VIP          string         `toml:"vip" doc:"In place of applications: a virtual address (vipAddress)."`
+	Delta        bool           `toml:"delta" doc:"Follows all that the registry has by changes, also where one application is wanted: pays where that is large and its replicas agree."`
+	Format       string         `toml:"format" default:"json" oneof:"json|xml" doc:"What is asked for; what comes is told by its media type."`
+	Poll         units.Duration `toml:"poll" default:"200ms" doc:"How often it is asked, from 100ms on: a drain is known after this and the registry's own cache time."`
+	Timeout      units.Duration `toml:"timeout" default:"1s" doc:"For a whole answer of one server."`
+	Backoff      units.Duration `toml:"backoff" default:"5s" doc:"The longest wait after failures; it doubles from poll on, and is spread."`
+	MaxAnswer    units.Size     `toml:"max_answer" default:"16MiB" doc:"The largest answer, unpacked."`
+	User         string         `toml:"user" doc:"For basic authentication."`
+	PasswordFile string         `toml:"password_file" sample:"\"/etc/orchiddrift/eureka-password\"" doc:"A file that holds the password, read at every connection made with a new one."`
+	Secure       bool           `toml:"secure" doc:"Requests go to the instances' secure ports."`
+	ZoneKey      string         `toml:"zone_key" default:"zone" doc:"The key of an instance's metadata that has its zone; else the data centre's availability-zone."`
+	TypeKey      string         `toml:"type_key" default:"type" doc:"That has its kind of machine."`
+	GroupKey     string         `toml:"group_key" default:"group" doc:"That has its group."`
+	IdentityKey  string         `toml:"identity_key" default:"identity" doc:"That has the name in its certificate."`
+	TLS          keys.Upstream  `toml:"tls" doc:"For servers of https."`
+	Register     Register       `toml:"register" doc:"Makes this process known in the registry."`
+}
+
+// Register is how this process is known in the registry.
+type Register struct {
+	Application string            `toml:"application" sample:"\"ORCHIDDRIFT\"" doc:"The application that it registers as. Absent: it does not."`
+	ID          string            `toml:"id" doc:"Its instance id. Absent: daemon.name and its address."`
+	Address     string            `toml:"address" sample:"\"10.3.0.7:8080\"" doc:"IP address and port that it is found at. Absent: daemon.listen."`
+	VIP         string            `toml:"vip" doc:"Its virtual address. Absent: the application in small letters."`
+	Renew       units.Duration    `toml:"renew" default:"30s" doc:"How often the lease is renewed; it runs out after three times as long."`
+	Metadata    map[string]string `toml:"metadata" doc:"What else is told of it."`
+}
+
+const minPoll = 100 * time.Millisecond
+
+// Check is tomlfile.Checker's.
+func (d *Declaration) Check(report func(key, format string, args ...any)) {
+	if d.Service == "" {
+		report("service", "missing")
+	}
+	if len(d.Servers) == 0 || len(d.Servers) > maxServers {
+		report("servers", "%d are given, from 1 to %d are needed", len(d.Servers), maxServers)
+	}
+	for _, s := range d.Servers {
+		u, err := url.Parse(s)
+		switch {
+		case err != nil || u.Scheme != "http" && u.Scheme != "https" || u.RawQuery != "" || u.Fragment != "":
+			report("servers", "%q is no address such as http://127.0.0.1:8761/eureka", redacted(s))
+		case u.Port() == "" || directory.CheckAddress(u.Host) != nil:
+			report("servers", "%s: IP address and port are needed, there are no name look-ups", u.Redacted())
+		case u.User != nil:
+			report("servers", "%s: a password stands in password_file, not here", u.Redacted())
+		case u.Scheme == "https" && d.TLS.CA == "":
+			report("servers", "%s needs tls.ca", u.Redacted())
+		}
+	}
+	if d.VIP != "" && (len(d.Applications) > 0 || d.Delta) {
+		report("vip", "stands in place of applications and delta, not beside them")
+	}
+	if d.Poll.D() < minPoll {
+		report("poll", "%v is under %v", d.Poll, minPoll)
+	}
+	if d.Timeout <= 0 {
+		report("timeout", "an answer needs some time")
+	}
+	if d.Backoff < d.Poll {
+		report("backoff", "%v is under poll", d.Backoff)
+	}
+	if d.MaxAnswer < 4*units.KiB || d.MaxAnswer > 256*units.MiB {
+		report("max_answer", "%v is not from 4KiB to 256MiB", d.MaxAnswer)
+	}
+	if (d.User == "") != (d.PasswordFile == "") {
+		report("user", "user and password_file come together")
+	}
+	if r := &d.Register; r.Application != "" {
+		if r.Address != "" {
+			if err := directory.CheckAddress(r.Address); err != nil {
+				report("register.address", "%v", err)
+			}
+		}
+		if r.Renew.D() < time.Second {
+			report("register.renew", "%v is under a second", r.Renew)
+		}
+	}
+}
+
+const maxServers = 16
+
+// password reads the file; what can't be read is no password, and the registry says so.
+func (d *Declaration) password() string {
+	text, err := os.ReadFile(d.PasswordFile)
+	if err != nil || len(text) > 4096 {
+		return ""
+	}
+	return strings.TrimRight(string(text), "\r\n")
+}
+
+// Path is what is asked for at each poll that wants everything.
+func (d *Declaration) path() string {
+	switch {
+	case d.VIP != "":
+		return "/vips/" + url.PathEscape(d.VIP)
+	case len(d.Applications) == 1 && !d.Delta:
+		return "/apps/" + url.PathEscape(strings.ToUpper(d.Applications[0]))
+	}
+	return "/apps"
+}
+
+// Describe says what it costs the registry.
+func (d *Declaration) Describe() string {
+	return fmt.Sprintf("eureka %s: %s, %.3g requests a second", d.Name, d.path(), 1/d.Poll.D().Seconds())
+}
