--- a/internal/eureka/client.go
+++ b/internal/eureka/client.go
@@ -1,6 +1,7 @@
 package eureka
 
 import (
+	"bytes"
 	"compress/gzip"
 	"context"
 	"errors"
@@ -11,6 +12,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // client asks a registry's servers, one after the other: the one that answered last is asked first.
@@ -23,6 +26,8 @@
 	user     string
 	password func() string
 	current  atomic.Int64
+	packed   bytes.Buffer
+	applied  sumOf // the document that was decoded last; zero: none counts
 
 	// What has been asked so far.
 	requests, bytes atomic.Int64 // bytes as they came, packed
@@ -56,10 +61,11 @@
 	for n := range c.servers {
 		at := (first + n) % len(c.servers)
 		reset()
-		if err = c.getFrom(ctx, c.servers[at], path, d); err == nil || isStatus(err, http.StatusNotFound) {
+		if err = c.getFrom(ctx, c.servers[at], path, d); err == nil || errors.Is(err, errUnchanged) || isStatus(err, http.StatusNotFound) {
 			c.current.Store(int64(at))
 			return err
 		}
+		c.applied = sumOf{}
 		all = append(all, fmt.Errorf("%s: %w", redacted(c.servers[at]), err))
 		if ctx.Err() != nil {
 			break
@@ -79,13 +85,44 @@
 	if resp.StatusCode != http.StatusOK {
 		return statusError{resp.StatusCode}
 	}
-	var body io.Reader = counting{resp.Body, &c.bytes}
+	// What comes is the same as before for most polls, since servers answer out of a cache: it is not decoded again.
+	c.packed.Reset()
+	n, err := io.Copy(&c.packed, &bounded{resp.Body, c.most})
+	c.bytes.Add(n)
+	if err != nil {
+		return err
+	}
+	sum := sumOf{path, xxhash.Sum64(c.packed.Bytes()), n}
+	if c.applied == sum {
+		return errUnchanged
+	}
+	var body io.Reader = &c.packed
 	if strings.EqualFold(resp.Header.Get("Content-Encoding"), "gzip") {
 		if body, err = gzip.NewReader(body); err != nil {
 			return fmt.Errorf("unpacking: %w", err)
 		}
 	}
-	return d.decode(resp.Header.Get("Content-Type"), &bounded{body, c.most})
+	if err := d.decode(resp.Header.Get("Content-Type"), &bounded{body, c.most}); err != nil {
+		return err
+	}
+	c.applied = sum
+	if c.packed.Cap() > keepPacked {
+		c.packed = bytes.Buffer{}
+	}
+	return nil
+}
+
+// errUnchanged says that the answer is the one that was applied last.
+var errUnchanged = errors.New("unchanged")
+
+// keepPacked is what is kept of a buffer between calls.
+const keepPacked = 1 << 20
+
+// sumOf tells answers apart.
+type sumOf struct {
+	path  string
+	sum   uint64
+	bytes int64
 }
 
 // send makes one call. Calls go one after the other, so that a connection is kept for each server at most.
@@ -156,17 +193,6 @@
 	return "a server"
 }
 
-type counting struct {
-	io.Reader
-	n *atomic.Int64
-}
-
-func (c counting) Read(p []byte) (int, error) {
-	n, err := c.Reader.Read(p)
-	c.n.Add(int64(n))
-	return n, err
-}
-
 // bounded fails where a document is too large, so that it is not taken for one that has ended.
 type bounded struct {
 	io.Reader
--- a/internal/eureka/decode.go
+++ b/internal/eureka/decode.go
@@ -1,6 +1,7 @@
 package eureka
 
 import (
+	"bytes"
 	"encoding/json"
 	"encoding/xml"
 	"errors"
@@ -101,11 +102,7 @@
 		case "name":
 			name, err = w.text()
 		case "instance":
-			err = w.each(func() error {
-				i, err := readInstance(w)
-				if err != nil {
-					return err
-				}
+			err = w.instances(func(i *instance) error {
 				if i.app == "" && name == "" {
 					early = append(early, i)
 					if len(early) > MaxInstances {
@@ -131,48 +128,108 @@
 	return err
 }
 
-func readInstance(w walker) (*instance, error) {
-	i := &instance{}
-	err := w.object(func(key string) (err error) {
-		switch strings.ToLower(key) {
-		case "app":
-			i.app, err = w.text()
-		case "instanceid":
-			i.id, err = w.text()
-		case "hostname":
-			i.host, err = w.text()
-		case "ipaddr":
-			i.ip, err = w.text()
-		case "status":
-			i.status, err = w.text()
-		case "overriddenstatus":
-			i.overridden, err = w.text()
-		case "actiontype":
-			i.action, err = w.text()
-		case "port":
-			i.port, err = w.port()
-		case "secureport":
-			i.securePort, err = w.port()
-		case "metadata":
-			i.metadata, err = w.texts()
-		case "leaseinfo":
-			var lease map[string]string
-			if lease, err = w.texts(); err == nil {
-				i.up, i.registered = number(lease["serviceUpTimestamp"]), number(lease["registrationTimestamp"])
-			}
-		case "datacenterinfo":
-			var dc struct {
-				Metadata map[string]any `json:"metadata"`
-			}
-			if err = w.Decode(&dc); err == nil {
-				i.dcZone, _ = dc.Metadata["availability-zone"].(string)
-			}
-		default:
-			err = w.skip()
+// jsonInstance is an instance in JSON.
+type jsonInstance struct {
+	App              text     `json:"app"`
+	InstanceID       text     `json:"instanceId"`
+	HostName         text     `json:"hostName"`
+	IPAddr           text     `json:"ipAddr"`
+	Status           text     `json:"status"`
+	OverriddenStatus text     `json:"overriddenStatus"` // and overriddenstatus: case does not matter
+	ActionType       text     `json:"actionType"`
+	Port             jsonPort `json:"port"`
+	SecurePort       jsonPort `json:"securePort"`
+	Metadata         texts    `json:"metadata"`
+	LeaseInfo        lenient[struct {
+		ServiceUp  text `json:"serviceUpTimestamp"`
+		Registered text `json:"registrationTimestamp"`
+	}] `json:"leaseInfo"`
+	DataCenterInfo lenient[struct {
+		Metadata texts `json:"metadata"`
+	}] `json:"dataCenterInfo"`
+}
+
+func (j *jsonInstance) instance() *instance {
+	return &instance{app: string(j.App), id: string(j.InstanceID), host: string(j.HostName), ip: string(j.IPAddr),
+		status: string(j.Status), overridden: string(j.OverriddenStatus), action: string(j.ActionType),
+		port: port(j.Port), securePort: port(j.SecurePort), metadata: j.Metadata,
+		dcZone: j.DataCenterInfo.v.Metadata["availability-zone"], up: number(string(j.LeaseInfo.v.ServiceUp)),
+		registered: number(string(j.LeaseInfo.v.Registered))}
+}
+
+// text is a text, a number, a truth value, null, or an element with attributes.
+type text string
+
+func (t *text) UnmarshalJSON(b []byte) error {
+	switch {
+	case b[0] == '"' && bytes.IndexByte(b, '\\') < 0:
+		*t = text(b[1 : len(b)-1])
+	case b[0] == '"':
+		return json.Unmarshal(b, (*string)(t))
+	case b[0] == '{':
+		var element struct {
+			Text json.RawMessage `json:"$"`
 		}
+		if err := json.Unmarshal(b, &element); err != nil || len(element.Text) == 0 || element.Text[0] == '{' {
+			return err
+		}
+		return t.UnmarshalJSON(element.Text)
+	case b[0] == '[', b[0] == 'n':
+		*t = ""
+	default:
+		*t = text(b)
+	}
+	return nil
+}
+
+// texts is an object of texts; what is no text in it is left out, and what is no object is empty.
+type texts map[string]string
+
+func (t *texts) UnmarshalJSON(b []byte) error {
+	if b[0] != '{' {
+		return nil
+	}
+	var from map[string]text
+	if err := json.Unmarshal(b, &from); err != nil {
 		return err
-	})
-	return i, err
+	}
+	*t = make(texts, len(from))
+	for key, value := range from {
+		if value != "" && !strings.HasPrefix(key, "@") {
+			(*t)[key] = string(value)
+		}
+	}
+	return nil
+}
+
+// lenient is an object, or nothing where something else stands in its place.
+type lenient[T any] struct{ v T }
+
+func (l *lenient[T]) UnmarshalJSON(b []byte) error {
+	if b[0] != '{' {
+		return nil
+	}
+	return json.Unmarshal(b, &l.v)
+}
+
+type jsonPort port
+
+func (p *jsonPort) UnmarshalJSON(b []byte) error {
+	var number text
+	if err := number.UnmarshalJSON(b); err != nil {
+		return err
+	}
+	*p = jsonPort{number: portNumber(string(number)), on: b[0] != 'n'}
+	if b[0] == '{' {
+		var attributes struct {
+			Enabled *text `json:"@enabled"`
+		}
+		if err := json.Unmarshal(b, &attributes); err != nil {
+			return err
+		}
+		p.on = attributes.Enabled == nil || isTrue(string(*attributes.Enabled))
+	}
+	return nil
 }
 
 // walker reads JSON token by token.
@@ -233,61 +290,54 @@
 	return w.Decode(&raw)
 }
 
-// text reads a text, a number, a truth value or null.
+// text reads what text does.
 func (w walker) text() (string, error) {
-	var v any
-	w.UseNumber()
-	if err := w.Decode(&v); err != nil {
-		return "", err
-	}
-	return textOf(v), nil
+	var t text
+	err := w.Decode(&t)
+	return string(t), err
 }
 
-func textOf(v any) string {
-	switch v := v.(type) {
-	case string:
-		return v
-	case json.Number:
-		return v.String()
-	case bool:
-		if v {
-			return "true"
+// instances calls fn for each instance of a list, or for a lone one.
+func (w walker) instances(fn func(*instance) error) error {
+	t, err := w.Token()
+	switch {
+	case err != nil:
+		return err
+	case t == nil, t == "":
+		return nil
+	case t == json.Delim('{'): // its brace has been read, and it has to be put together again
+		parts := map[string]json.RawMessage{}
+		if err := w.object(func(key string) error {
+			var raw json.RawMessage
+			err := w.Decode(&raw)
+			parts[key] = raw
+			return err
+		}); err != nil {
+			return err
 		}
-		return "false"
-	case map[string]any:
-		return textOf(v["$"])
-	}
-	return ""
-}
-
-// texts reads an object of texts; what is no text in it is left out.
-func (w walker) texts() (map[string]string, error) {
-	var v any
-	w.UseNumber()
-	if err := w.Decode(&v); err != nil {
-		return nil, err
-	}
-	from, _ := v.(map[string]any) // null, or "" for an empty element
-	out := make(map[string]string, len(from))
-	for key, value := range from {
-		if text := textOf(value); text != "" && !strings.HasPrefix(key, "@") {
-			out[key] = text
+		whole, err := json.Marshal(parts)
+		if err != nil {
+			return err
 		}
+		var j jsonInstance
+		if err := json.Unmarshal(whole, &j); err != nil {
+			return err
+		}
+		return fn(j.instance())
+	case t != json.Delim('['):
+		return fmt.Errorf("%v stands where a list should", t)
 	}
-	return out, nil
-}
-
-func (w walker) port() (port, error) {
-	var v any
-	w.UseNumber()
-	if err := w.Decode(&v); err != nil {
-		return port{}, err
-	}
-	p := port{number: portNumber(textOf(v)), on: v != nil}
-	if o, is := v.(map[string]any); is && o["@enabled"] != nil {
-		p.on = isTrue(textOf(o["@enabled"]))
+	for w.More() {
+		var j jsonInstance
+		if err := w.Decode(&j); err != nil {
+			return err
+		}
+		if err := fn(j.instance()); err != nil {
+			return err
+		}
 	}
-	return p, nil
+	_, err = w.Token()
+	return err
 }
 
 func portNumber(text string) int {
--- a/internal/eureka/source.go
+++ b/internal/eureka/source.go
@@ -24,16 +24,17 @@
 
 // Source follows a registry. It is a discovery.Source; its Status words are those of package membership.
 type Source struct {
-	d      Declaration
-	client *client
-	keys   *keys.Store // nil: no server of https
-	log    *slog.Logger
-	rng    *rand.Rand
-	copy   *registry
-	state  poller
-	said   string // the failure that was logged last
-	odd    int    // instances without a usable address, as logged last
-	asked  atomic.Int64
+	d       Declaration
+	client  *client
+	keys    *keys.Store // nil: no server of https
+	log     *slog.Logger
+	rng     *rand.Rand
+	copy    *registry
+	state   poller
+	partial bool   // the copy may lack instances
+	said    string // the failure that was logged last
+	odd     int    // instances without a usable address, as logged last
+	asked   atomic.Int64
 }
 
 var _ discovery.Source = (*Source)(nil)
@@ -230,6 +231,9 @@
 		return nil
 	}}
 	if err := s.client.get(ctx, "/apps/delta", d, func() { all, d.instances, d.hash = nil, 0, "" }); err != nil {
+		if errors.Is(err, errUnchanged) {
+			return true, nil // it fitted when it was applied, or the whole would have been asked for
+		}
 		return false, err
 	}
 	for _, i := range all {
@@ -244,19 +248,24 @@
 	next := newRegistry(s.d.mapping(), apps)
 	d := &document{visit: next.put}
 	err = s.client.get(ctx, s.d.path(), d, func() { next.clear(); next.unusual, d.instances, d.hash = 0, 0, "" })
+	if errors.Is(err, errUnchanged) {
+		s.state.whole = true
+		return s.partial, nil
+	}
 	if isStatus(err, http.StatusNotFound) && s.d.path() != "/apps" {
+		s.client.applied = sumOf{}
 		err = nil // the registry knows no such application now
 		next.clear()
 	}
 	if err != nil {
 		return false, err
 	}
-	next.told = s.copy.told
+	next.told, s.partial = s.copy.told, false
 	s.copy = next
 	s.state.whole = true
 	if d.hash != "" && s.d.path() == "/apps" && d.hash != next.hash() {
 		s.say(errors.New("the registry's answer does not come to its own sum: " + d.hash + ", counted " + next.hash()))
-		return true, nil
+		s.partial = true
 	}
-	return false, nil
+	return s.partial, nil
 }
--- a/internal/testkit/base/base.go
+++ b/internal/testkit/base/base.go
@@ -101,3 +101,14 @@
 	}
 	return &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS12, NextProtos: []string{"http/1.1"}}
 }
+
+// Eureka starts a stand-in registry.
+func Eureka(t testing.TB, o standin.EurekaOptions) *standin.Eureka {
+	t.Helper()
+	e, err := standin.NewEureka(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Close)
+	return e
+}
