Eureka registries beside a service's own list, merged; registered at start, out at drain

Need: a sidecar may hear two stories about one node. Change: [[eureka]] and [membership] in the operator's file, discovery.Merged as the Source of several, sources that come, go and move by SIGHUP; Source and Sink stand in directory, so that the configuration can name a registry.

--- a/cmd/orchiddrift/check.go
+++ b/cmd/orchiddrift/check.go
@@ -86,6 +86,9 @@
 	fmt.Fprintf(w, "; %v cores, %v MB, %d descriptors\n", p.Limits.Cores, p.Limits.MemoryMB, p.Limits.Sockets)
 	for _, s := range p.Services {
 		from := "the file"
+		if s.Known == nil {
+			from = "registries alone"
+		}
 		switch {
 		case s.Discovery != "":
 			from = "discovery at " + s.Discovery
@@ -99,6 +102,9 @@
 		if s.TLS.On() {
 			fmt.Fprintf(w, ", by TLS %s", s.TLS.MinVersion)
 		}
+		for _, r := range s.Registries {
+			fmt.Fprintf(w, ", %s", r.Describe())
+		}
 		fmt.Fprint(w, "; classes")
 		for _, c := range s.Settings.Classes {
 			fmt.Fprintf(w, " %s (%s)", c.Name, []string{"safe", "keyed", "unsafe"}[c.Effect])
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -7,10 +7,12 @@
 	"strconv"
 
 	"orchiddrift/internal/directory"
+	"orchiddrift/internal/eureka"
 	"orchiddrift/internal/httphead"
 	"orchiddrift/internal/keys"
 	"orchiddrift/internal/listfile"
 	"orchiddrift/internal/logs"
+	"orchiddrift/internal/membership"
 	"orchiddrift/internal/routes"
 	"orchiddrift/internal/settings"
 	"orchiddrift/internal/tomlfile"
@@ -24,6 +26,8 @@
 	Shares   Shares               `toml:"shares" doc:"How services share the limits."`
 	TLS      keys.Listener        `toml:"tls" doc:"Encryption towards clients."`
 	Log      logs.Declaration     `toml:"log" doc:"The log."`
+	Members  membership.Options   `toml:"membership" doc:"How several lists of one service are merged."`
+	Eureka   []eureka.Declaration `toml:"eureka" doc:"An Eureka registry that lists upstreams of a service, beside that one's own list or alone."`
 	Services []Service            `toml:"service" doc:"A service: upstreams that answer the same requests. There are as many as there are such tables."`
 	Routes   []routes.Declaration `toml:"route" doc:"A route: which requests go to which service, and as what. Absent, with one service: all go there."`
 }
@@ -99,6 +103,14 @@
 	}
 }
 
+// fromOne is what a service needs; a registry may be all that it has.
+const fromOne = "upstreams come from one of addresses, endpoint, list_file and discovery, beside any [[eureka]]; %d are given"
+
+// ownList tells whether the service has a list that is no registry's.
+func (s *Service) ownList() bool {
+	return len(s.Addresses) > 0 || len(s.Endpoints) > 0 || s.ListFile != "" || s.Discovery != ""
+}
+
 // Check is tomlfile.Checker's.
 func (s *Service) Check(report func(key, format string, args ...any)) {
 	s.Declaration.Check(report)
@@ -111,8 +123,8 @@
 			from++
 		}
 	}
-	if from != 1 {
-		report("", "upstreams come from one of addresses, endpoint, list_file and discovery; %d are given", from)
+	if from > 1 {
+		report("", fromOne, from)
 	}
 	for i, a := range s.Addresses {
 		if err := directory.CheckAddress(a); err != nil {
--- a/internal/config/plan.go
+++ b/internal/config/plan.go
@@ -14,10 +14,12 @@
 
 	"orchiddrift/balancer"
 	"orchiddrift/internal/directory"
+	"orchiddrift/internal/eureka"
 	"orchiddrift/internal/httphead"
 	"orchiddrift/internal/keys"
 	"orchiddrift/internal/listfile"
 	"orchiddrift/internal/logs"
+	"orchiddrift/internal/membership"
 	"orchiddrift/internal/routes"
 	"orchiddrift/internal/settings"
 	"orchiddrift/internal/tomlfile"
@@ -38,7 +40,8 @@
 	Table        *routes.Table
 	TLS          keys.Listener
 	Log          logs.Declaration
-	File         *File // the operator's; nil: there is none
+	Registers    []eureka.Declaration // where the process registers itself
+	File         *File                // the operator's; nil: there is none
 }
 
 // ServicePlan is one service.
@@ -54,6 +57,9 @@
 	ListFile  string
 	Known     *directory.Listing // as last held, or the whole of it; nil: none
 
+	Registries []eureka.Declaration // beside that list, or without one
+	Members    membership.Options
+
 	Unrouted bool // no route leads to it
 }
 
@@ -188,6 +194,7 @@
 		_, _ = rand.Read(b[:]) // never fails
 		p.Seed, p.SeedDrawn = binary.LittleEndian.Uint64(b[:]), true
 	}
+	f.registries(p, beside, doc)
 	longest := time.Duration(0)
 	for i := range f.Services {
 		s := &f.Services[i]
@@ -196,7 +203,12 @@
 			continue
 		}
 		names[s.Name] = len(p.Services)
-		p.Services = append(p.Services, s.plan())
+		made := s.plan()
+		made.Registries, made.Members = f.registriesOf(s.Name), f.Members
+		if !s.ownList() && len(made.Registries) == 0 {
+			doc.Report(fmt.Sprintf("service[%d]", i), fromOne, 0)
+		}
+		p.Services = append(p.Services, made)
 		for _, class := range p.Services[len(p.Services)-1].Settings.Classes {
 			longest = max(longest, class.Deadline)
 		}
@@ -247,6 +259,48 @@
 	return p
 }
 
+// registries checks the registries against the services, gives the platform's service its own, and notes where the process
+// registers.
+func (f *File) registries(p *Plan, beside *Config, doc *tomlfile.Document) {
+	names := map[string]bool{}
+	counts := map[string]int{}
+	for i, r := range f.Eureka {
+		at := fmt.Sprintf("eureka[%d]", i)
+		if names[r.Name] || r.Name == listName {
+			doc.Report(at+".name", "%q is taken", r.Name)
+		}
+		names[r.Name] = true
+		known := beside != nil && r.Service == Platform
+		for _, s := range f.Services {
+			known = known || s.Name == r.Service
+		}
+		if !known && r.Service != "" {
+			doc.Report(at+".service", "there is no service %q", r.Service)
+		}
+		if counts[r.Service]++; counts[r.Service] == membership.MaxSources {
+			doc.Report(at+".service", "%d registries of one service at most", membership.MaxSources-1)
+		}
+		if r.Register.Application != "" {
+			p.Registers = append(p.Registers, r)
+		}
+	}
+	for i := range p.Services {
+		p.Services[i].Registries, p.Services[i].Members = f.registriesOf(p.Services[i].Name), f.Members
+	}
+}
+
+// listName is what a service's own list is called among its sources.
+const listName = "list"
+
+func (f *File) registriesOf(service string) (of []eureka.Declaration) {
+	for _, r := range f.Eureka {
+		if r.Service == service {
+			of = append(of, r)
+		}
+	}
+	return of
+}
+
 // routesOf makes the routes of one declaration.
 func routesOf(p *Plan, names map[string]int, d *routes.Declaration, report func(key, format string, args ...any)) []*routes.Route {
 	name := d.Service
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"orchiddrift/internal/clock"
 	"orchiddrift/internal/config"
 	"orchiddrift/internal/engine"
+	"orchiddrift/internal/eureka"
 	"orchiddrift/internal/httphead"
 	"orchiddrift/internal/intake"
 	"orchiddrift/internal/keys"
@@ -138,6 +139,11 @@
 		front = tls.NewListener(conns, &tls.Config{MinVersion: tls.VersionTLS12,
 			GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) { return d.tls.Load(), nil }})
 	}
+	known, err := d.register(p)
+	if err != nil {
+		return err
+	}
+	defer known.end()
 	ended := make(chan error, 1)
 	go func() { ended <- srv.Serve(front) }()
 	d.besides.Go(func() { d.followReloads(rest, files, reload) })
@@ -146,9 +152,46 @@
 		return fmt.Errorf("serving: %w", err)
 	case <-ctx.Done():
 	}
+	known.drain()
 	return drain(srv, s, conns, d, p.Grace)
 }
 
+// registrations are where the process is known.
+type registrations struct {
+	all  []*eureka.Registration
+	stop context.CancelFunc
+	done sync.WaitGroup
+}
+
+// register makes the process known where the operator's file says so.
+func (d *daemon) register(p *config.Plan) (*registrations, error) {
+	ctx, stop := context.WithCancel(context.Background())
+	r := &registrations{stop: stop}
+	for _, declared := range p.Registers {
+		one, err := eureka.NewRegistration(declared, p.Name, d.listening.Addr().String(), time.Second, p.Seed, d.log)
+		if err != nil {
+			stop()
+			return nil, err
+		}
+		r.all = append(r.all, one)
+	}
+	for _, one := range r.all {
+		r.done.Go(func() { one.Run(ctx) })
+	}
+	return r, nil
+}
+
+func (r *registrations) drain() {
+	for _, one := range r.all {
+		one.Drain()
+	}
+}
+
+func (r *registrations) end() {
+	r.stop()
+	r.done.Wait()
+}
+
 // share makes what services share.
 func (d *daemon) share(connections int) error {
 	p := d.plan
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"reflect"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,7 @@
 	"orchiddrift/internal/directory"
 	"orchiddrift/internal/discovery"
 	"orchiddrift/internal/engine"
+	"orchiddrift/internal/eureka"
 	"orchiddrift/internal/filewatch"
 	"orchiddrift/internal/keys"
 	"orchiddrift/internal/upstream"
@@ -110,9 +112,41 @@
 	return s, nil
 }
 
-// openSource makes the source of a plan's list, and the list to begin with; nil, nil: the plan has all of it.
+// openSource makes the source of a plan's list, and the list to begin with; nil, nil: the plan has all of it. Where
+// registries list upstreams too, it is the source of the merged list.
 func (s *service) openSource(plan config.ServicePlan, known *directory.Listing, log *slog.Logger) (*directory.Listing,
 	discovery.Source, error) {
+	list, own, err := openOwn(plan, known, log)
+	if err != nil || len(plan.Registries) == 0 {
+		return list, own, err
+	}
+	var sources []discovery.Named
+	if own != nil || list != nil {
+		sources = append(sources, discovery.Named{Name: ownList, Source: own, Known: list, Leads: true})
+	}
+	for _, r := range plan.Registries {
+		source, err := s.openRegistry(plan, r, log)
+		if err != nil {
+			return nil, nil, err
+		}
+		sources = append(sources, discovery.Named{Name: r.Name, Source: source})
+	}
+	merged, err := discovery.NewMerged(plan.Members, log, sources...)
+	if err != nil {
+		return nil, nil, err
+	}
+	return merged.Load(), merged, nil
+}
+
+// ownList is what a service's own list is called beside registries.
+const ownList = "list"
+
+func (s *service) openRegistry(plan config.ServicePlan, r eureka.Declaration, log *slog.Logger) (*eureka.Source, error) {
+	return eureka.New(r, plan.Settings.ConnectTimeout, s.shared.seed^xxhash.Sum64String(r.Name), log)
+}
+
+// openOwn is openSource for the list that is no registry's.
+func openOwn(plan config.ServicePlan, known *directory.Listing, log *slog.Logger) (*directory.Listing, discovery.Source, error) {
 	switch {
 	case plan.Discovery != "":
 		list := plan.Known
@@ -169,11 +203,16 @@
 // It returns nil where the lists are the same.
 func (s *service) move(plan config.ServicePlan) (func(), error) {
 	was := s.plan
-	if was.Discovery == plan.Discovery && was.ListFile == plan.ListFile &&
-		(plan.Discovery != "" || plan.ListFile != "" || reflect.DeepEqual(was.Known, plan.Known)) {
+	sameOwn := was.Discovery == plan.Discovery && was.ListFile == plan.ListFile &&
+		(plan.Discovery != "" || plan.ListFile != "" || reflect.DeepEqual(was.Known, plan.Known))
+	sameRest := reflect.DeepEqual(was.Registries, plan.Registries) && was.Members == plan.Members
+	if sameOwn && sameRest {
 		return nil, nil
 	}
-	if was.Discovery != "" && plan.Discovery != "" {
+	if merged, is := s.source.(*discovery.Merged); is && len(plan.Registries) > 0 && was.Members == plan.Members {
+		return s.moveMerged(merged, plan, sameOwn)
+	}
+	if len(was.Registries)+len(plan.Registries) == 0 && was.Discovery != "" && plan.Discovery != "" {
 		return func() {
 			s.plan = plan
 			s.mu.Lock()
@@ -181,21 +220,95 @@
 			s.source.(*discovery.Watcher).Redirect(plan.Discovery)
 		}, nil
 	}
-	if plan.Discovery != "" {
+	if plan.Discovery != "" && (was.Discovery != plan.Discovery || len(was.Registries) > 0) {
 		return nil, errors.New("a change between kinds of lists needs a new service")
 	}
-	list, source, err := s.openSource(plan, nil, s.shared.log)
+	var known *directory.Listing
+	if plan.Discovery != "" { // registries come beside it
+		known = s.feed.Last()
+	}
+	list, source, err := s.openSource(plan, known, s.shared.log)
 	if err != nil {
 		return nil, fmt.Errorf("service %s: %w", plan.Name, err)
 	}
 	return func() {
 		s.plan = plan
 		s.follow(nil)
-		s.feed.Update(list)
+		if list != nil {
+			s.feed.Update(list)
+		}
 		s.follow(source)
 	}, nil
 }
 
+// moveMerged is move where registries stay or come and go beside the service's own list.
+func (s *service) moveMerged(merged *discovery.Merged, plan config.ServicePlan, sameOwn bool) (func(), error) {
+	was := s.plan
+	var steps, ends []func() // what comes is first, so that nothing is missed between
+	add := func(n discovery.Named) {
+		steps = append(steps, func() {
+			if err := merged.Add(n); err != nil { // the file's check bounds them
+				s.shared.log.Error("membership", "reason", err)
+			}
+		})
+	}
+	if !sameOwn {
+		if was.Discovery != "" && plan.Discovery != "" {
+			steps = append(steps, func() { merged.Source(ownList).(*discovery.Watcher).Redirect(plan.Discovery) })
+		} else {
+			list, own, err := openOwn(plan, nil, s.shared.log)
+			if err != nil {
+				return nil, fmt.Errorf("service %s: %w", plan.Name, err)
+			}
+			had, has := was.Discovery != "" || was.ListFile != "" || was.Known != nil, own != nil || list != nil
+			switch {
+			case had && has:
+				steps = append(steps, func() {
+					merged.Replace(ownList, own)
+					if list != nil {
+						merged.Update(ownList, list)
+					}
+				})
+			case has:
+				add(discovery.Named{Name: ownList, Source: own, Known: list, Leads: true})
+			default:
+				ends = append(ends, func() { merged.Remove(ownList) })
+			}
+		}
+	}
+	for _, r := range was.Registries {
+		if !slices.ContainsFunc(plan.Registries, func(o eureka.Declaration) bool { return o.Name == r.Name }) {
+			ends = append(ends, func() { merged.Remove(r.Name) })
+		}
+	}
+	for _, r := range plan.Registries {
+		if slices.ContainsFunc(was.Registries, func(o eureka.Declaration) bool { return sameRegistry(r, o) }) {
+			continue
+		}
+		source, err := s.openRegistry(plan, r, s.shared.log)
+		if err != nil {
+			return nil, fmt.Errorf("service %s: %w", plan.Name, err)
+		}
+		if slices.ContainsFunc(was.Registries, func(o eureka.Declaration) bool { return o.Name == r.Name }) {
+			steps = append(steps, func() { merged.Replace(r.Name, source) })
+			continue
+		}
+		add(discovery.Named{Name: r.Name, Source: source})
+	}
+	return func() {
+		s.plan = plan
+		for _, step := range append(steps, ends...) {
+			step()
+		}
+	}, nil
+}
+
+// sameRegistry tells whether a registry is followed as before; how the process registers is no matter of it.
+func sameRegistry(a, b eureka.Declaration) bool {
+	a.Register, b.Register = eureka.Register{}, eureka.Register{}
+	return reflect.DeepEqual(a, b)
+}
+
 // enter takes the service for a request; false: it has been retired.
 func (s *service) enter() bool {
 	s.held.Add(1)
--- /dev/null
+++ b/internal/discovery/merged.go
@@ -0,0 +1,271 @@
+package discovery
+
+import (
+	"cmp"
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"orchiddrift/internal/directory"
+	"orchiddrift/internal/membership"
+)
+
+// Named is a Source of a Merged, by the name that the log calls it.
+type Named struct {
+	Name   string
+	Source Source
+	Known  *directory.Listing // what it is known to list to begin with; nil: nothing
+	Leads  bool               // it is first in rank, and its silence and its signs of life are the module's to know, as with a list alone
+}
+
+// Merged is a Source that follows several, and tells what membership makes of them. Sources come and go while it runs.
+type Merged struct {
+	log   *slog.Logger
+	merge *membership.Merge
+	now   func() time.Time
+
+	mu      sync.Mutex // of the merge, and of what is told: one input after another
+	sink    Sink       // nil: Run has not begun
+	pending *directory.Listing
+	running map[string]*followed
+	timer   *time.Timer
+	version int64
+	ctx     context.Context
+	over    bool
+	done    sync.WaitGroup
+}
+
+type followed struct {
+	Named
+	stop context.CancelFunc
+	over chan struct{}
+}
+
+var _ Source = (*Merged)(nil)
+
+// NewMerged returns one that follows sources, the first of them first in rank.
+func NewMerged(o membership.Options, log *slog.Logger, sources ...Named) (*Merged, error) {
+	m := &Merged{log: cmp.Or(log, slog.New(slog.DiscardHandler)), merge: membership.New(o), now: time.Now, running: map[string]*followed{}}
+	m.timer = time.AfterFunc(time.Hour, m.tick)
+	m.timer.Stop()
+	for _, s := range sources {
+		if err := m.Add(s); err != nil {
+			return nil, err
+		}
+	}
+	return m, nil
+}
+
+// Load is the merged list of what is known to begin with; it is not told again.
+func (m *Merged) Load() *directory.Listing {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.pending = nil
+	version := m.version
+	return &directory.Listing{Index: &version, Snapshot: true, Endpoints: m.merge.List()}
+}
+
+// Add follows one source more.
+func (m *Merged) Add(s Named) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.merge.AddSource(s.Name, s.Leads); err != nil {
+		return err
+	}
+	f := &followed{Named: s}
+	m.running[s.Name] = f
+	if s.Known != nil {
+		m.tell(m.merge.Told(m.now(), s.Name, s.Known))
+	}
+	if m.ctx != nil {
+		m.start(f)
+	}
+	return nil
+}
+
+// Remove ends a source; what only it listed is gone when Remove returns.
+func (m *Merged) Remove(name string) {
+	m.mu.Lock()
+	f := m.running[name]
+	delete(m.running, name)
+	m.mu.Unlock()
+	if f == nil {
+		return
+	}
+	if f.stop != nil {
+		f.stop()
+		<-f.over
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.tell(m.merge.RemoveSource(m.now(), name))
+}
+
+// Replace follows another source in place of the one of that name: what that one said stands until the new one has told.
+func (m *Merged) Replace(name string, source Source) {
+	m.mu.Lock()
+	f := m.running[name]
+	m.mu.Unlock()
+	if f == nil {
+		return
+	}
+	if f.stop != nil {
+		f.stop()
+		<-f.over
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	next := &followed{Named: f.Named}
+	next.Source = source
+	m.running[name] = next
+	if m.ctx != nil {
+		m.start(next)
+	}
+}
+
+// Source is the one of that name; nil: there is none.
+func (m *Merged) Source(name string) Source {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if f := m.running[name]; f != nil {
+		return f.Source
+	}
+	return nil
+}
+
+// Update takes a list for a source that has no life of its own, such as entries of a file.
+func (m *Merged) Update(name string, l *directory.Listing) { (&input{m, name, false}).Update(l) }
+
+// Ask is Source's: those that lead are asked.
+func (m *Merged) Ask() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, f := range m.running {
+		if f.Leads && f.Source != nil {
+			f.Source.Ask()
+		}
+	}
+}
+
+// Run is Source's.
+func (m *Merged) Run(ctx context.Context, sink Sink) {
+	m.mu.Lock()
+	m.ctx, m.sink = ctx, sink
+	if m.pending != nil {
+		l := m.pending
+		m.pending = nil
+		sink.Update(l)
+	}
+	for _, f := range m.running {
+		m.start(f)
+	}
+	m.arm()
+	m.mu.Unlock()
+	<-ctx.Done()
+	m.mu.Lock()
+	m.over = true
+	m.timer.Stop()
+	m.mu.Unlock()
+	m.done.Wait()
+}
+
+// start follows a source beside the others.
+func (m *Merged) start(f *followed) {
+	if f.Source == nil || m.over {
+		return
+	}
+	ctx, stop := context.WithCancel(m.ctx)
+	f.stop, f.over = stop, make(chan struct{})
+	m.done.Go(func() {
+		defer close(f.over)
+		f.Source.Run(ctx, &input{m, f.Name, f.Leads})
+	})
+}
+
+// tell passes on what an input led to.
+func (m *Merged) tell(o membership.Output) {
+	for _, note := range o.Notes {
+		m.log.Warn("membership: " + note)
+	}
+	for i, c := range o.Changes {
+		if i == maxTold {
+			m.log.Info("membership: more changes", "upstreams", len(o.Changes)-maxTold)
+			break
+		}
+		if c.Status != directory.StatusReady {
+			m.log.Info("membership", "upstream", c.Name, "status", c.Status, "reason", c.Reason)
+		}
+	}
+	if len(o.Changes) > 0 {
+		m.version++
+		version := m.version
+		l := &directory.Listing{Index: &version, Endpoints: make([]directory.Endpoint, len(o.Changes))}
+		for i, c := range o.Changes {
+			l.Endpoints[i] = c.Endpoint
+		}
+		if m.sink != nil {
+			m.sink.Update(l)
+		} else {
+			m.pending = &directory.Listing{Index: &version, Snapshot: true, Endpoints: m.merge.List()}
+		}
+	}
+	m.arm()
+}
+
+// maxTold bounds the lines of one input.
+const maxTold = 16
+
+func (m *Merged) arm() {
+	if m.over || m.ctx == nil {
+		return
+	}
+	if next := m.merge.Next(); !next.IsZero() {
+		m.timer.Reset(max(0, next.Sub(m.now())))
+	}
+}
+
+func (m *Merged) tick() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.over {
+		m.tell(m.merge.Tick(m.now()))
+	}
+}
+
+// input is the Sink of one source.
+type input struct {
+	m     *Merged
+	name  string
+	leads bool
+}
+
+func (i *input) Update(l *directory.Listing) {
+	i.m.mu.Lock()
+	defer i.m.mu.Unlock()
+	if i.m.over {
+		return
+	}
+	i.m.tell(i.m.merge.Told(i.m.now(), i.name, l))
+	if i.leads && i.m.sink != nil {
+		i.m.sink.Heard() // also where it changed nothing
+	}
+}
+
+func (i *input) Heard() {
+	i.m.mu.Lock()
+	defer i.m.mu.Unlock()
+	i.m.tell(i.m.merge.Heard(i.m.now(), i.name))
+	if i.leads && i.m.sink != nil {
+		i.m.sink.Heard()
+	}
+}
+
+func (i *input) Lost(err error, again bool) {
+	i.m.mu.Lock()
+	defer i.m.mu.Unlock()
+	i.m.tell(i.m.merge.Lost(i.m.now(), i.name))
+	if i.leads && i.m.sink != nil {
+		i.m.sink.Lost(err, again)
+	}
+}
--- a/internal/discovery/source.go
+++ b/internal/discovery/source.go
@@ -1,32 +1,17 @@
 package discovery
 
 import (
-	"context"
 	"sync"
 
 	"orchiddrift/balancer"
 	"orchiddrift/internal/directory"
 )
 
-// Source follows one list of upstreams, wherever that is kept.
-type Source interface {
-	// Run follows it until ctx ends, and tells sink. Of one Source it is called once.
-	Run(ctx context.Context, sink Sink)
-	// Ask wants the list again: the module has been told that it is lost. It does not block.
-	Ask()
-}
-
-// Sink takes what a Source hears. A Source calls it from one goroutine at a time. No call may block for long: news of a
-// drain may wait behind it.
-type Sink interface {
-	// Update brings the whole list, or what changed in it. When it returns nothing new is sent against it.
-	Update(*directory.Listing)
-	// Heard says that the source stands, and that there is nothing new since the version last held.
-	Heard()
-	// Lost says that the source is silent or broken; what it told last may be old by now. Where again is false it waits
-	// for Ask.
-	Lost(err error, again bool)
-}
+// Source and Sink are the directory's.
+type (
+	Source = directory.Source
+	Sink   = directory.Sink
+)
 
 // Feed is the Sink of a service with one list: what is heard goes to its directory, then to the module. It keeps the
 // list as last held, one entry for each upstream listed.
--- a/internal/eureka/declaration.go
+++ b/internal/eureka/declaration.go
@@ -33,7 +33,7 @@
 	GroupKey     string         `toml:"group_key" default:"group" doc:"That has its group."`
 	IdentityKey  string         `toml:"identity_key" default:"identity" doc:"That has the name in its certificate."`
 	TLS          keys.Upstream  `toml:"tls" doc:"For servers of https."`
-	Register     Register       `toml:"register" doc:"Makes this process known in the registry."`
+	Register     Register       `toml:"register" reload:"start" doc:"Makes this process known in the registry."`
 }
 
 // Register is how this process is known in the registry.
--- a/internal/eureka/source.go
+++ b/internal/eureka/source.go
@@ -18,11 +18,10 @@
 	"time"
 
 	"orchiddrift/internal/directory"
-	"orchiddrift/internal/discovery"
 	"orchiddrift/internal/keys"
 )
 
-// Source follows a registry. It is a discovery.Source; its Status words are those of package membership.
+// Source follows a registry. It is a directory.Source; its Status words are those of package membership.
 type Source struct {
 	d       Declaration
 	client  *client
@@ -37,7 +36,7 @@
 	asked   atomic.Int64
 }
 
-var _ discovery.Source = (*Source)(nil)
+var _ directory.Source = (*Source)(nil)
 
 // poller decides what is asked for next. It is a state machine.
 type poller struct {
@@ -130,7 +129,7 @@
 		WithApp: len(d.Applications) != 1 && d.VIP == ""}
 }
 
-// Ask is discovery.Source's: it is asked anyway.
+// Ask is directory.Source's: it is asked anyway.
 func (s *Source) Ask() {}
 
 // Polls is how often the registry has been asked, and the answer taken.
@@ -141,8 +140,8 @@
 	return s.client.requests.Load(), s.client.bytes.Load()
 }
 
-// Run is discovery.Source's.
-func (s *Source) Run(ctx context.Context, sink discovery.Sink) {
+// Run is directory.Source's.
+func (s *Source) Run(ctx context.Context, sink directory.Sink) {
 	if s.keys != nil {
 		stop := make(chan struct{})
 		go func() { defer close(stop); s.keys.Run(ctx) }()
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -120,8 +120,8 @@
 		nodes: map[string]*node{}, dirty: map[*record]bool{}, touched: map[*node]bool{}}
 }
 
-// AddSource makes a source known, ranked behind those there are. It is silent and lists nothing.
-func (m *Merge) AddSource(name string) error {
+// AddSource makes a source known, ranked behind those there are, or before them. It lists nothing yet.
+func (m *Merge) AddSource(name string, first bool) error {
 	if m.named[name] != nil {
 		return fmt.Errorf("source %q is there already", name)
 	}
@@ -130,7 +130,12 @@
 	}
 	s := &source{name: name, rank: len(m.ranked), records: map[string]*record{}}
 	m.named[name] = s
-	m.ranked = append(m.ranked, s)
+	if first {
+		m.ranked = slices.Insert(m.ranked, 0, s)
+	} else {
+		m.ranked = append(m.ranked, s)
+	}
+	m.rank()
 	return nil
 }
 
@@ -146,13 +151,17 @@
 	}
 	delete(m.named, name)
 	m.ranked = slices.DeleteFunc(m.ranked, func(x *source) bool { return x == s })
-	for i, x := range m.ranked {
-		x.rank = i
-	}
+	m.rank()
 	m.note("source %s is no longer followed", name)
 	return m.end()
 }
 
+func (m *Merge) rank() {
+	for i, s := range m.ranked {
+		s.rank = i
+	}
+}
+
 // Told takes a source's list, whole or what changed in it.
 func (m *Merge) Told(now time.Time, name string, l *directory.Listing) Output {
 	s := m.begin(now, name)
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -29,7 +29,7 @@
 func newRig(t testing.TB, o Options, sources ...string) *rig {
 	r := &rig{t: t, Merge: New(o), now: time.UnixMilli(1e12), list: map[string]Change{}}
 	for _, s := range sources {
-		if err := r.AddSource(s); err != nil {
+		if err := r.AddSource(s, false); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -223,7 +223,7 @@
 			r.whole("eureka", at("i1", 1, ready, 1))
 			r.take(r.RemoveSource(r.now, "list"))
 			r.want("kept", "n1@1 Ready")
-			_ = r.AddSource("other")
+			_ = r.AddSource("other", false)
 			r.whole("other", at("n1", 2, ready, 5))
 			r.want("claimed", "i1@1 Ready, n1@2 Ready")
 		},
@@ -380,7 +380,7 @@
 		r := &rig{t: t, Merge: New(o), now: time.UnixMilli(1e12), list: map[string]Change{}}
 		sources := []string{"a", "b", "c"}
 		for _, s := range sources {
-			_ = r.AddSource(s)
+			_ = r.AddSource(s, false)
 		}
 		entry := rapid.Custom(func(t *rapid.T) directory.Endpoint {
 			return at(fmt.Sprint("n", rapid.IntRange(0, 4).Draw(t, "name")), rapid.IntRange(0, 4).Draw(t, "address"),
@@ -397,7 +397,7 @@
 				r.pass(time.Duration(rapid.IntRange(1, 2000).Draw(t, "seconds")) * time.Second)
 			case 3:
 				r.take(r.RemoveSource(r.now, s))
-				_ = r.AddSource(s)
+				_ = r.AddSource(s, false)
 			case 4, 5:
 				r.whole(s, rapid.SliceOfNDistinct(entry, 0, 5, func(e directory.Endpoint) string { return e.Name }).Draw(t, "list")...)
 			default:
@@ -452,7 +452,7 @@
 	make2 := func() *Merge {
 		m := New(Default())
 		for k, s := range []string{"list", "eureka"} {
-			_ = m.AddSource(s)
+			_ = m.AddSource(s, false)
 			m.Told(now, s, &directory.Listing{Snapshot: true, Endpoints: whole[k]})
 		}
 		return m
--- a/internal/standin/eureka.go
+++ b/internal/standin/eureka.go
@@ -47,6 +47,8 @@
 	peers   []*Eureka
 	fault   func(path string) EurekaFault
 	calls   map[string]int
+	told    map[int]time.Time // by version: when the first answer that has it began to be written
+	last    int               // version told last
 }
 
 // EurekaInstance is one registration.
@@ -69,8 +71,9 @@
 }
 
 type eurekaAnswer struct {
-	at   time.Time
-	body []byte
+	at      time.Time
+	body    []byte
+	version int
 }
 
 // EurekaFault is what goes wrong with one answer.
@@ -122,6 +125,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.apps, e.queue, e.version, e.cache = map[string]map[string]*EurekaInstance{}, nil, 0, map[string]eurekaAnswer{}
+	e.told, e.last = map[int]time.Time{}, 0
 }
 
 // Replicate has what is written here written to peers too.
@@ -352,7 +356,7 @@
 			w.WriteHeader(http.StatusNotFound)
 			return
 		}
-		a = eurekaAnswer{now, body}
+		a = eurekaAnswer{now, body, e.version}
 		e.cache[key] = a
 	}
 	e.mu.Unlock()
@@ -387,6 +391,9 @@
 		body = packed.Bytes()
 	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if fault == EurekaFine {
+		e.tell(a.version)
+	}
 	if fault == EurekaCut {
 		_, _ = w.Write(body[:len(body)/2])
 		panic(http.ErrAbortHandler)
@@ -394,6 +401,29 @@
 	_, _ = w.Write(body)
 }
 
+// Version counts the changes so far.
+func (e *Eureka) Version() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.version
+}
+
+// Told is when a client was first told of a version, or a later one: right before the answer's first byte; zero: not yet.
+func (e *Eureka) Told(version int) time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.told[version]
+}
+
+func (e *Eureka) tell(version int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	for ; e.last < version; e.last++ {
+		e.told[e.last+1] = now
+	}
+}
+
 // document makes the answer to a path.
 func (e *Eureka) document(part []string, asXML bool, fault EurekaFault) ([]byte, bool) {
 	var of []EurekaInstance
