The plug-in follows Eureka registries by the same tables of an operator's file

Need: the same sources serve daemon and plug-in. Change: Options.Registries (grpc.file in its file) names an operator's file, whose [[eureka]] of the service and [membership] count; SetEndpoints and Discovery are one source among them.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -33,6 +33,7 @@
 	Methods map[string]string `json:"methods"` // full method name, or /package.Service/*, to class
 	Answers []string          `json:"answers"` // status codes that are the application's answer, as NOT_FOUND
 	TLS     *GRPCTLS          `json:"tls"`     // nil: credentials are the program's
+	File    string            `json:"file"`    // an operator's file, for the registries of the service
 }
 
 // GRPCTLS is how the plug-in's connections are encrypted; all but Name are files.
--- a/internal/config/plan.go
+++ b/internal/config/plan.go
@@ -159,16 +159,25 @@
 	if !doc.Broken() {
 		p = f.plan(beside, doc)
 	}
-	if mistakes := doc.Mistakes(); len(mistakes) > 0 {
-		bad := make(Problems, len(mistakes))
-		for i, m := range mistakes {
-			bad[i] = Problem{Key: m.Key, Reason: m.Reason, Line: m.Line, Column: m.Column}
-		}
-		return nil, bad
+	if err := problems(doc); err != nil {
+		return nil, err
 	}
 	return p, nil
 }
 
+// problems is all that is wrong with a text; nil: nothing.
+func problems(doc *tomlfile.Document) error {
+	mistakes := doc.Mistakes()
+	if len(mistakes) == 0 {
+		return nil
+	}
+	bad := make(Problems, len(mistakes))
+	for i, m := range mistakes {
+		bad[i] = Problem{Key: m.Key, Reason: m.Reason, Line: m.Line, Column: m.Column}
+	}
+	return bad
+}
+
 // plan makes the Plan, and reports what is wrong between the parts.
 func (f *File) plan(beside *Config, doc *tomlfile.Document) *Plan {
 	p := &Plan{Name: f.Daemon.Name, Listen: f.Daemon.Listen, Limits: Limits{Cores: f.Limits.cores(),
@@ -289,6 +298,23 @@
 	}
 }
 
+// Registries reads of an operator's file the registries of one service, and how lists are merged: all that a plug-in takes
+// from it. Its error is Problems.
+func Registries(text []byte, service string) ([]eureka.Declaration, membership.Options, error) {
+	f := &File{}
+	doc := tomlfile.Decode(text, f)
+	of := f.registriesOf(service)
+	if !doc.Broken() && len(of) == 0 {
+		doc.Report("eureka", "there is none of service %q", service)
+	}
+	for i, r := range f.Eureka {
+		if r.Service == service && r.Register.Application != "" {
+			doc.Report(fmt.Sprintf("eureka[%d].register", i), "a plug-in listens nowhere, and does not register")
+		}
+	}
+	return of, f.Members, problems(doc)
+}
+
 // listName is what a service's own list is called among its sources.
 const listName = "list"
 
--- a/internal/discovery/merged.go
+++ b/internal/discovery/merged.go
@@ -148,15 +148,26 @@
 	}
 }
 
-// Run is Source's.
-func (m *Merged) Run(ctx context.Context, sink Sink) {
+// Attach has sink told of what Update brings already before Run, which is to be given the same.
+func (m *Merged) Attach(sink Sink) {
 	m.mu.Lock()
-	m.ctx, m.sink = ctx, sink
-	if m.pending != nil {
-		l := m.pending
+	defer m.mu.Unlock()
+	m.attach(sink)
+}
+
+func (m *Merged) attach(sink Sink) {
+	m.sink = sink
+	if l := m.pending; l != nil {
 		m.pending = nil
 		sink.Update(l)
 	}
+}
+
+// Run is Source's.
+func (m *Merged) Run(ctx context.Context, sink Sink) {
+	m.mu.Lock()
+	m.ctx = ctx
+	m.attach(sink)
 	for _, f := range m.running {
 		m.start(f)
 	}
--- a/orchidgrpc/load.go
+++ b/orchidgrpc/load.go
@@ -17,7 +17,7 @@
 
 // LoadOptions reads Options from a file of the daemon's form: "settings", "seed", "known" and "discovery" mean the
 // same, "listen" and "limits" are not needed, and "grpc" holds "service", "methods",
-// "answers" and "tls". Its error names the
+// "answers", "tls" and "file". Its error names the
 // file and the first mistake; "orchiddrift check FILE" lists all.
 func LoadOptions(path string) (Options, error) {
 	text, err := os.ReadFile(path)
@@ -52,7 +52,12 @@
 		c.GRPC = &config.GRPC{}
 	}
 	o := Options{Service: c.GRPC.Service, Settings: c.Settings.Settings, Seed: c.Seed, Discovery: c.Discovery,
-		Methods: c.GRPC.Methods}
+		Methods: c.GRPC.Methods, Registries: c.GRPC.File}
+	if o.Registries != "" {
+		if _, _, err := readRegistries(o.Registries, cmp.Or(o.Service, defaultService)); err != nil {
+			bad = append(bad, config.Problem{Key: "grpc.file", Reason: err.Error()})
+		}
+	}
 	if t := c.GRPC.TLS; t != nil {
 		o.TLS = &TLS{CA: t.CA, Name: t.Name, Certificate: t.Certificate, Key: t.Key}
 		if t.CA == "" || (t.Certificate == "") != (t.Key == "") {
--- a/orchidgrpc/plugin.go
+++ b/orchidgrpc/plugin.go
@@ -19,12 +19,15 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"maps"
 	"math/rand/v2"
+	"os"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
@@ -32,13 +35,16 @@
 
 	"orchiddrift/balancer"
 	"orchiddrift/internal/clock"
+	"orchiddrift/internal/config"
 	"orchiddrift/internal/directory"
 	"orchiddrift/internal/discovery"
 	"orchiddrift/internal/engine"
+	"orchiddrift/internal/eureka"
 	"orchiddrift/internal/logs"
+	"orchiddrift/internal/membership"
 )
 
-// Options are a Plugin's parameters. Either Discovery or Endpoints is needed.
+// Options are a Plugin's parameters. One of Discovery, Endpoints and Registries is needed.
 type Options struct {
 	Service   string            // names the service in targets and as the calls' authority; absent: "service"
 	Settings  balancer.Settings // as the daemon's; LoadOptions reads both from one form of file
@@ -56,6 +62,9 @@
 	Answers []codes.Code
 	Files   *protoregistry.Files // where idempotency levels are looked up; absent: protoregistry.GlobalFiles
 	Log     func(string)         // a line for the operators; absent: dropped
+	// Registries names an operator's file, as the daemon's: the registries ([[eureka]]) of this service in it list upstreams
+	// beside Discovery or Endpoints, or alone, merged as its [membership] says.
+	Registries string
 	// TLS encrypts connections; absent: credentials are the caller's to add. With it, DialOptions bring them.
 	TLS *TLS
 }
@@ -78,6 +87,7 @@
 	IdempotencyKey    = "idempotency-key" // of a keyed call; made here where the caller sets none
 	TenantKey         = "x-tenant-id"     // read here
 	CostKey           = "x-cost"          // read here: expected work in microseconds
+	defaultService    = "service"
 	notProcessedKey   = "x-not-processed" // in trailers: "1" says that the request never ran
 	maxCost           = time.Hour
 	connectDefault    = time.Second
@@ -91,6 +101,8 @@
 	service        string
 	engine         *engine.Engine
 	directory      *directory.Directory
+	feed           *discovery.Feed
+	merged         *discovery.Merged // nil: there is one list
 	methods        *methods
 	answers        map[codes.Code]bool
 	connectTimeout time.Duration
@@ -117,8 +129,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("orchidgrpc: %w", err)
 	}
-	if o.Discovery == "" && len(o.Endpoints) == 0 {
-		return nil, errors.New("orchidgrpc: neither Discovery nor Endpoints is given")
+	if o.Discovery == "" && len(o.Endpoints) == 0 && o.Registries == "" {
+		return nil, errors.New("orchidgrpc: none of Discovery, Endpoints and Registries is given")
 	}
 	if o.Discovery != "" {
 		if err := directory.CheckAddress(o.Discovery); err != nil {
@@ -129,7 +141,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("orchidgrpc: Endpoints: %w", err)
 	}
-	p := &Plugin{service: cmp.Or(o.Service, "service"), fixed: o.Discovery == "", methods: methods, answers: map[codes.Code]bool{},
+	p := &Plugin{service: cmp.Or(o.Service, defaultService), fixed: o.Discovery == "", methods: methods, answers: map[codes.Code]bool{},
 		connectTimeout: cmp.Or(set.ConnectTimeout, connectDefault), tick: cmp.Or(set.Tick, time.Millisecond),
 		rng: rand.New(rand.NewPCG(o.Seed, 0x6f72636869646772)), policies: map[*policy]bool{},
 		resolvers: map[*listResolver]bool{}}
@@ -142,23 +154,24 @@
 	}
 	clk := clock.New()
 	p.directory = directory.New(clk, p.dropped)
-	feed := discovery.NewFeed(p.directory, p.update)
-	members := feed.Take(known)
+	p.feed = discovery.NewFeed(p.directory, p.update)
 	log := logs.To(o.Log)
 	if o.TLS != nil {
 		if p.guard, err = newGuard(*o.TLS, log); err != nil {
 			return nil, fmt.Errorf("orchidgrpc: %w", err)
 		}
 	}
-	var watcher *discovery.Watcher
+	source, known, err := p.openSource(o, known, set.MustSubscribe, log)
+	if err != nil {
+		return nil, fmt.Errorf("orchidgrpc: %w", err)
+	}
+	members := p.feed.Take(known)
 	subscribe := func() {}
-	if o.Discovery != "" {
-		watcher = discovery.New(discovery.Options{Address: o.Discovery, Index: o.Version,
-			ConnectTimeout: p.connectTimeout, ModuleAsks: set.MustSubscribe, Log: log})
-		subscribe = watcher.Ask
+	if source != nil {
+		subscribe = source.Ask
 	}
 	p.engine, err = engine.New(engine.Options{Settings: set, Seed: o.Seed, Clock: clk, Known: members.Entries,
-		Subscribe: subscribe, Settle: feed.Settle, Log: log, CancelWithCaller: true})
+		Subscribe: subscribe, Settle: p.feed.Settle, Log: log, CancelWithCaller: true})
 	if err != nil {
 		return nil, fmt.Errorf("orchidgrpc: Settings: %w", err)
 	}
@@ -167,12 +180,59 @@
 	if p.guard != nil {
 		p.watching.Go(func() { p.guard.follow(ctx, p.withdrawn) })
 	}
-	if watcher != nil {
-		p.watching.Go(func() { watcher.Run(ctx, feed) })
+	if p.merged != nil {
+		p.merged.Attach(p.feed)
+	}
+	if source != nil {
+		p.watching.Go(func() { source.Run(ctx, p.feed) })
 	}
 	return p, nil
 }
 
+// openSource makes the source of the list, and the list to begin with; nil: the list is SetEndpoints' alone.
+func (p *Plugin) openSource(o Options, known *directory.Listing, moduleAsks bool, log *slog.Logger) (directory.Source,
+	*directory.Listing, error) {
+	var own directory.Source
+	if o.Discovery != "" {
+		own = discovery.New(discovery.Options{Address: o.Discovery, Index: o.Version, ConnectTimeout: p.connectTimeout,
+			ModuleAsks: moduleAsks, Log: log})
+	}
+	if o.Registries == "" {
+		return own, known, nil
+	}
+	registries, members, err := readRegistries(o.Registries, p.service)
+	if err != nil {
+		return nil, nil, err
+	}
+	sources := []discovery.Named{{Name: ownList, Source: own, Known: known, Leads: true}}
+	for _, r := range registries {
+		one, err := eureka.New(r, p.connectTimeout, o.Seed^xxhash.Sum64String(r.Name), log)
+		if err != nil {
+			return nil, nil, err
+		}
+		sources = append(sources, discovery.Named{Name: r.Name, Source: one})
+	}
+	if p.merged, err = discovery.NewMerged(members, log, sources...); err != nil {
+		return nil, nil, err
+	}
+	return p.merged, p.merged.Load(), nil
+}
+
+// ownList is what Discovery's or SetEndpoints' list is called beside registries.
+const ownList = "list"
+
+func readRegistries(path, service string) ([]eureka.Declaration, membership.Options, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, membership.Options{}, fmt.Errorf("Registries: %w", err)
+	}
+	of, members, err := config.Registries(text, service)
+	if err != nil {
+		err = fmt.Errorf("Registries: %s: %w", path, err)
+	}
+	return of, members, err
+}
+
 // Target is what to give to grpc.NewClient, with DialOptions.
 func (p *Plugin) Target() string { return Scheme + ":///" + p.service }
 
@@ -207,7 +267,11 @@
 	if err != nil {
 		return fmt.Errorf("orchidgrpc: %w", err)
 	}
-	p.update(p.directory.Apply(l))
+	if p.merged != nil {
+		p.merged.Update(ownList, l)
+		return nil
+	}
+	p.feed.Update(l)
 	return nil
 }
 
--- a/orchidgrpc/rig_test.go
+++ b/orchidgrpc/rig_test.go
@@ -78,7 +78,11 @@
 			o.Name = fmt.Sprint("n", i)
 		}
 		o.Ledger, o.Zone, o.Cores, o.Seed = f.ledger, "a", max(o.Cores, 64), uint64(i)
-		o.Answer = func(standin.Job) []byte {
+		came := o.Answer
+		o.Answer = func(j standin.Job) []byte {
+			if came != nil {
+				came(j)
+			}
 			body, err := proto.Marshal(wrapperspb.String(o.Name))
 			if err != nil {
 				panic(err)
--- a/orchidgrpc/unary_test.go
+++ b/orchidgrpc/unary_test.go
@@ -377,7 +377,8 @@
 	good := orchidgrpc.Options{Settings: settings(), Endpoints: []orchidgrpc.Endpoint{{Name: "a", Address: "127.0.0.1:1"}}}
 	for want, change := range map[string]func(*orchidgrpc.Options){
 		"Discovery":     func(o *orchidgrpc.Options) { o.Discovery = "nowhere" },
-		"neither":       func(o *orchidgrpc.Options) { o.Endpoints = nil },
+		"none of":       func(o *orchidgrpc.Options) { o.Endpoints = nil },
+		"Registries":    func(o *orchidgrpc.Options) { o.Registries = "/nowhere" },
 		"Endpoints":     func(o *orchidgrpc.Options) { o.Endpoints = []orchidgrpc.Endpoint{{Name: "a", Address: "b"}} },
 		"unknown class": func(o *orchidgrpc.Options) { o.Methods = map[string]string{search: "none"} },
 		"neither /pack": func(o *orchidgrpc.Options) { o.Methods = map[string]string{"Search": "search"} },
