--- a/internal/config/plan.go
+++ b/internal/config/plan.go
@@ -229,7 +229,7 @@
 		p.Grace = cmp.Or(p.Grace, longest) + killMargin
 	}
 	declared := f.Routes
-	if len(declared) == 0 && len(p.Services) == 1 {
+	if len(declared) == 0 && len(p.Services) == 1 && beside == nil { // the platform's service has its own
 		declared = []routes.Declaration{{Match: "/", Key: routes.Header(httphead.Key), MaxBody: routes.MaxMaxBody}}
 	}
 	led := map[string]bool{}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -54,8 +54,7 @@
 		return err
 	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(p.Limits.Cores))))
-	debug.SetMemoryLimit(int64(p.Limits.MemoryMB * memoryPart * (1 << 20)))
-	debug.SetGCPercent(GCPercent(p.Limits.MemoryMB))
+	LimitMemory(p)
 	listener, err := net.Listen("tcp", p.Listen)
 	if err != nil {
 		return fmt.Errorf("listening: %w", err)
@@ -63,6 +62,12 @@
 	return ServePlan(ctx, p, listener, files, reload, nil)
 }
 
+// LimitMemory has the process's collector keep to the plan's limit.
+func LimitMemory(p *config.Plan) {
+	debug.SetMemoryLimit(int64(p.Limits.MemoryMB * memoryPart * (1 << 20)))
+	debug.SetGCPercent(GCPercent(p.Limits.MemoryMB))
+}
+
 // GCPercent is how far the heap may grow over what is live, in percent, by the memory limit in MB: the live heap is a
 // few MB whatever the limit, so where there is more memory the collector can work less often.
 func GCPercent(memoryMB float64) int {
--- a/internal/daemon/eureka_test.go
+++ b/internal/daemon/eureka_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"orchiddrift/internal/config"
 	"orchiddrift/internal/directory"
 	"orchiddrift/internal/standin"
 	"orchiddrift/internal/testkit"
@@ -160,6 +161,67 @@
 	r.answers(t, n, "c")
 }
 
+// Guards against the platform's list that counts for less beside a registry: what drains there drains, its loss reaches the
+// module, and the registry's own nodes serve beside it.
+func TestRegistryBesideThePlatform(t *testing.T) {
+	n := startNodes(t, nil, "a", "b", "c")
+	e := base.Eureka(t, standin.EurekaOptions{})
+	e.Put(n.instance(t, "host:a", "a", "UP"))
+	e.Put(n.instance(t, "host:c", "c", "UP"))
+	drain := make(chan struct{})
+	var calls atomic.Int64
+	d := testkit.Discovery(t, func(_ int, send func(string), done <-chan struct{}) {
+		if calls.Add(1) > 1 { // again, after it was lost
+			send("")
+			<-done
+			return
+		}
+		send("")
+		<-drain
+		send(testkit.List(2, false, testkit.Entry("a", n["a"], "Terminating")))
+	})
+	c := testkit.Config(t, d.Address, testkit.Entry("a", n["a"], "Ready"), testkit.Entry("b", n["b"], "Ready"))
+	p, err := config.ParseBeside(c, fmt.Appendf(nil, "[[eureka]]\nservice = \"platform\"\nservers = [%q]\napplications = [\"SEATS\"]\npoll = \"100ms\"\n", e.Base))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	over, up := make(chan error, 1), make(chan *daemon, 1)
+	go func() { over <- serve(ctx, p, l, config.Sources{}, nil, func(d *daemon) { up <- d }) }()
+	defer func() {
+		stop()
+		if err := <-over; err != nil {
+			t.Error(err)
+		}
+	}()
+	s := (<-up).routing.Load().services[config.Platform]
+	takes := func(want ...string) func() bool {
+		return func() bool {
+			got := []string{}
+			for name, address := range n {
+				for _, at := range s.dir.Places() {
+					if at.Address == address {
+						got = append(got, name)
+					}
+				}
+			}
+			slices.Sort(got)
+			return slices.Equal(got, want)
+		}
+	}
+	testkit.Eventually(t, "all three", takes("a", "b", "c"))
+	close(drain)
+	testkit.Eventually(t, "a drains", takes("b", "c"))
+	testkit.Eventually(t, "the lost list is asked for again", func() bool { return calls.Load() > 1 })
+	if !takes("b", "c")() {
+		t.Errorf("the loss changed the list: %v", s.dir.Places())
+	}
+}
+
 // Guards against sources that come, go and move under load at the cost of what is served.
 func TestSourcesChangeUnderLoad(t *testing.T) {
 	n := startNodes(t, nil, "a", "b")
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -209,7 +209,7 @@
 	if sameOwn && sameRest {
 		return nil, nil
 	}
-	if merged, is := s.source.(*discovery.Merged); is && len(plan.Registries) > 0 && was.Members == plan.Members {
+	if merged, is := s.source.(*discovery.Merged); is && (len(plan.Registries) > 0 || plan.Discovery != "") {
 		return s.moveMerged(merged, plan, sameOwn)
 	}
 	if len(was.Registries)+len(plan.Registries) == 0 && was.Discovery != "" && plan.Discovery != "" {
@@ -220,7 +220,7 @@
 			s.source.(*discovery.Watcher).Redirect(plan.Discovery)
 		}, nil
 	}
-	if plan.Discovery != "" && (was.Discovery != plan.Discovery || len(was.Registries) > 0) {
+	if plan.Discovery != "" && was.Discovery != plan.Discovery {
 		return nil, errors.New("a change between kinds of lists needs a new service")
 	}
 	var known *directory.Listing
@@ -244,7 +244,8 @@
 // moveMerged is move where registries stay or come and go beside the service's own list.
 func (s *service) moveMerged(merged *discovery.Merged, plan config.ServicePlan, sameOwn bool) (func(), error) {
 	was := s.plan
-	var steps, ends []func() // what comes is first, so that nothing is missed between
+	steps := []func(){func() { merged.Configure(plan.Members) }}
+	var ends []func() // they come after the steps, so that nothing is missed between
 	add := func(n discovery.Named) {
 		steps = append(steps, func() {
 			if err := merged.Add(n); err != nil { // the file's check bounds them
--- a/internal/discovery/merged.go
+++ b/internal/discovery/merged.go
@@ -137,6 +137,13 @@
 // Update takes a list for a source that has no life of its own, such as entries of a file.
 func (m *Merged) Update(name string, l *directory.Listing) { (&input{m, name, false}).Update(l) }
 
+// Configure changes the windows of the merge.
+func (m *Merged) Configure(o membership.Options) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.merge.Configure(o)
+}
+
 // Ask is Source's: those that lead are asked.
 func (m *Merged) Ask() {
 	m.mu.Lock()
--- a/internal/measure/roles.go
+++ b/internal/measure/roles.go
@@ -81,6 +81,8 @@
 		return true, r.serveTLSNodes()
 	case "daemon", "reverseproxy":
 		return true, r.serveProxy()
+	case "eurekadaemon":
+		return true, r.serveEurekaDaemon()
 	case "client":
 		return true, r.call()
 	}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -139,6 +139,9 @@
 	return nil
 }
 
+// Configure changes the windows; what has been decided stands until it is looked at again.
+func (m *Merge) Configure(o Options) { m.o = o }
+
 // RemoveSource forgets a source: what it said counts no more, and what only it said is withdrawn at once, since an operator
 // wants that.
 func (m *Merge) RemoveSource(now time.Time, name string) Output {
--- a/internal/standin/eureka.go
+++ b/internal/standin/eureka.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -39,6 +40,7 @@
 	srv  *http.Server
 	done chan struct{}
 
+	bytes   atomic.Int64 // of answers' bodies
 	mu      sync.Mutex
 	apps    map[string]map[string]*EurekaInstance
 	queue   []eurekaChange
@@ -391,6 +393,7 @@
 		body = packed.Bytes()
 	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	e.bytes.Add(int64(len(body)))
 	if fault == EurekaFine {
 		e.tell(a.version)
 	}
@@ -401,6 +404,9 @@
 	_, _ = w.Write(body)
 }
 
+// Bytes is what the bodies of all answers came to.
+func (e *Eureka) Bytes() int64 { return e.bytes.Load() }
+
 // Version counts the changes so far.
 func (e *Eureka) Version() int {
 	e.mu.Lock()
