--- a/internal/eureka/eureka_test.go
+++ b/internal/eureka/eureka_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -426,3 +427,100 @@
 		})
 	}
 }
+
+// Guards against the documents' known oddities, each with what it comes to; "": it is no document.
+func TestOddities(t *testing.T) {
+	one := func(port, more string) string {
+		return `{"applications":{"application":[{"name":"A","instance":[{"instanceId":"i","ipAddr":"127.0.0.2","status":"UP","port":` + port + more + `}]}]}}`
+	}
+	xml := func(more string) string {
+		return `<?xml version="1.0"?><application><name>A</name><instance><hostName>127.0.0.2</hostName><status>UP</status>` + more + `</instance></application>`
+	}
+	for text, want := range map[string]string{
+		one(`80`, ``):                         "i@127.0.0.2:80 Ready",
+		one(`"80"`, ``):                       "i@127.0.0.2:80 Ready",
+		one(`{"$":80,"@enabled":"true"}`, ``): "i@127.0.0.2:80 Ready",
+		one(`{"$":"80","@enabled":true}`, `,"metadata":null`):              "i@127.0.0.2:80 Ready",
+		one(`{"$":80,"@enabled":"false"}`, ``):                             "none",
+		one(`null`, ``):                                                    "none",
+		one(`0`, ``):                                                       "none",
+		one(`99999999999999999999`, ``):                                    "none",
+		one(`80`, `,"overriddenstatus":"OUT_OF_SERVICE"`):                  "i@127.0.0.2:80 OutOfService",
+		one(`80`, `,"overriddenStatus":"UNKNOWN","metadata":""`):           "i@127.0.0.2:80 Ready",
+		one(`80`, `,"status":"DOWN","overriddenStatus":"UP"`):              "i@127.0.0.2:80 Down",
+		one(`80`, `,"ipAddr":"nowhere","hostName":"::1"`):                  "i@[::1]:80 Ready",
+		one(`80`, `,"ipAddr":"node.example","hostName":"node.example"`):    "none",
+		one(`80`, `,"leaseInfo":[],"dataCenterInfo":"x","metadata":[1,2]`): "i@127.0.0.2:80 Ready",
+		`{"applications":{"versions__delta":"1","application":{"instance":{"hostName":"127.0.0.3","port":{"$":81},"status":"UP"},"name":"A"}}}`: "127.0.0.3@127.0.0.3:81 Ready",
+		`{"applications":{"application":null}}`:            "none",
+		`{"applications":{"application":{"name":"A"}}}`:    "none",
+		`{"applications":null}`:                            "none",
+		`{"error":"no"}`:                                   "",
+		`{"applications":{}}{}`:                            "",
+		`{"applications":{"application":[{"instance":[{}]`: "",
+		`{"applications":{"application":{"instance":{}}}}`: "", // neither id nor host
+		``:                                      "",
+		xml(`<port enabled="true"> 80 </port>`): "127.0.0.2@127.0.0.2:80 Ready",
+		xml(`<port>80</port><overriddenstatus>DOWN</overriddenstatus>`):                                         "127.0.0.2@127.0.0.2:80 Down",
+		xml(`<port enabled="false">80</port>`):                                                                  "none",
+		xml(`<port>80</port><metadata class="x"><zone><deep>1</deep></zone></metadata><unknown><a/></unknown>`): "127.0.0.2@127.0.0.2:80 Ready",
+		`<applications/>`: "none",
+		`<applications><application></applications>`: "",
+		`<applications></applications><more/>`:       "",
+		`<html><body/></html>`:                       "",
+	} {
+		kind := "application/json"
+		if strings.HasPrefix(text, "<") {
+			kind = "text/xml"
+		}
+		r := newRegistry(Mapping{ZoneKey: "zone"}, []string{"a"})
+		got := ""
+		if err := (&document{visit: r.put}).decode(kind, strings.NewReader(text)); err == nil {
+			got = "none"
+			for _, e := range r.news(true, false).Endpoints {
+				got = e.Name + "@" + e.Address + " " + e.Status
+			}
+		}
+		if got != want {
+			t.Errorf("%s: %q, want %q", text, got, want)
+		}
+	}
+}
+
+// Guards against leases that run out and are still followed, and against replicas of which one lags: the stand-in's own
+// expiry, self-preservation and replication, seen by the client.
+func TestLeasesAndReplicas(t *testing.T) {
+	for _, preserves := range []bool{false, true} {
+		var ahead atomic.Int64
+		now := func() time.Time { return time.Now().Add(time.Duration(ahead.Load())) }
+		e := base.Eureka(t, standin.EurekaOptions{Preserves: preserves, Now: now})
+		peer := base.Eureka(t, standin.EurekaOptions{Now: now})
+		e.Replicate(peer)
+		for _, id := range []string{"a", "b"} {
+			e.Put(node("SEATS", id, 81, "UP"))
+		}
+		d, w := declaration(e), declaration(peer)
+		d.Applications, w.Applications = []string{"SEATS"}, []string{"SEATS"}
+		h, _ := follow(t, d)
+		other, _ := follow(t, w)
+		for _, x := range []*heard{h, other} {
+			base.Eventually(t, "replicated", func() bool { return x.says() == "a Ready, b Ready" })
+		}
+		e.Replicate()
+		e.SetStatus("SEATS", "a", "DOWN")
+		base.Eventually(t, "one knows", func() bool { return h.says() == "a Down, b Ready" })
+		if got := other.says(); got != "a Ready, b Ready" {
+			t.Errorf("a replica that is cut off has %q", got)
+		}
+		ahead.Store(int64(2 * time.Minute))
+		if want := "a Down, b Ready"; preserves {
+			calls := e.Calls("GET /apps/SEATS")
+			base.Eventually(t, "polls", func() bool { return e.Calls("GET /apps/SEATS") > calls+3 })
+			if got := h.says(); got != want {
+				t.Errorf("%q in spite of self-preservation", got)
+			}
+			continue
+		}
+		base.Eventually(t, "expired", func() bool { return h.says() == "" })
+	}
+}
