A service's own part of its upstreams: [service.subset] in the operator's file

Need: each sidecar must bound what it holds open. Change: discovery.Narrowed between a list and the module; traffic sets the size. Off by default, nothing changes without it.

--- a/cmd/orchiddrift/check.go
+++ b/cmd/orchiddrift/check.go
@@ -105,6 +105,9 @@
 		for _, r := range s.Registries {
 			fmt.Fprintf(w, ", %s", r.Describe())
 		}
+		if s.Subset.On {
+			fmt.Fprintf(w, ", %d to %d of them its own", s.Subset.Least, s.Subset.Most)
+		}
 		fmt.Fprint(w, "; classes")
 		for _, c := range s.Settings.Classes {
 			fmt.Fprintf(w, " %s (%s)", c.Name, []string{"safe", "keyed", "unsafe"}[c.Effect])
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -15,6 +15,7 @@
 	"orchiddrift/internal/membership"
 	"orchiddrift/internal/routes"
 	"orchiddrift/internal/settings"
+	"orchiddrift/internal/subset"
 	"orchiddrift/internal/tomlfile"
 	"orchiddrift/internal/units"
 )
@@ -65,6 +66,7 @@
 	Answers   []string         `toml:"answers" default:"2xx, 3xx, 4xx" doc:"Statuses that are an upstream's answer, and passed on as they are. Any other is a failure. 429 and 503 never count."`
 	Share     float64          `toml:"share" default:"1" doc:"Its weight in what is set aside for services."`
 	TLS       keys.Upstream    `toml:"tls" doc:"Encryption towards its upstreams."`
+	Subset    subset.Options   `toml:"subset" doc:"For many upstreams: a part of them is this process's own."`
 	settings.Declaration
 }
 
--- a/internal/config/plan.go
+++ b/internal/config/plan.go
@@ -22,6 +22,7 @@
 	"orchiddrift/internal/membership"
 	"orchiddrift/internal/routes"
 	"orchiddrift/internal/settings"
+	"orchiddrift/internal/subset"
 	"orchiddrift/internal/tomlfile"
 	"orchiddrift/internal/units"
 )
@@ -51,6 +52,7 @@
 	Answers  *httphead.Statuses
 	Share    float64
 	TLS      keys.Upstream
+	Subset   subset.Options
 
 	// Where its upstreams come from: Discovery, ListFile or else Known alone.
 	Discovery string
@@ -378,7 +380,7 @@
 	if err != nil { // reported by Check
 		answers = httphead.Only200()
 	}
-	p := ServicePlan{Name: s.Name, Settings: s.Settings(), Answers: answers, Share: s.Share, TLS: s.TLS,
+	p := ServicePlan{Name: s.Name, Settings: s.Settings(), Answers: answers, Share: s.Share, TLS: s.TLS, Subset: s.Subset,
 		Discovery: s.Discovery, ListFile: s.ListFile}
 	p.Settings.MustSubscribe = s.Discovery != "" && !s.Push
 	if entries := s.entries(); len(entries) > 0 {
@@ -390,5 +392,5 @@
 // Same tells whether two plans of a service differ in nothing but where its upstreams come from.
 func (s *ServicePlan) Same(o *ServicePlan) bool {
 	return s.Name == o.Name && reflect.DeepEqual(s.Settings, o.Settings) && *s.Answers == *o.Answers &&
-		reflect.DeepEqual(s.TLS, o.TLS)
+		reflect.DeepEqual(s.TLS, o.TLS) && s.Subset == o.Subset
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -200,7 +200,7 @@
 // share makes what services share.
 func (d *daemon) share(connections int) error {
 	p := d.plan
-	d.shared = &shared{clock: clock.New(), log: d.log, seed: p.Seed,
+	d.shared = &shared{clock: clock.New(), log: d.log, seed: p.Seed, name: p.Name, connections: connections,
 		maxAnswer: int(p.Limits.MemoryMB * (1 << 20) / answerPart)}
 	var err error
 	if d.shared.slots, err = bulkhead.NewSemaphore(int64(connections), p.Guaranteed, nil); err != nil {
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -23,18 +23,21 @@
 	"orchiddrift/internal/eureka"
 	"orchiddrift/internal/filewatch"
 	"orchiddrift/internal/keys"
+	"orchiddrift/internal/subset"
 	"orchiddrift/internal/upstream"
 )
 
 // shared is what the services of a daemon have in common.
 type shared struct {
-	clock     clock.Clock
-	log       *slog.Logger
-	slots     *bulkhead.Semaphore // connections to upstreams
-	inHand    *bulkhead.Semaphore // requests; nil: only the connections bound them
-	bytes     *bulkhead.Semaphore // of bodies, both ways; nil: not counted
-	maxAnswer int
-	seed      uint64
+	clock       clock.Clock
+	log         *slog.Logger
+	slots       *bulkhead.Semaphore // connections to upstreams
+	inHand      *bulkhead.Semaphore // requests; nil: only the connections bound them
+	bytes       *bulkhead.Semaphore // of bodies, both ways; nil: not counted
+	maxAnswer   int
+	seed        uint64
+	name        string // the process's
+	connections int    // to upstreams, at most
 }
 
 // service is one service's module, list and connections. It is used by requests that hold it (enter) and ended by
@@ -47,7 +50,9 @@
 	pool   *upstream.Pool
 	dir    *directory.Directory
 	feed   *discovery.Feed
-	keys   *keys.Store // nil: connections are not encrypted
+	narrow *discovery.Narrowed // before the feed; nil: every upstream is its own
+	asked  atomic.Int64        // requests so far
+	keys   *keys.Store         // nil: connections are not encrypted
 
 	stop    context.CancelFunc // of what runs beside requests
 	running sync.WaitGroup
@@ -88,6 +93,13 @@
 	s.dir = directory.New(sh.clock, s.pool.Drop)
 	s.pool.SetDirectory(s.dir)
 	s.feed = discovery.NewFeed(s.dir, func(m balancer.Members) { s.engine.Update(m) })
+	if plan.Subset.On {
+		self := fmt.Sprintf("%s/%016x", sh.name, sh.seed)
+		s.narrow = discovery.NewNarrowed(subset.New(plan.Subset, self, plan.Settings.Zone, sh.connections), s.feed, s.asked.Load)
+		if list != nil {
+			list = s.narrow.Load(list)
+		}
+	}
 	var first balancer.Members
 	if list != nil {
 		first = s.feed.Take(list)
@@ -108,6 +120,9 @@
 	if s.keys != nil {
 		s.running.Go(func() { s.keys.Run(ctx) })
 	}
+	if s.narrow != nil {
+		s.running.Go(func() { s.narrow.Run(ctx) })
+	}
 	s.follow(source)
 	return s, nil
 }
@@ -184,10 +199,18 @@
 	s.stopSource, s.sourceDone = stop, done
 	go func() {
 		defer close(done)
-		source.Run(ctx, s.feed)
+		source.Run(ctx, s.sink())
 	}()
 }
 
+// sink is where lists go.
+func (s *service) sink() directory.Sink {
+	if s.narrow != nil {
+		return s.narrow
+	}
+	return s.feed
+}
+
 // ask is the module's wish for the list.
 func (s *service) ask() {
 	go func() { // it must not block, and follow may hold the lock for a moment
@@ -226,6 +249,9 @@
 	var known *directory.Listing
 	if plan.Discovery != "" { // registries come beside it
 		known = s.feed.Last()
+		if s.narrow != nil {
+			known = s.narrow.Last()
+		}
 	}
 	list, source, err := s.openSource(plan, known, s.shared.log)
 	if err != nil {
@@ -235,7 +261,7 @@
 		s.plan = plan
 		s.follow(nil)
 		if list != nil {
-			s.feed.Update(list)
+			s.sink().Update(list)
 		}
 		s.follow(source)
 	}, nil
@@ -313,6 +339,7 @@
 // enter takes the service for a request; false: it has been retired.
 func (s *service) enter() bool {
 	s.held.Add(1)
+	s.asked.Add(1)
 	if s.retired.Load() {
 		s.leave()
 		return false
--- /dev/null
+++ b/internal/discovery/narrowed.go
@@ -0,0 +1,151 @@
+package discovery
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"orchiddrift/internal/directory"
+	"orchiddrift/internal/subset"
+)
+
+// Narrowed is the Sink before a Feed that passes on only what subset takes for this process's own. It keeps the whole list.
+type Narrowed struct {
+	feed *Feed
+	sent func() int64 // requests so far
+
+	mu    sync.Mutex
+	s     *subset.Subset
+	whole map[string]directory.Endpoint
+	index int64
+	timer *time.Timer
+	over  bool
+}
+
+var _ Sink = (*Narrowed)(nil)
+
+// NewNarrowed returns one; sent counts the requests that the size follows.
+func NewNarrowed(s *subset.Subset, feed *Feed, sent func() int64) *Narrowed {
+	n := &Narrowed{feed: feed, sent: sent, s: s, whole: map[string]directory.Endpoint{}}
+	n.timer = time.AfterFunc(time.Hour, n.tick)
+	n.timer.Stop()
+	return n
+}
+
+// Load takes a first list, and returns what of it is this process's own; it is not passed on.
+func (n *Narrowed) Load(l *directory.Listing) *directory.Listing {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.keep(l)
+	index := n.index
+	own := &directory.Listing{Index: &index, Snapshot: true}
+	if out := n.s.Update(time.Now(), l); out != nil {
+		own.Endpoints = out.Endpoints
+	}
+	return own
+}
+
+func (n *Narrowed) keep(l *directory.Listing) {
+	if l.Snapshot {
+		clear(n.whole)
+	}
+	if l.Index != nil {
+		n.index = *l.Index
+	}
+	for _, e := range l.Endpoints {
+		if e.Status == directory.StatusReady || e.Status == directory.StatusTerminating {
+			n.whole[e.Name] = e
+		} else {
+			delete(n.whole, e.Name)
+		}
+	}
+}
+
+// Last is the whole list as last held.
+func (n *Narrowed) Last() *directory.Listing {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	index := n.index
+	l := &directory.Listing{Index: &index, Snapshot: true, Endpoints: make([]directory.Endpoint, 0, len(n.whole))}
+	for _, e := range n.whole {
+		l.Endpoints = append(l.Endpoints, e)
+	}
+	return l
+}
+
+// Size is how many upstreams are this process's own, and how many are listed.
+func (n *Narrowed) Size() (own, listed int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.s.Size()
+}
+
+// Update is Sink's.
+func (n *Narrowed) Update(l *directory.Listing) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.keep(l)
+	n.pass(n.s.Update(time.Now(), l))
+	n.feed.Heard() // also where nothing of it is this process's own
+}
+
+// Heard and Lost are Sink's.
+func (n *Narrowed) Heard() { n.feed.Heard() }
+
+// Lost is Sink's.
+func (n *Narrowed) Lost(err error, again bool) { n.feed.Lost(err, again) }
+
+func (n *Narrowed) pass(out *directory.Listing) {
+	if out != nil {
+		index := n.index
+		out.Index = &index
+		n.feed.Update(out)
+	}
+	if next := n.s.Next(); !next.IsZero() && !n.over {
+		n.timer.Reset(max(0, time.Until(next)))
+	}
+}
+
+func (n *Narrowed) tick() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.over {
+		n.pass(n.s.Tick(time.Now()))
+	}
+}
+
+// The traffic is looked at this often, and averaged over rateOver.
+const (
+	rateEvery = time.Second
+	rateOver  = 10 * time.Second
+)
+
+// Run follows the traffic and the time until ctx ends.
+func (n *Narrowed) Run(ctx context.Context) {
+	every := time.NewTicker(rateEvery)
+	defer every.Stop()
+	rate, last, at := 0.0, n.sent(), time.Now()
+	n.mu.Lock()
+	n.pass(nil) // arms the timer
+	n.mu.Unlock()
+	for {
+		select {
+		case <-every.C:
+		case <-ctx.Done():
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.over = true
+			n.timer.Stop()
+			return
+		}
+		now, sent := time.Now(), n.sent()
+		passed := now.Sub(at)
+		weight := 1 - math.Exp(-passed.Seconds()/rateOver.Seconds())
+		rate += weight * (float64(sent-last)/passed.Seconds() - rate)
+		last, at = sent, now
+		n.mu.Lock()
+		n.pass(n.s.Rate(now, rate))
+		n.mu.Unlock()
+	}
+}
