--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -5,6 +5,7 @@
 //	go run ./cmd/measure routes    # the daemon with 1, 100 and 10,000 routes
 //	go run ./cmd/measure eureka    # from a flip in a registry to the last request
 //	go run ./cmd/measure subset    # ways to choose a part of 5,000 upstreams, by assignment alone
+//	go run ./cmd/measure many      # daemons over 5,000 listeners, with and without subsets
 //	go run ./cmd/measure grpc      # beside grpc-go's round_robin, weighted_round_robin and least_request
 package main
 
@@ -46,6 +47,10 @@
 
 func (c subsetCmd) Run() error { return measure.Subset(c.options.options()) }
 
+type manyCmd struct{ options }
+
+func (c manyCmd) Run() error { return measure.Many(c.options.options()) }
+
 type grpcCmd struct{ options }
 
 func (c grpcCmd) Run() error { return measure.GRPC(c.options.options()) }
@@ -64,6 +69,7 @@
 		Routes routesCmd `cmd:"" help:"The daemon with 1, 100 and 10,000 routes."`
 		Eureka eurekaCmd `cmd:"" help:"From a flip in an Eureka registry to the last request; memory with 5,000 instances."`
 		Subset subsetCmd `cmd:"" help:"Ways to choose a part of 5,000 upstreams."`
+		Many   manyCmd   `cmd:"" help:"Daemons over 5,000 listeners, with and without subsets."`
 		GRPC   grpcCmd   `cmd:"" name:"grpc" help:"The plug-in beside grpc-go's balancers."`
 	}
 	ctx := kong.Parse(&cli, kong.Name("measure"), kong.UsageOnError())
--- /dev/null
+++ b/internal/measure/many.go
@@ -0,0 +1,232 @@
+package measure
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"orchiddrift/internal/config"
+	"orchiddrift/internal/daemon"
+)
+
+// manySeen is what 5,000 nodes saw.
+type manySeen struct {
+	Open, MostOpen int // connections now, and the most that one node has
+	Asked          int // nodes that got a request
+	Requests       int
+	MostRequests   int // of one node
+}
+
+// Many prints what a few daemons of a fleet of 200 hold open towards 5,000 listeners, by the size of their subsets.
+func Many(o Options) error {
+	dir, err := os.MkdirTemp("", "orchiddrift-measure-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	const nodes, running, fleet = 5000, 4, 200
+	var addresses []string
+	n, err := start(role{Part: "manynodes", Nodes: nodes}, &addresses)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = n.stop() }()
+	list := filepath.Join(dir, "list.json")
+	if err := writeList(list, addresses[1:]); err != nil {
+		return err
+	}
+	w := tabwriter.NewWriter(o.Out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "subset\tdaemons of\tserved\trefused\tnodes asked\tconnections\ta node, most\trequests a node, most/mean\tmost resident\tanonymous\tCPU a request\t")
+	for _, least := range []int{0, 25, 100} {
+		if err := manyRound(w, addresses[0], list, least, running, fleet, o.Calls); err != nil {
+			return err
+		}
+	}
+	return w.Flush()
+}
+
+func writeList(path string, addresses []string) error {
+	type entry struct {
+		Name    string `json:"name"`
+		Address string `json:"address"`
+	}
+	var l struct {
+		Endpoints []entry `json:"endpoints"`
+	}
+	for i, a := range addresses {
+		l.Endpoints = append(l.Endpoints, entry{fmt.Sprintf("node-%04d", i), a})
+	}
+	text, err := json.Marshal(l)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, text, 0o600)
+}
+
+// manyRound has the daemons asked in turn by two clients each; least 0: no subset.
+func manyRound(w io.Writer, control, list string, least, running, fleet, calls int) error {
+	var children []*child
+	stopAll := func() (err error) {
+		for _, c := range children {
+			err = errors.Join(err, c.stop())
+		}
+		children = nil
+		return err
+	}
+	defer func() { _ = stopAll() }()
+	served, refused, perDaemon := 0, 0, max(200, calls/running)
+	var mu sync.Mutex
+	var cpu time.Duration
+	var peaks, anons []string
+	seen := func() (s manySeen, err error) {
+		resp, err := http.Get("http://" + control + "/")
+		if err != nil {
+			return s, err
+		}
+		defer resp.Body.Close()
+		return s, json.NewDecoder(resp.Body).Decode(&s)
+	}
+	if _, err := seen(); err != nil { // it counts from here on
+		return err
+	}
+	for i := range running {
+		var address string
+		c, err := start(role{Part: "manydaemon", Dir: list, Nodes: least, Workers: fleet, Calls: i * fleet / running}, &address)
+		if err != nil {
+			return err
+		}
+		children = append(children, c)
+		client := &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 8}}
+		before, err := c.used()
+		if err != nil {
+			return err
+		}
+		_, err = closedLoop(8, 0, perDaemon, func(int, int) error {
+			resp, err := client.Get("http://" + address + "/")
+			if err != nil {
+				return err
+			}
+			defer resp.Body.Close()
+			_, _ = io.Copy(io.Discard, resp.Body) // a short answer from loopback
+			mu.Lock()
+			defer mu.Unlock()
+			switch resp.StatusCode {
+			case http.StatusOK:
+				served++
+			case http.StatusServiceUnavailable:
+				refused++
+			default:
+				return fmt.Errorf("answered %s", resp.Status)
+			}
+			return nil
+		}, func() error { return nil })
+		after, usedErr := c.used()
+		client.CloseIdleConnections()
+		if err := errors.Join(err, usedErr); err != nil {
+			return err
+		}
+		cpu += after.CPU - before.CPU
+		peak, anon := c.memory()
+		peaks, anons = append(peaks, peak), append(anons, anon)
+	}
+	s, err := seen()
+	if err != nil {
+		return err
+	}
+	name := fmt.Sprint(least)
+	if least == 0 {
+		name = "all 5,000"
+	}
+	fmt.Fprintf(w, "%s\t%d of %d\t%d\t%d\t%d\t%d\t%d\t%.2f\t%s\t%s\t%v\t\n", name, running, fleet, served, refused, s.Asked, s.Open, s.MostOpen,
+		float64(s.MostRequests)*float64(max(1, s.Asked))/float64(max(1, s.Requests)), peaks[0], anons[0], (cpu / time.Duration(max(1, served+refused))).Round(100*time.Nanosecond))
+	return stopAll()
+}
+
+// serveManyNodes are so many listeners in one process. The first address tells what they saw since it was last asked.
+func (r role) serveManyNodes() error {
+	var mu sync.Mutex
+	open, asked := map[string]int{}, map[string]int{}
+	srv := &http.Server{ReadHeaderTimeout: 10 * time.Second, ErrorLog: log.New(io.Discard, "", 0),
+		ConnState: func(c net.Conn, s http.ConnState) {
+			mu.Lock()
+			defer mu.Unlock()
+			switch s {
+			case http.StateNew:
+				open[c.LocalAddr().String()]++
+			case http.StateClosed, http.StateHijacked:
+				open[c.LocalAddr().String()]--
+			}
+		},
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			at, _ := r.Context().Value(http.LocalAddrContextKey).(net.Addr)
+			mu.Lock()
+			asked[at.String()]++
+			mu.Unlock()
+			_, _ = io.WriteString(w, "ok") // a client that left is no matter here
+		})}
+	defer srv.Close()
+	control, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	tell := &http.Server{ReadHeaderTimeout: 10 * time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		var s manySeen
+		for _, n := range open {
+			s.Open, s.MostOpen = s.Open+n, max(s.MostOpen, n)
+		}
+		for _, n := range asked {
+			s.Requests, s.MostRequests = s.Requests+n, max(s.MostRequests, n)
+		}
+		s.Asked = len(asked)
+		clear(asked)
+		_ = json.NewEncoder(w).Encode(s) // who asked is the parent
+	})}
+	go func() { _ = tell.Serve(control) }() // ends with Close
+	defer tell.Close()
+	addresses := []string{control.Addr().String()}
+	for range r.Nodes {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		go func() { _ = srv.Serve(l) }() // ends with Close
+		addresses = append(addresses, l.Addr().String())
+	}
+	return attend(addresses)
+}
+
+// serveManyDaemon is one of a fleet of Workers sidecars, the one of index Calls, with a subset of Nodes; 0: without.
+func (r role) serveManyDaemon() error {
+	text := fmt.Appendf(nil, "[daemon]\nseed = \"%x\"\n[log]\nlevel = \"error\"\n[limits]\nmemory = \"32MiB\"\ndescriptors = 1024\n"+
+		"[[service]]\nname = \"many\"\nlist_file = %q\n", r.Calls+1, r.Dir)
+	if r.Nodes > 0 {
+		text = fmt.Appendf(text, "[service.subset]\non = true\nsidecars = %d\nindex = %d\nleast = %d\nmost = 128\naway = 0.0\n", r.Workers, r.Calls, r.Nodes)
+	}
+	p, err := config.ParseFile(text)
+	if err != nil {
+		return err
+	}
+	daemon.LimitMemory(p)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- daemon.ServePlan(ctx, p, l, config.Sources{}, nil, nil) }()
+	err = attend(l.Addr().String())
+	cancel()
+	return errors.Join(err, <-ended)
+}
--- a/internal/measure/roles.go
+++ b/internal/measure/roles.go
@@ -81,6 +81,10 @@
 		return true, r.serveTLSNodes()
 	case "daemon", "reverseproxy":
 		return true, r.serveProxy()
+	case "manynodes":
+		return true, r.serveManyNodes()
+	case "manydaemon":
+		return true, r.serveManyDaemon()
 	case "eurekadaemon":
 		return true, r.serveEurekaDaemon()
 	case "client":
