--- a/internal/subset/ring.go
+++ b/internal/subset/ring.go
@@ -11,7 +11,8 @@
 // alone.
 type ring struct {
 	order []place
-	self  uint64 // of the sidecar, where its index is not known
+	fresh []place // added and not yet in order: many at once are sorted in together
+	self  uint64  // of the sidecar, where its index is not known
 }
 
 type place struct {
@@ -25,17 +26,30 @@
 
 func compare(a, b place) int { return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.name, b.name)) }
 
-func (r *ring) len() int { return len(r.order) }
+func (r *ring) len() int {
+	r.settle()
+	return len(r.order)
+}
+
+// add is for a name that is not there. It and remove cost a look-up and a move of memory.
+func (r *ring) add(name string) { r.fresh = append(r.fresh, placeOf(name)) }
 
-// add and remove cost a look-up and a move of memory.
-func (r *ring) add(name string) {
-	p := placeOf(name)
-	if at, there := slices.BinarySearchFunc(r.order, p, compare); !there {
-		r.order = slices.Insert(r.order, at, p)
+// settle takes in what was added.
+func (r *ring) settle() {
+	if len(r.fresh) > 32 {
+		r.order = append(r.order, r.fresh...)
+		slices.SortFunc(r.order, compare)
+	} else {
+		for _, p := range r.fresh {
+			at, _ := slices.BinarySearchFunc(r.order, p, compare)
+			r.order = slices.Insert(r.order, at, p)
+		}
 	}
+	r.fresh = r.fresh[:0]
 }
 
 func (r *ring) remove(name string) {
+	r.settle()
 	if at, there := slices.BinarySearchFunc(r.order, placeOf(name), compare); there {
 		r.order = slices.Delete(r.order, at, at+1)
 	}
@@ -52,7 +66,7 @@
 // Without: the upstreams whose hash with the sidecar's own name is lowest (rendezvous hashing). How many sidecars an
 // upstream has is then binomial.
 func (r *ring) share(index, sidecars, want, beyond int) (names []string, own int) {
-	n := len(r.order)
+	n := r.len()
 	switch {
 	case want <= 0 || n == 0:
 		return nil, 0
--- a/internal/subset/subset.go
+++ b/internal/subset/subset.go
@@ -67,7 +67,12 @@
 }
 
 func (s *Subset) put(e directory.Endpoint) {
-	if was, ok := s.all[e.Name]; ok {
+	was, there := s.all[e.Name]
+	if there && was.Status == directory.StatusReady {
+		if e.Status == directory.StatusReady && s.ring(was) == s.ring(e) {
+			s.all[e.Name] = e
+			return
+		}
 		s.ring(was).remove(e.Name)
 	}
 	switch e.Status {
