One kept list for feed and subset, one end of a source, one daemon of the measurements

Cause: the same lines stood twice in discovery and three times in measure. Change: held, Merged.halt, attendDaemon; nothing done otherwise.

--- a/internal/discovery/merged.go
+++ b/internal/discovery/merged.go
@@ -84,36 +84,35 @@
 	return nil
 }
 
-// Remove ends a source; what only it listed is gone when Remove returns.
-func (m *Merged) Remove(name string) {
+// halt ends the following of a source; nil: there is none of that name.
+func (m *Merged) halt(name string) *followed {
 	m.mu.Lock()
 	f := m.running[name]
-	delete(m.running, name)
 	m.mu.Unlock()
-	if f == nil {
-		return
-	}
-	if f.stop != nil {
+	if f != nil && f.stop != nil {
 		f.stop()
 		<-f.over
 	}
+	return f
+}
+
+// Remove ends a source; what only it listed is gone when Remove returns. Add, Remove and Replace come one after another.
+func (m *Merged) Remove(name string) {
+	if m.halt(name) == nil {
+		return
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	delete(m.running, name)
 	m.tell(m.merge.RemoveSource(m.now(), name))
 }
 
 // Replace follows another source in place of the one of that name: what that one said stands until the new one has told.
 func (m *Merged) Replace(name string, source Source) {
-	m.mu.Lock()
-	f := m.running[name]
-	m.mu.Unlock()
+	f := m.halt(name)
 	if f == nil {
 		return
 	}
-	if f.stop != nil {
-		f.stop()
-		<-f.over
-	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	next := &followed{Named: f.Named}
--- a/internal/discovery/narrowed.go
+++ b/internal/discovery/narrowed.go
@@ -17,8 +17,7 @@
 
 	mu    sync.Mutex
 	s     *subset.Subset
-	whole map[string]directory.Endpoint
-	index int64
+	whole held
 	timer *time.Timer
 	over  bool
 }
@@ -27,7 +26,7 @@
 
 // NewNarrowed returns one; sent counts the requests that the size follows.
 func NewNarrowed(s *subset.Subset, feed *Feed, sent func() int64) *Narrowed {
-	n := &Narrowed{feed: feed, sent: sent, s: s, whole: map[string]directory.Endpoint{}}
+	n := &Narrowed{feed: feed, sent: sent, s: s}
 	n.timer = time.AfterFunc(time.Hour, n.tick)
 	n.timer.Stop()
 	return n
@@ -37,8 +36,8 @@
 func (n *Narrowed) Load(l *directory.Listing) *directory.Listing {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.keep(l)
-	index := n.index
+	n.whole.take(l)
+	index := n.whole.index
 	own := &directory.Listing{Index: &index, Snapshot: true}
 	if out := n.s.Update(time.Now(), l); out != nil {
 		own.Endpoints = out.Endpoints
@@ -46,32 +45,11 @@
 	return own
 }
 
-func (n *Narrowed) keep(l *directory.Listing) {
-	if l.Snapshot {
-		clear(n.whole)
-	}
-	if l.Index != nil {
-		n.index = *l.Index
-	}
-	for _, e := range l.Endpoints {
-		if e.Status == directory.StatusReady || e.Status == directory.StatusTerminating {
-			n.whole[e.Name] = e
-		} else {
-			delete(n.whole, e.Name)
-		}
-	}
-}
-
 // Last is the whole list as last held.
 func (n *Narrowed) Last() *directory.Listing {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	index := n.index
-	l := &directory.Listing{Index: &index, Snapshot: true, Endpoints: make([]directory.Endpoint, 0, len(n.whole))}
-	for _, e := range n.whole {
-		l.Endpoints = append(l.Endpoints, e)
-	}
-	return l
+	return n.whole.last()
 }
 
 // Size is how many upstreams are this process's own, and how many are listed.
@@ -85,7 +63,7 @@
 func (n *Narrowed) Update(l *directory.Listing) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.keep(l)
+	n.whole.take(l)
 	n.pass(n.s.Update(time.Now(), l))
 	n.feed.Heard() // also where nothing of it is this process's own
 }
@@ -98,7 +76,7 @@
 
 func (n *Narrowed) pass(out *directory.Listing) {
 	if out != nil {
-		index := n.index
+		index := n.whole.index
 		out.Index = &index
 		n.feed.Update(out)
 	}
--- a/internal/discovery/source.go
+++ b/internal/discovery/source.go
@@ -21,14 +21,45 @@
 
 	telling sync.Mutex // from when the directory has news until the module has them
 
-	mu      sync.Mutex
+	mu   sync.Mutex
+	held held
+}
+
+// held is a list as last held, one entry for each upstream that is there, from a Listing and the changes after it.
+type held struct {
 	index   int64
 	entries map[string]directory.Endpoint
 }
 
+func (h *held) take(l *directory.Listing) {
+	if l.Snapshot || h.entries == nil {
+		h.entries = make(map[string]directory.Endpoint, len(l.Endpoints))
+	}
+	if l.Index != nil {
+		h.index = *l.Index
+	}
+	for _, e := range l.Endpoints {
+		if e.Status == directory.StatusReady || e.Status == directory.StatusTerminating {
+			h.entries[e.Name] = e
+		} else {
+			delete(h.entries, e.Name)
+		}
+	}
+}
+
+// last is all of it.
+func (h *held) last() *directory.Listing {
+	index := h.index
+	l := &directory.Listing{Index: &index, Snapshot: true, Endpoints: make([]directory.Endpoint, 0, len(h.entries))}
+	for _, e := range h.entries {
+		l.Endpoints = append(l.Endpoints, e)
+	}
+	return l
+}
+
 // NewFeed returns one for a directory; report hands news to the module.
 func NewFeed(dir *directory.Directory, report func(balancer.Members)) *Feed {
-	return &Feed{dir: dir, report: report, entries: map[string]directory.Endpoint{}}
+	return &Feed{dir: dir, report: report}
 }
 
 // Update is Sink's.
@@ -49,19 +80,7 @@
 func (f *Feed) Take(l *directory.Listing) balancer.Members {
 	f.mu.Lock()
 	defer f.mu.Unlock() // one list after another, in the directory too
-	if l.Snapshot {
-		clear(f.entries)
-	}
-	if l.Index != nil {
-		f.index = *l.Index
-	}
-	for _, e := range l.Endpoints {
-		if e.Status == directory.StatusReady || e.Status == directory.StatusTerminating {
-			f.entries[e.Name] = e
-		} else {
-			delete(f.entries, e.Name)
-		}
-	}
+	f.held.take(l)
 	return f.dir.Apply(l)
 }
 
@@ -79,10 +98,5 @@
 func (f *Feed) Last() *directory.Listing {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	index := f.index
-	l := &directory.Listing{Index: &index, Snapshot: true, Endpoints: make([]directory.Endpoint, 0, len(f.entries))}
-	for _, e := range f.entries {
-		l.Endpoints = append(l.Endpoints, e)
-	}
-	return l
+	return f.held.last()
 }
--- a/internal/measure/eureka.go
+++ b/internal/measure/eureka.go
@@ -193,12 +193,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- daemon.ServePlan(ctx, p, l, config.Sources{}, nil, nil) }()
-	err = attend(l.Addr().String())
-	cancel()
-	return errors.Join(err, <-ended)
+	return attendDaemon(p, l)
 }
 
 // eurekaMemory prints the memory and CPU of a daemon process that follows 5,000 instances, whose document changes with
--- a/internal/measure/many.go
+++ b/internal/measure/many.go
@@ -1,7 +1,6 @@
 package measure
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -223,10 +222,5 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- daemon.ServePlan(ctx, p, l, config.Sources{}, nil, nil) }()
-	err = attend(l.Addr().String())
-	cancel()
-	return errors.Join(err, <-ended)
+	return attendDaemon(p, l)
 }
--- a/internal/measure/roles.go
+++ b/internal/measure/roles.go
@@ -108,6 +108,16 @@
 	return in.Err()
 }
 
+// attendDaemon is attend beside a daemon.
+func attendDaemon(p *config.Plan, l net.Listener) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- daemon.ServePlan(ctx, p, l, config.Sources{}, nil, nil) }()
+	err := attend(l.Addr().String())
+	cancel()
+	return errors.Join(err, <-ended)
+}
+
 func used() usage {
 	var r syscall.Rusage
 	var m runtime.MemStats
--- a/internal/measure/tls.go
+++ b/internal/measure/tls.go
@@ -1,7 +1,6 @@
 package measure
 
 import (
-	"context"
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
@@ -19,7 +18,6 @@
 	"time"
 
 	"orchiddrift/internal/config"
-	"orchiddrift/internal/daemon"
 	"orchiddrift/internal/standin"
 )
 
@@ -181,12 +179,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- daemon.ServePlan(ctx, p, l, config.Sources{}, nil, nil) }()
-	err = attend(l.Addr().String())
-	cancel()
-	return errors.Join(err, <-ended)
+	return attendDaemon(p, l)
 }
 
 // serveTLSProxy is ReverseProxy.
