door: who goes on, who waits, who is refused and until when; fair between principals

Need: one agent shop's script crowds out every counter at an opening. The package decides by start-time fair queueing over several places between groups and the flows of each, charges what requests really took, finds the limit of requests in hand, hands out Retry-After times from a calendar and remembers them, and bounds repeats. No I/O, no clock.

--- /dev/null
+++ b/internal/door/door_test.go
@@ -0,0 +1,421 @@
+package door
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+// must ends the test on an error.
+func must(t testing.TB, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// fill has so many requests of a principal come; it returns those that neither went on nor were refused.
+func (r *rig) fill(t testing.TB, n int, a Arrival) (waiting []Ticket) {
+	t.Helper()
+	for range n {
+		ticket, err := r.arrive(a)
+		must(t, err)
+		if r.state[ticket] == waits {
+			waiting = append(waiting, ticket)
+		}
+	}
+	return waiting
+}
+
+func one(places, waiting int) Options {
+	o := Default()
+	o.Least, o.Most, o.Waiting = places, places, waiting
+	return o
+}
+
+// forever keeps a request from being given up for its time.
+func forever(a Arrival) Arrival {
+	a.Came, a.Expires = 100*time.Hour, 200*time.Hour
+	return a
+}
+
+// A full queue gives up of who holds the most for its weight, of that the least worthy and newest; never of a quiet one.
+func TestWhoIsGivenUp(t *testing.T) {
+	o := one(1, 10)
+	o.Weights = []Weight{{"big", 8}, {"nobody", 0}}
+	for _, tt := range []struct {
+		name    string
+		held    []Arrival // one each
+		comes   Arrival
+		gone    int // index in held; -1: the newcomer
+		bytes   int64
+		comment string
+	}{
+		{name: "the flood's newest", held: []Arrival{{Group: "a"}, {Group: "f"}, {Group: "f"}, {Group: "f"}, {Group: "f"}, {Group: "f"}, {Group: "f"}, {Group: "f"}, {Group: "f"}, {Group: "f"}}, comes: Arrival{Group: "b"}, gone: 9},
+		{name: "the flood itself", held: []Arrival{{Group: "a"}, {Group: "f"}, {Group: "f"}, {Group: "f"}, {Group: "f"}, {Group: "f"}, {Group: "f"}, {Group: "f"}, {Group: "f"}, {Group: "f"}}, comes: Arrival{Group: "f"}, gone: -1},
+		{name: "less worthy goes first", held: []Arrival{{Group: "a"}, {Group: "f", Class: "pay"}, {Group: "f"}, {Group: "f", Class: "pay"}, {Group: "f", Class: "pay"}, {Group: "f", Class: "pay"}, {Group: "f", Class: "pay"}, {Group: "f", Class: "pay"}, {Group: "f", Class: "pay"}, {Group: "f", Class: "pay"}}, comes: Arrival{Group: "f", Class: "pay"}, gone: 2},
+		{name: "by weight", held: []Arrival{{Group: "a"}, {Group: "a"}, {Group: "big"}, {Group: "big"}, {Group: "big"}, {Group: "big"}, {Group: "big"}, {Group: "big"}, {Group: "big"}, {Group: "big"}}, comes: Arrival{Group: "big"}, gone: 1},
+		{name: "weight 0 before all", held: []Arrival{{Group: "a"}, {Group: "a"}, {Group: "nobody"}, {Group: "a"}, {Group: "a"}, {Group: "a"}, {Group: "a"}, {Group: "a"}, {Group: "a"}, {Group: "a"}}, comes: Arrival{Group: "a"}, gone: 2},
+		{name: "one flow of a group", held: []Arrival{{Group: "a", Flow: "1"}, {Group: "a", Flow: "2"}, {Group: "a", Flow: "2"}, {Group: "a", Flow: "3"}, {Group: "a", Flow: "4"}, {Group: "a", Flow: "5"}, {Group: "a", Flow: "6"}, {Group: "a", Flow: "7"}, {Group: "a", Flow: "8"}, {Group: "a", Flow: "9"}}, comes: Arrival{Group: "b"}, gone: 2},
+		{name: "who holds the bytes", bytes: 1000, held: []Arrival{{Group: "a"}, {Group: "a"}, {Group: "a"}, {Group: "f", Bytes: 900}}, comes: Arrival{Group: "b", Bytes: 200}, gone: 3},
+		{name: "a body that never fits", bytes: 1000, held: []Arrival{{Group: "a"}}, comes: Arrival{Group: "b", Bytes: 2000}, gone: -1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			o := o
+			if tt.bytes > 0 {
+				o.Bytes = 1000
+			}
+			r := newRig(o)
+			r.fill(t, 1, Arrival{Group: "first"})
+			var held []Ticket
+			for _, a := range tt.held {
+				held = append(held, r.fill(t, 1, forever(a))...)
+			}
+			if len(held) != len(tt.held) {
+				t.Fatalf("%d of %d wait", len(held), len(tt.held))
+			}
+			came, err := r.arrive(forever(tt.comes))
+			must(t, err)
+			for i, ticket := range append(held, came) {
+				if gone := r.state[ticket] != waits; gone != (i == tt.gone || tt.gone < 0 && i == len(held)) {
+					t.Errorf("number %d: given up %v", i, gone)
+				}
+			}
+		})
+	}
+}
+
+// What can't be answered in time leaves at once: at its arrival where its principal's own queue is too long, in the queue
+// when its time is up. Others of the same moment wait on.
+func TestTime(t *testing.T) {
+	r := newRig(one(2, 200))
+	for range 50 { // a place is needed for 50 ms
+		ticket, err := r.arrive(Arrival{Group: "a", Expires: r.now + time.Second})
+		must(t, err)
+		r.now += 50 * time.Millisecond
+		must(t, r.done(ticket, Answered))
+	}
+	if c := r.d.classes["search"]; c.usual < 0.03 {
+		t.Fatalf("learned %v s of 50 ms", c.usual)
+	}
+	r.fill(t, 2, Arrival{Group: "busy"})
+	held := r.fill(t, 40, Arrival{Group: "flood"})
+	if n := len(held); n < 7 || n > 24 { // 400 ms at half of two places
+		t.Errorf("%d of the flood wait", n)
+	}
+	quiet := r.fill(t, 1, Arrival{Group: "quiet"})
+	if len(quiet) != 1 {
+		t.Fatal("a quiet one does not wait")
+	}
+	next, ok := r.d.Next()
+	if !ok || next > r.now+400*time.Millisecond {
+		t.Errorf("looks again at %v", next-r.now)
+	}
+	r.now += 100 * time.Millisecond
+	pay := r.fill(t, 1, Arrival{Group: "pay", Class: "pay", Expires: r.now + 2*time.Second})
+	r.now += 880 * time.Millisecond
+	must(t, r.wake())
+	if r.state[quiet[0]] == waits || r.state[pay[0]] != waits {
+		t.Errorf("after 0.98 s: quiet %v, pay %v", r.state[quiet[0]], r.state[pay[0]])
+	}
+}
+
+// Who has waited beyond its aim is worth less than who has not, and goes behind it; where late answers are worth nothing
+// it leaves.
+func TestLateGoBehind(t *testing.T) {
+	r := newRig(one(1, 200))
+	first, err := r.arrive(Arrival{Group: "x"})
+	must(t, err)
+	old := r.fill(t, 1, Arrival{Group: "a", Expires: r.now + time.Second})
+	r.now += 450 * time.Millisecond
+	must(t, r.wake())
+	fresh := r.fill(t, 1, Arrival{Group: "a"})
+	must(t, r.done(first, Answered))
+	if r.state[fresh[0]] != passes || r.state[old[0]] != waits {
+		t.Errorf("fresh %v, late %v", r.state[fresh[0]], r.state[old[0]])
+	}
+}
+
+// A principal that floods, changes its name, sends the largest bodies or false hints, does not keep a quiet one from its
+// turn: of the next places to get free, the quiet one has one of the first two.
+func TestQuietGoesSoon(t *testing.T) {
+	for name, flood := range map[string]func(i int) Arrival{
+		"one name":     func(int) Arrival { return Arrival{Group: "flood"} },
+		"many names":   func(i int) Arrival { return Arrival{Group: "flood", Flow: fmt.Sprint(i)} },
+		"large bodies": func(int) Arrival { return Arrival{Group: "flood", Bytes: 60_000} },
+		"says little":  func(int) Arrival { return Arrival{Group: "flood", Hint: time.Microsecond} },
+		"weight 0":     func(int) Arrival { return Arrival{Group: "nobody"} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := one(4, 100)
+			o.Weights = []Weight{{"nobody", 0}}
+			r := newRig(o)
+			for i := range 3000 {
+				a := flood(i)
+				a.Class = "pay"
+				a.Expires = r.now + time.Hour
+				r.fill(t, 1, a)
+			}
+			quiet := r.fill(t, 1, Arrival{Group: "quiet", Hint: 10 * time.Millisecond})
+			if len(quiet) == 0 {
+				t.Fatal("it does not wait")
+			}
+			for range 2 {
+				r.now += 20 * time.Millisecond
+				must(t, r.done(r.order[0], Answered))
+				r.order = r.order[1:]
+			}
+			if r.state[quiet[0]] != passes {
+				t.Error("it still waits")
+			}
+		})
+	}
+}
+
+// A flood of names neither ousts nor keeps anybody: who was known stays known, with what it owes and was promised, and who
+// is beyond the bound shares.
+func TestNamesAreBounded(t *testing.T) {
+	o := one(1, 20)
+	o.Known = 64
+	r := newRig(o)
+	r.fill(t, 1, forever(Arrival{Group: "x"}))
+	known := r.fill(t, 1, forever(Arrival{Group: "known"}))
+	for i := range 5000 {
+		r.fill(t, 1, forever(Arrival{Group: fmt.Sprint("name", i), Flow: fmt.Sprint(i)}))
+	}
+	if g := r.d.groups["known"]; g == nil || g.waiting != 1 {
+		t.Error("the known one was ousted")
+	}
+	for _, ticket := range known {
+		if r.state[ticket] != waits {
+			t.Error("one of the known one's requests has gone")
+		}
+	}
+	if v := r.d.View(); v.Known > 64 {
+		t.Errorf("%d are known", v.Known)
+	}
+}
+
+// Ten thousand principals with one request each, and one with thousands, in the memory that the package's comment states.
+func TestMemory(t *testing.T) {
+	if testing.Short() {
+		t.Skip("reads the heap")
+	}
+	heap := func() int64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return int64(m.HeapAlloc)
+	}
+	o := one(8, 1024)
+	o.Longest = time.Minute
+	before := heap()
+	d := New(o, testClasses, 1)
+	var acts []Action
+	now := time.Hour
+	for i := range 10_000 {
+		_, acts = d.Arrive(now, Arrival{Group: "client-" + strings.Repeat("x", 40) + fmt.Sprint(i), Class: "search", Came: now, Expires: now + time.Second}, acts[:0])
+		_, acts = d.Arrive(now, Arrival{Group: "flood", Class: "search", Came: now, Expires: now + time.Second}, acts[:0])
+	}
+	v := d.View()
+	used := heap() - before
+	t.Logf("%d KB for %+v", used>>10, v)
+	if limit := int64(d.o.Known) * 700; used > limit {
+		t.Errorf("%d bytes, of %d", used, limit)
+	}
+	if v.Known < 9000 {
+		t.Errorf("only %d are known", v.Known)
+	}
+	runtime.KeepAlive(d)
+}
+
+// Who was told when to come back: spread, no more in a moment than drain, mostly served when they come then, and coming
+// early gains nothing.
+func TestPromises(t *testing.T) {
+	const places, clients = 4, 400
+	rng := rand.New(rand.NewPCG(3, 3))
+	o := one(places, 20)
+	o.Longest = 20 * time.Second
+	r := newRig(o)
+	type back struct {
+		at    time.Duration
+		group string
+		early bool
+	}
+	var backs []back
+	ends := map[Ticket]time.Duration{}
+	groups := map[Ticket]string{}
+	told, kept, earlyKept, earlyAsked := 0, 0, 0, 0
+	seen := 0
+	arrive := func(group string, isBack, early bool) {
+		ticket, err := r.arrive(Arrival{Group: group, Expires: r.now + time.Second})
+		must(t, err)
+		groups[ticket] = group
+		if !isBack {
+			return
+		}
+		if early {
+			earlyAsked++
+			if r.state[ticket] != none {
+				earlyKept++
+			}
+		} else {
+			told++
+			if _, refused := r.told[ticket]; !refused {
+				kept++
+			}
+		}
+	}
+	for i := range clients {
+		arrive(fmt.Sprint(i), false, false)
+	}
+	for _, ticket := range slices.Sorted(func(yield func(Ticket) bool) {
+		for ticket := range r.told {
+			if !yield(ticket) {
+				return
+			}
+		}
+	}) {
+		early := rng.IntN(4) == 0
+		at := r.now + r.told[ticket]
+		if early {
+			at = r.now + r.told[ticket]/2
+		}
+		backs = append(backs, back{at, groups[ticket], early})
+	}
+	slices.SortFunc(backs, func(a, b back) int { return int(a.at - b.at) })
+	perTenth := map[time.Duration]int{}
+	for _, b := range backs {
+		if !b.early {
+			perTenth[b.at/(100*time.Millisecond)]++
+		}
+	}
+	for at, n := range perTenth { // 4 places at 20 ms drain 20 in 100 ms, half of which may be promised
+		if n > 14 {
+			t.Errorf("%d are to come in the tenth of a second %v", n, at)
+		}
+	}
+	flood := 0
+	for len(backs) > 0 || r.d.View().InHand > 0 {
+		r.now += time.Millisecond
+		for ; seen < len(r.order); seen++ {
+			ends[r.order[seen]] = r.now + 20*time.Millisecond
+		}
+		for ticket, at := range ends {
+			if at <= r.now {
+				delete(ends, ticket)
+				must(t, r.done(ticket, Answered))
+			}
+		}
+		if flood++; flood < 15_000 {
+			arrive("flood", false, false)
+		}
+		for len(backs) > 0 && backs[0].at <= r.now {
+			arrive(backs[0].group, true, backs[0].early)
+			backs = backs[1:]
+		}
+		must(t, r.wake())
+	}
+	if part := float64(kept) / float64(told); part < 0.95 {
+		t.Errorf("of %d who came when told %d were kept", told, kept)
+	}
+	t.Logf("told %d kept %d; early %d, of them not refused at once %d", told, kept, earlyAsked, earlyKept)
+}
+
+// Repeats have their part of first requests, of each principal and of all, and none where nobody waits.
+func TestRepeatBudget(t *testing.T) {
+	r := newRig(one(1, 1000))
+	for range 50 {
+		ticket, err := r.arrive(Arrival{Group: "a", Repeat: true})
+		must(t, err)
+		if r.state[ticket] != passes {
+			t.Fatal("a repeat is held up on a quiet day")
+		}
+		r.now += time.Millisecond
+		must(t, r.done(ticket, Answered))
+	}
+	r.fill(t, 1, forever(Arrival{Group: "x"}))
+	if n := len(r.fill(t, 100, forever(Arrival{Group: "a", Repeat: true}))); n != budgetBurst {
+		t.Errorf("%d repeats wait beside no first request", n)
+	}
+	r.fill(t, 100, forever(Arrival{Group: "a"}))
+	if n := len(r.fill(t, 100, forever(Arrival{Group: "a", Repeat: true}))); n < budgetBurst-1 || n > 20 {
+		t.Errorf("%d repeats wait beside 100 first requests", n)
+	}
+}
+
+// Names are told apart as By says, and none is longer than its bound.
+func TestNames(t *testing.T) {
+	peer := func(a string) func() netip.Addr { return func() netip.Addr { return netip.MustParseAddr(a) } }
+	header := func(string) string { return strings.Repeat("h", 100) }
+	for _, tt := range []struct {
+		by          string
+		who         Who
+		group, flow string
+	}{
+		{"tenant", Who{Tenant: "acme"}, "acme", ""},
+		{"tenant", Who{}, "", ""},
+		{"tenant address", Who{Tenant: "acme", Peer: peer("192.0.2.7")}, "acme", "192.0.2.7"},
+		{"address", Who{Peer: peer("::ffff:192.0.2.7")}, "192.0.2.7", ""},
+		{"address", Who{Peer: peer("2001:db8:1:2:3:4:5:6")}, "2001:db8:1:2::/64", ""},
+		{"address", Who{Peer: peer("fe80::1%eth0")}, "fe80::/64", ""},
+		{"address", Who{Peer: func() netip.Addr { return netip.Addr{} }}, "", ""},
+		{"certificate", Who{Certificate: func() string { return "spiffe://x/y" }}, "spiffe://x/y", ""},
+		{"certificate", Who{}, "", ""},
+		{"header:X-Shop tenant", Who{Tenant: "t", Header: header}, "*", "t"},
+	} {
+		by, err := ParseBy(strings.Fields(tt.by))
+		must(t, err)
+		group, flow := by.Names(tt.who)
+		if tt.group == "*" && len(group) == longestName {
+			tt.group = group
+		}
+		if group != tt.group || flow != tt.flow {
+			t.Errorf("%s: %q, %q", tt.by, group, flow)
+		}
+	}
+	for _, bad := range []string{"", "tenant tenant", "tenant address certificate", "header:", "header:a b", "name", "tenant:x"} {
+		if _, err := ParseBy(strings.Fields(bad)); err == nil {
+			t.Errorf("%q is taken", bad)
+		}
+	}
+}
+
+// The limit follows crowding and not slowness: see the measured table for the figures.
+func BenchmarkRequest(b *testing.B) {
+	for _, n := range []int{1, 100, 10_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			o := one(64, 16_000)
+			d := New(o, testClasses, 1)
+			names := make([]string, n)
+			for i := range names {
+				names[i] = fmt.Sprint("principal-", i)
+			}
+			now := time.Hour
+			var acts []Action
+			var running []Ticket
+			for i := range max(n, 128) { // all of them wait
+				_, acts = d.Arrive(now, forever(Arrival{Group: names[i%n], Class: "search"}), acts[:0])
+				for _, x := range acts {
+					running = append(running, x.Ticket)
+				}
+			}
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				now += 100 * time.Microsecond
+				acts = d.Done(now, running[i%len(running)], Answered, acts[:0])
+				for _, x := range acts {
+					running[i%len(running)] = x.Ticket
+				}
+				_, acts = d.Arrive(now, forever(Arrival{Group: names[i%n], Class: "search"}), acts[:0])
+				i++
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/door/model_test.go
@@ -0,0 +1,340 @@
+package door
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"orchiddrift/balancer"
+)
+
+var testClasses = []balancer.Class{
+	{Name: "search", Aim: 400 * time.Millisecond, Deadline: time.Second, Worth: 1, LateShare: 0.3},
+	{Name: "pay", Aim: time.Second, Deadline: 2 * time.Second, Worth: 5},
+}
+
+// rig is a Door with everything that is known of its requests from outside.
+type rig struct {
+	d      *Door
+	now    time.Duration
+	state  map[Ticket]state
+	bytes  map[Ticket]int64
+	passed map[Ticket]time.Duration
+	order  []Ticket // that went on
+	told   map[Ticket]time.Duration
+}
+
+func newRig(o Options) *rig {
+	return &rig{d: New(o, testClasses, 1), now: time.Hour, state: map[Ticket]state{}, bytes: map[Ticket]int64{},
+		passed: map[Ticket]time.Duration{}, told: map[Ticket]time.Duration{}}
+}
+
+// take holds actions against what may be: each request goes on once or is refused once.
+func (r *rig) take(t Ticket, acts []Action) error {
+	for _, x := range acts {
+		if r.state[x.Ticket] != waits {
+			return fmt.Errorf("%v for ticket %x, which is %v", x.Kind, x.Ticket, r.state[x.Ticket])
+		}
+		if x.Kind == Refuse {
+			if x.RetryIn < 0 || x.RetryIn > r.d.o.longest() {
+				return fmt.Errorf("told to stay away for %v", x.RetryIn)
+			}
+			r.state[x.Ticket], r.told[x.Ticket] = none, x.RetryIn
+			continue
+		}
+		r.state[x.Ticket], r.passed[x.Ticket] = passes, r.now
+		r.order = append(r.order, x.Ticket)
+	}
+	return r.check()
+}
+
+func (r *rig) arrive(a Arrival) (Ticket, error) {
+	if a.Class == "" {
+		a.Class = "search"
+	}
+	if a.Came == 0 {
+		a.Came = r.now
+	}
+	if a.Expires == 0 {
+		a.Expires = r.now + time.Second
+	}
+	// The ticket is known once the call returns; before, its actions may name it.
+	t, acts := r.d.Arrive(r.now, a, nil)
+	r.state[t], r.bytes[t] = waits, a.Bytes
+	return t, r.take(t, acts)
+}
+
+func (r *rig) done(t Ticket, how Result) error {
+	if r.state[t] == passes {
+		r.state[t] = none
+	}
+	return r.take(t, r.d.Done(r.now, t, how, nil))
+}
+
+func (r *rig) leave(t Ticket) error {
+	if r.state[t] == waits {
+		r.state[t] = none
+	}
+	return r.take(t, r.d.Leave(r.now, t, nil))
+}
+
+func (r *rig) wake() error { return r.take(0, r.d.Wake(r.now, nil)) }
+
+// check holds the whole Door against its bounds and its own counts.
+func (r *rig) check() error {
+	d, waiting, inHand, held := r.d, 0, 0, int64(0)
+	for t, s := range r.state {
+		switch s {
+		case waits:
+			waiting++
+			held += r.bytes[t]
+		case passes:
+			inHand++
+		case none:
+			delete(r.state, t)
+			delete(r.bytes, t)
+		}
+	}
+	v := d.View()
+	switch {
+	case v.Waiting != waiting || v.InHand != inHand || v.Bytes != held:
+		return fmt.Errorf("view %+v, and %d wait with %d bytes, %d are in hand", v, waiting, held, inHand)
+	case v.Waiting > d.o.Waiting || v.Bytes > int64(d.o.Bytes) || v.Known > d.o.Known || v.Promises > d.o.Promises:
+		return fmt.Errorf("over a bound: %+v", v)
+	case v.Waiting > 0 && v.InHand < v.Limit:
+		return fmt.Errorf("%d wait while only %d of %d are in hand", v.Waiting, v.InHand, v.Limit)
+	case v.Limit < d.o.Least || v.Limit > d.o.Most:
+		return fmt.Errorf("limit %d", v.Limit)
+	}
+	known, promises, groups := 0, 0, 0
+	for name, g := range d.groups {
+		if !g.crowd {
+			known++
+			groups++
+		}
+		if len(g.flows) > max(1, d.o.Known/flowPart) {
+			return fmt.Errorf("%q has %d flows", name, len(g.flows))
+		}
+		known += len(g.flows)
+		wait, pass, actives := 0, 0, 0
+		flows := []*flow{&g.shared}
+		for _, f := range g.flows {
+			flows = append(flows, f)
+		}
+		for _, f := range flows {
+			n := 0
+			for _, run := range f.runs {
+				for e := run.first; e != nil; e = e.next {
+					if e.flow != f || e.state != waits || e.next == nil && run.last != e {
+						return fmt.Errorf("a request of %q is not linked rightly", name)
+					}
+					n++
+				}
+			}
+			if n != f.waiting || (f.waiting > 0) != (f.ready >= 0) || (f.waiting > 0) != (f.most >= 0) || len(f.promises) > flowPromises {
+				return fmt.Errorf("flow %q of %q: %d in runs, %+v", f.name, name, n, f.member)
+			}
+			wait, pass, promises = wait+f.waiting, pass+f.passed, promises+len(f.promises)
+			if f.active() {
+				actives++
+			}
+			if (len(f.promises) > 0) != (f.lapsing >= 0) || math.IsNaN(f.finish) || f.ready >= 0 && f.rest >= 0 {
+				return fmt.Errorf("flow %q of %q: %+v", f.name, name, f)
+			}
+		}
+		if wait != g.waiting || pass != g.passed || actives != g.level.actives || (g.waiting > 0) != (g.ready >= 0) {
+			return fmt.Errorf("group %q: %d wait, %d in hand, %d active; %+v", name, wait, pass, actives, g.member)
+		}
+		if !g.active() && len(g.flows) == 0 && len(g.shared.promises) == 0 && !d.root.of(&g.member).owes(&g.member) {
+			return fmt.Errorf("group %q is kept for nothing", name)
+		}
+	}
+	if known != v.Known || promises != v.Promises {
+		return fmt.Errorf("%d known, %d promises, and the view has %+v", known, promises, v)
+	}
+	return nil
+}
+
+// play has a rig go through what draw says, and then everything end: nothing may be left.
+func play(r *rig, steps int, draw func(n int) int) error {
+	var open []Ticket
+	step := func() error {
+		if draw(8) == 0 { // else the clock stands
+			r.now += time.Duration(draw(300)) * time.Millisecond
+		} else {
+			r.now += time.Duration(draw(3)) * time.Millisecond
+		}
+		switch kind := draw(10); {
+		case kind < 5:
+			a := Arrival{Group: fmt.Sprint("g", draw(6)), Class: []string{"search", "pay", "unknown"}[draw(3)],
+				Hint: time.Duration(draw(50)) * time.Millisecond, Bytes: int64(draw(200)), Repeat: draw(4) == 0}
+			if draw(2) == 0 {
+				a.Flow = fmt.Sprint("f", draw(40))
+			}
+			if draw(8) == 0 {
+				a.Group = fmt.Sprint("once", draw(1<<16))
+			}
+			if draw(10) == 0 {
+				a.Came = r.now - time.Duration(draw(2000))*time.Millisecond
+			}
+			a.Expires = r.now + time.Duration(draw(1500))*time.Millisecond
+			t, err := r.arrive(a)
+			open = append(open, t)
+			return err
+		case kind < 8 && len(open) > 0:
+			i := draw(len(open))
+			t := open[i]
+			open[i] = open[len(open)-1]
+			open = open[:len(open)-1]
+			if draw(4) == 0 {
+				return r.leave(t)
+			}
+			return r.done(t, Result(draw(3)))
+		case kind == 8:
+			return r.wake()
+		default:
+			o := r.d.o
+			o.Weights = []Weight{{"g1", float64(draw(4))}, {"g2", float64(draw(4)) / 2}, {"g3", 0}}
+			o.Least = 1 + draw(4)
+			r.d.Configure(r.now, o)
+			return r.wake()
+		}
+	}
+	for i := range steps {
+		if err := step(); err != nil {
+			return fmt.Errorf("step %d: %w", i, err)
+		}
+	}
+	for r.d.View().InHand+r.d.View().Waiting > 0 {
+		r.now += 10 * time.Millisecond
+		for t, s := range r.state {
+			if s == passes {
+				if err := r.done(t, Answered); err != nil {
+					return err
+				}
+			}
+		}
+		if err := r.wake(); err != nil {
+			return err
+		}
+	}
+	r.now += r.d.o.longest() + graceMost + time.Second
+	if err := r.wake(); err != nil {
+		return err
+	}
+	if v := r.d.View(); v.Known != 0 || v.Promises != 0 || len(r.d.groups) != 0 {
+		return fmt.Errorf("at the end %+v and %d groups are left", v, len(r.d.groups))
+	}
+	return nil
+}
+
+func smallOptions() Options {
+	o := Default()
+	o.Waiting, o.Bytes, o.Known, o.Promises, o.Least, o.Most = 20, 1500, 32, 12, 2, 6
+	return o
+}
+
+// Every order of events keeps the bounds, the counts and one fate for each request, wastes no place, and leaves nothing.
+func TestAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := newRig(smallOptions())
+		if err := play(r, 150, func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "n") }); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+func FuzzDoor(f *testing.F) {
+	f.Add([]byte("a flood of names that come once, and a clock that stands"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if len(data) > 8192 {
+			return
+		}
+		r := newRig(smallOptions())
+		err := play(r, len(data)/6, func(n int) int {
+			if len(data) < 2 {
+				return 0
+			}
+			v := binary.LittleEndian.Uint16(data)
+			data = data[2:]
+			return int(v) % n
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// Among members that always have something waiting, what was really taken differs from the shares by no more than SFQ(D)
+// allows (Jin et al. 2004, theorem 1): (D+1) of the largest requests of both, and what estimates were off by. The reference
+// is nothing but the sum of what each took.
+func TestFairnessBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := Default()
+		places := rapid.IntRange(1, 6).Draw(t, "places")
+		o.Least, o.Most, o.Waiting = places, places, 1000
+		n := rapid.IntRange(2, 5).Draw(t, "principals")
+		weights := make([]float64, n)
+		for i := range n {
+			weights[i] = float64(rapid.IntRange(1, 4).Draw(t, "weight"))
+			o.Weights = append(o.Weights, Weight{fmt.Sprint(i), weights[i]})
+		}
+		r := newRig(o)
+		who := map[Ticket]int{}
+		feed := func(i int) {
+			ticket, err := r.arrive(Arrival{Group: fmt.Sprint(i), Expires: r.now + 100*time.Hour, Came: r.now + time.Hour})
+			if err != nil {
+				t.Fatal(err)
+			}
+			who[ticket] = i
+		}
+		for i := range n {
+			for range 12 {
+				feed(i)
+			}
+		}
+		took, most := make([]float64, n), 0.0
+		type running struct {
+			t    Ticket
+			ends time.Duration
+		}
+		var run []running
+		seen := 0
+		for range 300 {
+			for ; seen < len(r.order); seen++ {
+				cost := time.Duration(rapid.IntRange(1, 60).Draw(t, "ms")) * time.Millisecond
+				run = append(run, running{r.order[seen], r.now + cost})
+			}
+			next := 0
+			for i := range run {
+				if run[i].ends < run[next].ends {
+					next = i
+				}
+			}
+			x := run[next]
+			run = append(run[:next], run[next+1:]...)
+			cost := (x.ends - r.passed[x.t]).Seconds()
+			r.now = x.ends
+			if err := r.done(x.t, Answered); err != nil {
+				t.Fatal(err)
+			}
+			took[who[x.t]] += cost
+			most = max(most, cost)
+			feed(who[x.t])
+		}
+		for i := range n {
+			for j := range i {
+				apart := math.Abs(took[i]/weights[i] - took[j]/weights[j])
+				bound := float64(places+2) * 2 * most * (1/weights[i] + 1/weights[j])
+				if apart > bound {
+					t.Fatalf("%d and %d: %.3f and %.3f s at weights %v and %v, %.3f apart, bound %.3f", i, j, took[i], took[j],
+						weights[i], weights[j], apart, bound)
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/door/options.go
@@ -0,0 +1,112 @@
+package door
+
+import (
+	"cmp"
+	"math"
+	"time"
+
+	"golang.org/x/net/http/httpguts"
+
+	"orchiddrift/internal/units"
+)
+
+// Options are a Door's parameters. With Service and By they are its part of the operator's file.
+type Options struct {
+	Service  string     `toml:"service" doc:"Whose door it is: a service's name, or \"platform\" beside the platform's file."`
+	By       []string   `toml:"by" default:"tenant" doc:"Between whom it is fair: one or two of \"tenant\" (as the route reads it), \"header:NAME\", \"certificate\" (the client's) and \"address\" (the peer's; IPv6 by /64). Of two, the second is fair within each of the first."`
+	Weights  []Weight   `toml:"weight" doc:"Principals, of the first of by, whose share is another than theirs."`
+	Weight   float64    `toml:"default_weight" default:"1" doc:"Weight of a principal that no [[door.weight]] names. 0: gets only what the others leave."`
+	Waiting  int        `toml:"waiting" default:"256" doc:"Requests that wait, at most. Each keeps its client's connection."`
+	Bytes    units.Size `toml:"bytes" default:"4MiB" doc:"Bytes of bodies that wait, at most."`
+	Known    int        `toml:"principals" default:"16384" doc:"Principals known at once, at most: those that wait, are in hand, owe or were promised something. More share 16 places by their names' hash."`
+	Promises int        `toml:"promises" default:"16384" doc:"Retry-After promises remembered, at most."`
+	Least    int        `toml:"limit_least" default:"8" doc:"Requests in hand beyond the door: what the limit never falls below."`
+	Most     int        `toml:"limit_most" default:"1024" doc:"And never rises above."`
+	Repeats  float64    `toml:"repeats" default:"0.2" doc:"While requests wait: repeats of clients as a part of first requests, of each principal and of all together."`
+	Marked   string     `toml:"repeat_header" default:"X-Retried" doc:"The header by which clients mark their repeats, with any value but \"0\"."`
+
+	Longest time.Duration // that a refused client is told to stay away; 0: LongestDefault. It is the service's retry_after
+}
+
+// Weight is a principal's.
+type Weight struct {
+	Name   string  `toml:"name" doc:"The principal."`
+	Weight float64 `toml:"weight" default:"1" doc:"Its share is in proportion. 0: it gets only what the others leave."`
+}
+
+// Default is what holds where nothing is said.
+func Default() Options {
+	return Options{By: []string{"tenant"}, Weight: 1, Waiting: 256, Bytes: 4 * units.MiB, Known: 16384, Promises: 16384,
+		Least: 8, Most: 1024, Repeats: 0.2, Marked: "X-Retried"}
+}
+
+// Bounds of the options themselves.
+const (
+	maxWeight   = 1e6
+	maxWaiting  = 65_536
+	maxKnown    = 1 << 20
+	maxLimit    = 65_536
+	longestWait = time.Hour
+)
+
+// LongestDefault is the longest time to stay away where none is set.
+const LongestDefault = 5 * time.Second
+
+// longest is Longest within what the calendar can hold.
+func (o *Options) longest() time.Duration {
+	return min(longestWait, max(calendarStep, cmp.Or(o.Longest, LongestDefault)))
+}
+
+// Check is tomlfile.Checker's.
+func (o *Options) Check(report func(key, format string, args ...any)) {
+	if o.Service == "" {
+		report("service", "missing")
+	}
+	if _, err := ParseBy(o.By); err != nil {
+		report("by", "%v", err)
+	}
+	usable := func(w float64) bool { return w >= 0 && w <= maxWeight }
+	if !usable(o.Weight) {
+		report("default_weight", "%v is not from 0 to %v", o.Weight, maxWeight)
+	}
+	named := map[string]bool{}
+	for _, w := range o.Weights {
+		switch {
+		case w.Name == "":
+			report("weight", "a weight needs its principal's name")
+		case named[w.Name]:
+			report("weight", "%q has two weights", w.Name)
+		case !usable(w.Weight) || w.Weight > 0 && w.Weight < 1/maxWeight:
+			report("weight", "%v of %q is neither 0 nor from %v to %v", w.Weight, w.Name, 1/maxWeight, maxWeight)
+		}
+		named[w.Name] = true
+	}
+	between := func(key string, n, least, most int) {
+		if n < least || n > most {
+			report(key, "%d is not from %d to %d", n, least, most)
+		}
+	}
+	between("waiting", o.Waiting, 1, maxWaiting)
+	between("principals", o.Known, 16, maxKnown)
+	between("promises", o.Promises, 0, maxKnown)
+	between("limit_least", o.Least, 1, o.Most)
+	between("limit_most", o.Most, 1, maxLimit)
+	if o.Marked != "" && !httpguts.ValidHeaderFieldName(o.Marked) {
+		report("repeat_header", "%q is no header's name", o.Marked)
+	}
+	if o.Bytes < 0 {
+		report("bytes", "%v is negative", o.Bytes)
+	}
+	if !(o.Repeats >= 0) || math.IsInf(o.Repeats, 0) || o.Repeats > 100 {
+		report("repeats", "%v is not a part of the first requests", o.Repeats)
+	}
+}
+
+// weights are by name.
+func (o *Options) weights() map[string]float64 {
+	m := make(map[string]float64, len(o.Weights))
+	for _, w := range o.Weights {
+		m[w.Name] = w.Weight
+	}
+	return m
+}
--- /dev/null
+++ b/internal/door/promise.go
@@ -0,0 +1,173 @@
+package door
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// A refused client is told when to come back. Those times are handed out from a calendar, so that no more are told to come
+// in one step of it than can be served beside others, and are remembered, so that who comes when told goes first.
+
+const (
+	calendarStep  = 10 * time.Millisecond
+	calendarSteps = 1024 // at most; long waits have longer steps
+	promisedPart  = 0.5  // of what drains may be promised
+	flowPromises  = 16   // of one flow that are remembered at once
+	early         = 10 * time.Millisecond
+	graceLeast    = 250 * time.Millisecond
+	graceMost     = 2 * time.Second
+	gracePart     = 0.25 // of the wait
+)
+
+// promise is a time at which one request of a flow may come.
+type promise struct {
+	at, until time.Duration
+	cost      float64
+}
+
+// calendar counts what was promised by steps of time, from now to its end.
+type calendar struct {
+	step   time.Duration
+	counts []uint32
+	from   int64 // the step that now lies in
+	rng    *rand.Rand
+}
+
+func newCalendar(longest time.Duration, rng *rand.Rand) calendar {
+	step := max(calendarStep, (longest+calendarSteps-1)/calendarSteps)
+	return calendar{step: step, counts: make([]uint32, int(longest/step)+2), rng: rng}
+}
+
+// advance forgets the steps that have passed.
+func (c *calendar) advance(now time.Duration) {
+	to := int64(now / c.step)
+	if to-c.from >= int64(len(c.counts)) {
+		clear(c.counts)
+		c.from = to
+	}
+	for ; c.from < to; c.from++ {
+		c.counts[c.from%int64(len(c.counts))] = 0
+	}
+}
+
+// take finds the first time from at on at which no more than most a step would be promised, and a moment in it; false:
+// there is none before the calendar ends. Where most is under one, a promise takes several steps for itself. It looks through
+// all steps at most, 1,026.
+func (c *calendar) take(now, at time.Duration, most float64) (time.Duration, bool) {
+	c.advance(now)
+	need := 1 // steps in a row
+	if most < 1 {
+		need = int(min(1/max(most, 1e-6), float64(len(c.counts)/4))) + 1
+	}
+	room := uint32(max(0, most-1))
+	size, run := int64(len(c.counts)), 0
+	for s := max(c.from, int64(at/c.step)); s < c.from+size; s++ {
+		if n := c.counts[s%size]; need > 1 && n > 0 || n > room {
+			run = 0
+			continue
+		}
+		if run++; run < need {
+			continue
+		}
+		for i := s - int64(run) + 1; i <= s; i++ {
+			c.counts[i%size]++
+		}
+		begin, end := max(at, time.Duration(s-int64(run)+1)*c.step), time.Duration(s+1)*c.step
+		return begin + time.Duration(c.rng.Int64N(int64(end-begin)+1)), true
+	}
+	return 0, false
+}
+
+// keep remembers a promise of a flow, the earliest first.
+func (f *flow) keep(p promise) {
+	i := len(f.promises)
+	for i > 0 && f.promises[i-1].at > p.at {
+		i--
+	}
+	f.promises = append(f.promises, promise{})
+	copy(f.promises[i+1:], f.promises[i:])
+	f.promises[i] = p
+	f.promised += p.cost
+}
+
+// drop forgets the i-th.
+func (f *flow) drop(i int) {
+	f.promised -= f.promises[i].cost
+	f.promises = append(f.promises[:i], f.promises[i+1:]...)
+	if len(f.promises) == 0 {
+		f.promised = 0
+	}
+}
+
+// redeem uses up the earliest promise that holds now.
+func (d *Door) redeem(f *flow) bool {
+	for i := range f.promises {
+		if p := f.promises[i]; d.now >= p.at-early && d.now <= p.until {
+			f.drop(i)
+			d.promises--
+			d.fixLapse(f)
+			return true
+		}
+	}
+	return false
+}
+
+// promise finds when a flow's next refused request is to come back.
+func (d *Door) promise(f *flow, c *class) time.Duration {
+	cost := max(costLeast, c.usual)
+	longest := d.o.longest()
+	rate := d.rateOf(f)
+	wait := longest
+	if rate > 0 {
+		w := (d.ahead(f) + f.promised + cost) / rate
+		wait = time.Duration(min(w, longest.Seconds()) * float64(time.Second))
+	}
+	drain := d.limit.limit / d.usualCost()
+	most := drain * promisedPart * d.calendar.step.Seconds()
+	if len(f.promises) < flowPromises && d.promises < d.o.Promises {
+		if at, ok := d.calendar.take(d.now, d.now+max(wait, early), most); ok && at <= d.now+longest {
+			wait = at - d.now
+			grace := min(graceMost, max(graceLeast, time.Duration(gracePart*float64(wait))))
+			f.keep(promise{at: at, until: at + grace, cost: cost})
+			d.promises++
+			d.fixLapse(f)
+			return wait
+		}
+	}
+	// All that can be promised is: who comes after that takes a chance, spread over what is left of the longest.
+	if n := len(f.promises); n > 0 {
+		wait = max(wait, f.promises[n-1].at-d.now)
+	}
+	wait = min(wait, longest*3/4)
+	return wait + time.Duration(d.rng.Int64N(int64(longest-wait)+1))
+}
+
+// fixLapse keeps a flow in the order in which its next promise lapses.
+func (d *Door) fixLapse(f *flow) {
+	if len(f.promises) == 0 {
+		d.lapses.remove(f)
+		return
+	}
+	f.lapse = f.promises[0].until
+	for _, p := range f.promises[1:] {
+		f.lapse = min(f.lapse, p.until)
+	}
+	d.lapses.fix(f)
+}
+
+// lapse forgets what was promised and not come for.
+func (d *Door) lapse() {
+	for d.lapses.len() > 0 && d.lapses.first().lapse < d.now {
+		f := d.lapses.first()
+		for i := 0; i < len(f.promises); {
+			if f.promises[i].until < d.now {
+				f.drop(i)
+				d.promises--
+			} else {
+				i++
+			}
+		}
+		d.fixLapse(f)
+		d.forget(f)
+	}
+}
--- /dev/null
+++ b/internal/door/sfq.go
@@ -0,0 +1,187 @@
+package door
+
+// member is one of those between whom a level is fair: a group among groups, or a flow among those of its group. Times
+// are virtual: cost (seconds of a place) divided by weight.
+type member struct {
+	weight        float64 // 0: gets only what the others leave
+	start, finish float64 // of what it sends next, and of what it sent last
+	order         uint64  // among equal starts, who has waited for longest goes first
+	ready, rest   int     // places in the heaps of its level; -1: not in it
+	most          int     // place among those that hold most; -1: holds nothing
+	waiting       int
+	passed        int // in hand beyond the door
+	bytes         int64
+	queued        float64 // cost of what waits
+	group         *group
+	flow          *flow // nil: the member is the group itself
+}
+
+func (m *member) active() bool { return m.waiting+m.passed > 0 }
+
+// share is the weight to divide by: members without one are equal among themselves.
+func (m *member) share() float64 {
+	if m.weight > 0 {
+		return m.weight
+	}
+	return 1
+}
+
+// sfq is start-time fair queueing over several places, SFQ(D): P. Goyal, H. Vin, H. Cheng, "Start-time Fair Queuing"
+// (SIGCOMM 1996); W. Jin, J. Chase, J. Kaur, "Interposed Proportional Sharing for a Storage Service Utility"
+// (SIGMETRICS 2004) for the D places. A member that begins to wait gets the start max(v, finish), the least start goes
+// next, v is the start that went last. What a request took in the end is known only when it has: the difference to what
+// was charged moves the member's tags then, so that over time shares are of what was really taken.
+type sfq struct {
+	v, last float64 // virtual time, and the largest finish so far
+	ready   heap[*member]
+	resting heap[*member] // have nothing waiting and a finish above v: they are not forgotten before v gets there
+	order   uint64
+}
+
+func newSFQ() sfq {
+	return sfq{
+		ready: heap[*member]{place: func(m *member) *int { return &m.ready }, less: func(a, b *member) bool {
+			return a.start < b.start || a.start == b.start && a.order < b.order
+		}},
+		resting: heap[*member]{place: func(m *member) *int { return &m.rest },
+			less: func(a, b *member) bool { return a.finish < b.finish }},
+	}
+}
+
+// wake has a member wait: it had nothing waiting before.
+func (s *sfq) wake(m *member) {
+	s.resting.remove(m)
+	s.order++
+	m.start, m.order = max(s.v, m.finish), s.order
+	s.ready.push(m)
+}
+
+// charge is for one request of a waiting member that goes, by turn or out of it: v moves with turns only. more says that
+// others of it wait.
+func (s *sfq) charge(m *member, cost float64, turn, more bool) {
+	if turn {
+		s.v = max(s.v, m.start)
+	}
+	m.finish = m.start + cost/m.share()
+	s.last = max(s.last, m.finish)
+	if !more {
+		s.ready.remove(m)
+		return
+	}
+	s.order++
+	m.start, m.order = m.finish, s.order
+	s.ready.fix(m)
+}
+
+// settle corrects what a member was charged.
+func (s *sfq) settle(m *member, by float64) {
+	follows := m.start == m.finish
+	m.finish += by / m.share()
+	s.last = max(s.last, m.finish)
+	if m.rest >= 0 {
+		s.resting.fix(m)
+	}
+	if m.ready < 0 {
+		return
+	}
+	if follows {
+		m.start = m.finish
+	} else {
+		m.start = max(m.start, m.finish)
+	}
+	s.ready.fix(m)
+}
+
+// owes tells whether a member had more than it is due up to now.
+func (s *sfq) owes(m *member) bool { return m.finish > s.v }
+
+// calm is for the moment at which no member has anything waiting or in hand: nobody owes anything any more.
+func (s *sfq) calm() { s.v = max(s.v, s.last) }
+
+// level is the members of one parent.
+type level struct {
+	fair, free sfq     // with weights, and those that get what is left
+	weights    float64 // of active members; those of weight 0 count nothing
+	actives    int
+	most       heap[*member] // by load
+}
+
+func newLevel(load func(*member) float64) level {
+	return level{fair: newSFQ(), free: newSFQ(), most: heap[*member]{place: func(m *member) *int { return &m.most },
+		less: func(a, b *member) bool { return load(a) > load(b) }}}
+}
+
+func (l *level) of(m *member) *sfq {
+	if m.weight > 0 {
+		return &l.fair
+	}
+	return &l.free
+}
+
+// next is the member whose turn it is; nil: nobody waits.
+func (l *level) next() *member {
+	switch {
+	case l.fair.ready.len() > 0:
+		return l.fair.ready.first()
+	case l.free.ready.len() > 0:
+		return l.free.ready.first()
+	}
+	return nil
+}
+
+// rate is the part of the level's capacity that is a member's while all that are active now go on.
+func (l *level) rate(m *member) float64 {
+	if m.weight <= 0 {
+		return 0
+	}
+	total := l.weights
+	if !m.active() {
+		total += m.weight
+	}
+	return m.weight / max(total, m.weight)
+}
+
+// activate and idle count a member among those that share the capacity.
+func (l *level) activate(m *member) { l.actives, l.weights = l.actives+1, l.weights+m.weight }
+
+func (l *level) idle(m *member) {
+	l.actives, l.weights = l.actives-1, l.weights-m.weight
+	if l.actives == 0 {
+		l.weights = 0 // sums of fractions drift
+		l.fair.calm()
+		l.free.calm()
+	}
+}
+
+// reset is for a level that nobody is in.
+func (l *level) reset() {
+	l.fair.v, l.fair.last, l.free.v, l.free.last = 0, 0, 0, 0
+}
+
+// reweigh gives a member another weight under way. Its tags are of the old one until they are used up.
+func (l *level) reweigh(m *member, weight float64) {
+	if weight == m.weight {
+		return
+	}
+	if m.active() {
+		l.weights += weight - m.weight
+	}
+	was := l.of(m)
+	waits, rests := m.ready >= 0, m.rest >= 0
+	was.ready.remove(m)
+	was.resting.remove(m)
+	m.weight = weight
+	now := l.of(m)
+	if now != was { // the other's virtual time is another
+		m.finish = now.v
+		rests = false
+	}
+	if waits {
+		now.wake(m)
+	} else if rests {
+		now.resting.push(m)
+	}
+	if m.most >= 0 {
+		l.most.fix(m)
+	}
+}
