Queues at the door in the daemon and the plug-in: [[door]] in the operator's file

Requests wait before the engine, leave with their client, are let on or refused as package door says; SIGHUP changes weights and bounds under load, a door that is taken away lets everybody on, at the kill each who waits gets one answer. Off without [[door]]: the platform's line is as it was.

--- a/cmd/orchiddrift/check.go
+++ b/cmd/orchiddrift/check.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 
 	"orchiddrift/internal/config"
 	"orchiddrift/orchidgrpc"
@@ -108,6 +109,9 @@
 		if s.Subset.On {
 			fmt.Fprintf(w, ", %d to %d of them its own", s.Subset.Least, s.Subset.Most)
 		}
+		if s.Door != nil {
+			fmt.Fprintf(w, ", a door fair by %s", strings.Join(s.Door.By, ", then by "))
+		}
 		fmt.Fprint(w, "; classes")
 		for _, c := range s.Settings.Classes {
 			fmt.Fprintf(w, " %s (%s)", c.Name, []string{"safe", "keyed", "unsafe"}[c.Effect])
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -7,6 +7,7 @@
 	"strconv"
 
 	"orchiddrift/internal/directory"
+	"orchiddrift/internal/door"
 	"orchiddrift/internal/eureka"
 	"orchiddrift/internal/httphead"
 	"orchiddrift/internal/keys"
@@ -29,6 +30,7 @@
 	Log      logs.Declaration     `toml:"log" doc:"The log."`
 	Members  membership.Options   `toml:"membership" doc:"How several lists of one service are merged."`
 	Eureka   []eureka.Declaration `toml:"eureka" doc:"An Eureka registry that lists upstreams of a service, beside that one's own list or alone."`
+	Doors    []door.Options       `toml:"door" doc:"A queue before a service, fair between those who ask."`
 	Services []Service            `toml:"service" doc:"A service: upstreams that answer the same requests. There are as many as there are such tables."`
 	Routes   []routes.Declaration `toml:"route" doc:"A route: which requests go to which service, and as what. Absent, with one service: all go there."`
 }
--- a/internal/config/plan.go
+++ b/internal/config/plan.go
@@ -9,11 +9,13 @@
 	"fmt"
 	"os"
 	"reflect"
+	"slices"
 	"strconv"
 	"time"
 
 	"orchiddrift/balancer"
 	"orchiddrift/internal/directory"
+	"orchiddrift/internal/door"
 	"orchiddrift/internal/eureka"
 	"orchiddrift/internal/httphead"
 	"orchiddrift/internal/keys"
@@ -59,6 +61,8 @@
 	ListFile  string
 	Known     *directory.Listing // as last held, or the whole of it; nil: none
 
+	Door *door.Options // before it; nil: there is none
+
 	Registries []eureka.Declaration // beside that list, or without one
 	Members    membership.Options
 
@@ -267,9 +271,64 @@
 			routes.Describe(all[c.First].Pattern, all[c.Second].Pattern))
 	}
 	p.Table = table
+	f.doors(p, names, all, doc)
 	return p
 }
 
+// doors gives services their doors, and checks that principals can be told apart there.
+func (f *File) doors(p *Plan, names map[string]int, all []*routes.Route, doc *tomlfile.Document) {
+	for i := range f.Doors {
+		at, o := fmt.Sprintf("door[%d]", i), f.Doors[i]
+		n, known := names[o.Service]
+		if !known {
+			if o.Service != "" {
+				doc.Report(at+".service", "there is no service %q", o.Service)
+			}
+			continue
+		}
+		s := &p.Services[n]
+		if s.Door != nil {
+			doc.Report(at+".service", "%q has two doors", o.Service)
+		}
+		tenants := false
+		for _, r := range all {
+			tenants = tenants || r.Service == s.Name && !r.Tenant.None()
+		}
+		if slices.Contains(o.By, "tenant") && !tenants {
+			doc.Report(at+".by", "no route of service %s says where a tenant stands", s.Name)
+		}
+		if slices.Contains(o.By, "certificate") && p.TLS.ClientCA == "" {
+			doc.Report(at+".by", "clients show no certificates: [tls] has no client_ca")
+		}
+		if s.Settings.RetryAfter {
+			o.Longest = s.Settings.MaxRetryAfter
+		}
+		s.Door = &o
+	}
+}
+
+// Door reads of an operator's file the door of one service: all that a plug-in takes from it besides Registries. Its error
+// is Problems.
+func Door(text []byte, service string) (*door.Options, error) {
+	f := &File{}
+	doc := tomlfile.Decode(text, f)
+	var of *door.Options
+	for i := range f.Doors {
+		if o := &f.Doors[i]; o.Service == service {
+			of = o
+			for _, by := range o.By {
+				if by == "address" || by == "certificate" {
+					doc.Report(fmt.Sprintf("door[%d].by", i), "a plug-in's callers have no %s: \"tenant\" and \"header:NAME\", of the metadata, tell them apart", by)
+				}
+			}
+		}
+	}
+	if !doc.Broken() && of == nil {
+		doc.Report("door", "there is none of service %q", service)
+	}
+	return of, problems(doc)
+}
+
 // registries checks the registries against the services, gives the platform's service its own, and notes where the process
 // registers.
 func (f *File) registries(p *Plan, beside *Config, doc *tomlfile.Document) {
@@ -389,7 +448,7 @@
 	return p
 }
 
-// Same tells whether two plans of a service differ in nothing but where its upstreams come from.
+// Same tells whether two plans of a service differ in nothing but where its upstreams come from, and its door.
 func (s *ServicePlan) Same(o *ServicePlan) bool {
 	return s.Name == o.Name && reflect.DeepEqual(s.Settings, o.Settings) && *s.Answers == *o.Answers &&
 		reflect.DeepEqual(s.TLS, o.TLS) && s.Subset == o.Subset
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -246,7 +246,7 @@
 // abort fails every request in hand: the process is about to be killed.
 func (d *daemon) abort() {
 	for _, s := range d.routing.Load().services {
-		s.engine.Abort()
+		s.abort()
 	}
 }
 
--- /dev/null
+++ b/internal/daemon/door.go
@@ -0,0 +1,60 @@
+package daemon
+
+import (
+	"net/http"
+	"net/netip"
+	"time"
+
+	"orchiddrift/internal/door"
+	"orchiddrift/internal/doorkeeper"
+	"orchiddrift/internal/engine"
+	"orchiddrift/internal/intake"
+)
+
+// door has a request wait until its turn has come, where its service has a door. The answer is not nil where it goes no
+// further: nothing of it was sent.
+func (s *server) door(r *http.Request, svc *service, req *intake.Request, begun time.Duration, body int) (doorkeeper.Pass, *engine.Answer) {
+	k := svc.door.Load()
+	if k == nil {
+		return doorkeeper.Pass{}, nil
+	}
+	marked := r.Header.Get(k.RepeatHeader())
+	pass, verdict, in := k.Enter(r.Context(), whoOf(r, req.Tenant), door.Arrival{Class: req.Class.Name, Hint: req.Hint, Came: begun,
+		Expires: begun + req.Timeout, Bytes: int64(body), Repeat: marked != "" && marked != "0"})
+	switch verdict {
+	case doorkeeper.Refused:
+		return pass, &engine.Answer{Kind: engine.Refused, RetryIn: in}
+	case doorkeeper.Left:
+		return pass, &engine.Answer{Kind: engine.Abandoned}
+	}
+	return pass, nil
+}
+
+// whoOf is what is known of a request's sender.
+func whoOf(r *http.Request, tenant string) door.Who {
+	return door.Who{Tenant: tenant, Header: r.Header.Get,
+		Peer: func() netip.Addr {
+			a, err := netip.ParseAddrPort(r.RemoteAddr)
+			if err != nil { // the library writes it
+				return netip.Addr{}
+			}
+			return a.Addr()
+		},
+		Certificate: func() string { return certificateName(r) }}
+}
+
+// certificateName is the name that a client's certificate bears: its first URI, else its first DNS name, else its common
+// name.
+func certificateName(r *http.Request) string {
+	if r.TLS == nil || len(r.TLS.PeerCertificates) == 0 {
+		return ""
+	}
+	switch c := r.TLS.PeerCertificates[0]; {
+	case len(c.URIs) > 0:
+		return c.URIs[0].String()
+	case len(c.DNSNames) > 0:
+		return c.DNSNames[0]
+	default:
+		return c.Subject.CommonName
+	}
+}
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -86,6 +86,12 @@
 					if move != nil {
 						moves = append(moves, move)
 					}
+					moves = append(moves, func() {
+						if err := s.setDoor(plan); err != nil { // the file's check has tried it
+							d.log.Error("reload", "service", plan.Name, "reason", err)
+						}
+						s.plan.Door = plan.Door
+					})
 					continue
 				}
 				if s.plan.ListFile == plan.ListFile || plan.Discovery == "" { // the new list can't be had
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"orchiddrift/balancer"
+	"orchiddrift/internal/doorkeeper"
 	"orchiddrift/internal/engine"
 	"orchiddrift/internal/httphead"
 	"orchiddrift/internal/intake"
@@ -119,8 +120,17 @@
 	out.Gate = lease
 	x := &exchange{pool: svc.pool, request: out}
 	defer x.end()
+	pass, refused := s.door(r, svc, &req, begun, len(*body))
+	if refused != nil {
+		if refused.Kind == engine.Refused && lease.ended.Load() && !s.stopping.Load() {
+			return true // its new route may have room
+		}
+		s.finish(w, *refused)
+		return false
+	}
 	a := svc.engine.Do(r.Context(), engine.Call{ID: id, Class: req.Class.Name, Tenant: req.Tenant, Hint: req.Hint,
 		Expires: begun + req.Timeout}, x)
+	pass.Done(doorkeeper.Ended(a))
 	if (a.Kind == engine.Refused || a.Kind == engine.Failed || a.Kind == engine.Closed) && lease.ended.Load() &&
 		x.begun.Load() == 0 && r.Context().Err() == nil && !s.stopping.Load() {
 		return true // nothing was sent: it is as new
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -19,6 +19,7 @@
 	"orchiddrift/internal/config"
 	"orchiddrift/internal/directory"
 	"orchiddrift/internal/discovery"
+	"orchiddrift/internal/doorkeeper"
 	"orchiddrift/internal/engine"
 	"orchiddrift/internal/eureka"
 	"orchiddrift/internal/filewatch"
@@ -50,9 +51,10 @@
 	pool   *upstream.Pool
 	dir    *directory.Directory
 	feed   *discovery.Feed
-	narrow *discovery.Narrowed // before the feed; nil: every upstream is its own
-	asked  atomic.Int64        // requests so far
-	keys   *keys.Store         // nil: connections are not encrypted
+	narrow *discovery.Narrowed               // before the feed; nil: every upstream is its own
+	asked  atomic.Int64                      // requests so far
+	keys   *keys.Store                       // nil: connections are not encrypted
+	door   atomic.Pointer[doorkeeper.Keeper] // nil: there is none
 
 	stop    context.CancelFunc // of what runs beside requests
 	running sync.WaitGroup
@@ -114,6 +116,11 @@
 		s.pool.Close()
 		return nil, fmt.Errorf("service %s: %w", plan.Name, err)
 	}
+	if err := s.setDoor(plan); err != nil {
+		s.engine.Close()
+		s.pool.Close()
+		return nil, fmt.Errorf("service %s: %w", plan.Name, err)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	s.stop = stop
 	s.running.Go(func() { s.pool.Sweep(ctx) })
@@ -127,6 +134,35 @@
 	return s, nil
 }
 
+// setDoor takes over what a plan says of the door: another one keeps who waits, none lets them on.
+func (s *service) setDoor(plan config.ServicePlan) error {
+	now := s.door.Load()
+	switch {
+	case plan.Door == nil && now != nil:
+		s.door.Store(nil)
+		now.Open()
+	case plan.Door != nil && now != nil:
+		return now.Configure(*plan.Door)
+	case plan.Door != nil:
+		k, err := doorkeeper.New(doorkeeper.Options{Door: *plan.Door, Classes: plan.Settings.Classes, Clock: s.shared.clock,
+			Seed: s.shared.seed ^ xxhash.Sum64String("door/"+plan.Name), Log: s.shared.log.With("service", plan.Name),
+			Tells: plan.Settings.RetryAfter})
+		if err != nil {
+			return fmt.Errorf("door: %w", err)
+		}
+		s.door.Store(k)
+	}
+	return nil
+}
+
+// abort gives everything in hand its answer: the process is about to be killed.
+func (s *service) abort() {
+	if k := s.door.Load(); k != nil {
+		k.Close()
+	}
+	s.engine.Abort()
+}
+
 // openSource makes the source of a plan's list, and the list to begin with; nil, nil: the plan has all of it. Where
 // registries list upstreams too, it is the source of the merged list.
 func (s *service) openSource(plan config.ServicePlan, known *directory.Listing, log *slog.Logger) (*directory.Listing,
@@ -377,6 +413,9 @@
 	s.retired.Store(true)
 	s.follow(nil)
 	s.stop()
+	if k := s.door.Load(); k != nil {
+		k.Close()
+	}
 	s.engine.Close()
 	s.pool.Close()
 	s.running.Wait()
--- /dev/null
+++ b/orchidgrpc/door.go
@@ -0,0 +1,34 @@
+package orchidgrpc
+
+import (
+	"context"
+	"strings"
+
+	"google.golang.org/grpc/metadata"
+
+	"orchiddrift/internal/door"
+	"orchiddrift/internal/doorkeeper"
+	"orchiddrift/internal/engine"
+)
+
+// do is the engine's Do behind the door, where there is one. A stream keeps its place there until it has begun.
+func (c *call) do(ctx context.Context, carrier engine.Carrier) engine.Answer {
+	k := c.p.door
+	if k == nil {
+		return c.p.engine.Do(ctx, c.Call, carrier)
+	}
+	md, _ := metadata.FromOutgoingContext(ctx)
+	marked := first(md, strings.ToLower(k.RepeatHeader()))
+	pass, verdict, in := k.Enter(ctx, door.Who{Tenant: c.Tenant, Header: func(name string) string { return first(md, strings.ToLower(name)) }},
+		door.Arrival{Class: c.Class, Hint: c.Hint, Came: c.p.engine.Clock().Now(), Expires: c.Expires,
+			Repeat: marked != "" && marked != "0"})
+	switch verdict {
+	case doorkeeper.Refused:
+		return engine.Answer{Kind: engine.Refused, RetryIn: in}
+	case doorkeeper.Left:
+		return engine.Answer{Kind: engine.Abandoned}
+	}
+	a := c.p.engine.Do(ctx, c.Call, carrier)
+	pass.Done(doorkeeper.Ended(a))
+	return a
+}
--- /dev/null
+++ b/orchidgrpc/door_test.go
@@ -0,0 +1,133 @@
+package orchidgrpc_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/genproto/googleapis/rpc/errdetails"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+
+	"orchiddrift/internal/standin"
+	"orchiddrift/internal/testkit/base"
+	"orchiddrift/orchidgrpc"
+)
+
+// Calls wait in an order that is fair between those on whose behalf they are made, the newest of a flood is refused with a
+// time to come back, and one whose caller leaves is never sent.
+func TestDoor(t *testing.T) {
+	came, answer := make(chan string, 100), make(chan bool, 100)
+	f := newFleet(t, standin.NodeOptions{Answer: func(j standin.Job) []byte { came <- j.ID; <-answer; return nil }})
+	file := base.File(t, "o.toml", []byte("[[door]]\nservice = \"service\"\nby = [\"tenant\", \"header:x-shop\"]\nlimit_least = 1\nlimit_most = 1\nwaiting = 3\n"))
+	conn, _ := f.dial(t, func(o *orchidgrpc.Options) {
+		o.Door = file
+		o.Settings.SecondCopies, o.Settings.MaxAttempts = false, 1
+		for i := range o.Settings.Classes {
+			o.Settings.Classes[i].Deadline = time.Minute
+			o.Settings.Classes[i].Aim = time.Minute
+		}
+	})
+	var mu sync.Mutex
+	ends := map[string]error{}
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	call := func(ctx context.Context, tenant, id string) {
+		wg.Go(func() {
+			ctx := metadata.AppendToOutgoingContext(ctx, orchidgrpc.TenantKey, tenant, orchidgrpc.RequestIDKey, id)
+			_, err := ask(ctx, conn, search)
+			mu.Lock()
+			defer mu.Unlock()
+			ends[id] = err
+		})
+	}
+	end := func(id string) error {
+		var err error
+		base.Eventually(t, id+" ends", func() bool {
+			mu.Lock()
+			defer mu.Unlock()
+			of, ended := ends[id]
+			err = of
+			return ended
+		})
+		return err
+	}
+	call(t.Context(), "flood", "0")
+	if id := <-came; id != "0" {
+		t.Fatal(id)
+	}
+	refused := 0
+	for i := range 8 { // three of them wait
+		call(t.Context(), "flood", fmt.Sprint("f", i))
+	}
+	base.Eventually(t, "five are refused", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return len(ends) == 5
+	})
+	mu.Lock()
+	for id, err := range ends {
+		if s := status.Convert(err); s.Code() == codes.Unavailable && !orchidgrpc.MayHaveRun(err) {
+			for _, d := range s.Details() {
+				if in, ok := d.(*errdetails.RetryInfo); ok && in.RetryDelay.AsDuration() > 0 {
+					refused++
+				}
+			}
+		} else {
+			t.Errorf("%s: %v", id, err)
+		}
+	}
+	mu.Unlock()
+	if refused != 5 {
+		t.Errorf("%d of 5 are told when to come back", refused)
+	}
+	call(t.Context(), "quiet", "q")
+	base.Eventually(t, "the flood gives way", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return len(ends) == 6
+	})
+	leaving, leave := context.WithCancel(t.Context())
+	call(leaving, "leaves", "l")
+	base.Eventually(t, "and again", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return len(ends) == 7
+	})
+	leave()
+	if err := end("l"); status.Code(err) != codes.Canceled {
+		t.Error(err)
+	}
+	answer <- true
+	if id := <-came; id != "q" {
+		t.Errorf("%s goes before the quiet one", id)
+	}
+	answer <- true
+	if id := <-came; id[0] != 'f' {
+		t.Errorf("%s goes third", id)
+	}
+	answer <- true
+	if err := errors.Join(end("0"), end("q")); err != nil {
+		t.Error(err)
+	}
+}
+
+// A door that can't be is one clear error.
+func TestDoorOptions(t *testing.T) {
+	for name, text := range map[string]string{
+		"none of this service": "[[door]]\nservice = \"other\"\n",
+		"by the peer":          "[[door]]\nservice = \"service\"\nby = [\"address\"]\n",
+		"no such source":       "[[door]]\nservice = \"service\"\nby = [\"shop\"]\n",
+	} {
+		o := orchidgrpc.Options{Settings: settings(), Seed: 7, Endpoints: []orchidgrpc.Endpoint{{Name: "a", Address: "127.0.0.1:1"}},
+			Files: files(t), Door: base.File(t, "o.toml", []byte(text))}
+		if p, err := orchidgrpc.New(o); err == nil {
+			p.Close()
+			t.Errorf("%s: it is taken", name)
+		}
+	}
+}
--- a/orchidgrpc/plugin.go
+++ b/orchidgrpc/plugin.go
@@ -38,6 +38,7 @@
 	"orchiddrift/internal/config"
 	"orchiddrift/internal/directory"
 	"orchiddrift/internal/discovery"
+	"orchiddrift/internal/doorkeeper"
 	"orchiddrift/internal/engine"
 	"orchiddrift/internal/eureka"
 	"orchiddrift/internal/logs"
@@ -65,6 +66,9 @@
 	// Registries names an operator's file, as the daemon's: the registries ([[eureka]]) of this service in it list upstreams
 	// beside Discovery or Endpoints, or alone, merged as its [membership] says.
 	Registries string
+	// Door names an operator's file, as the daemon's: the door ([[door]]) of this service in it has calls wait in an order
+	// that is fair between those on whose behalf they are made, by the metadata.
+	Door string
 	// TLS encrypts connections; absent: credentials are the caller's to add. With it, DialOptions bring them.
 	TLS *TLS
 }
@@ -107,7 +111,8 @@
 	answers        map[codes.Code]bool
 	connectTimeout time.Duration
 	tick           time.Duration
-	guard          *guard // nil: connections are not encrypted by the plug-in
+	guard          *guard             // nil: connections are not encrypted by the plug-in
+	door           *doorkeeper.Keeper // nil: there is none
 	stop           context.CancelFunc
 	watching       sync.WaitGroup
 
@@ -161,6 +166,11 @@
 			return nil, fmt.Errorf("orchidgrpc: %w", err)
 		}
 	}
+	if o.Door != "" {
+		if p.door, err = openDoor(o, p.service, clk, log); err != nil {
+			return nil, fmt.Errorf("orchidgrpc: %w", err)
+		}
+	}
 	source, known, err := p.openSource(o, known, set.MustSubscribe, log)
 	if err != nil {
 		return nil, fmt.Errorf("orchidgrpc: %w", err)
@@ -233,6 +243,21 @@
 	return of, members, err
 }
 
+// openDoor makes the door that an operator's file tells of.
+func openDoor(o Options, service string, clk clock.Clock, log *slog.Logger) (*doorkeeper.Keeper, error) {
+	text, err := os.ReadFile(o.Door)
+	if err != nil {
+		return nil, fmt.Errorf("Door: %w", err)
+	}
+	of, err := config.Door(text, service)
+	if err != nil {
+		return nil, fmt.Errorf("Door: %s: %w", o.Door, err)
+	}
+	of.Longest = o.Settings.MaxRetryAfter
+	return doorkeeper.New(doorkeeper.Options{Door: *of, Classes: o.Settings.Classes, Clock: clk, Log: log,
+		Seed: o.Seed ^ xxhash.Sum64String("door"), Tells: o.Settings.RetryAfter})
+}
+
 // Target is what to give to grpc.NewClient, with DialOptions.
 func (p *Plugin) Target() string { return Scheme + ":///" + p.service }
 
@@ -279,6 +304,9 @@
 func (p *Plugin) Close() {
 	p.stop()
 	p.watching.Wait()
+	if p.door != nil {
+		p.door.Close()
+	}
 	p.engine.Close()
 }
 
--- a/orchidgrpc/stream.go
+++ b/orchidgrpc/stream.go
@@ -116,7 +116,7 @@
 func (s *clientStream) start(like *messageType, head bool) error {
 	s.once.Do(func() {
 		defer s.started.Store(true)
-		s.answer = s.p.engine.Do(s.ctx, s.Call, &streamAttempt{s: s, like: like, head: head})
+		s.answer = s.do(s.ctx, &streamAttempt{s: s, like: like, head: head})
 		if s.answer.Kind != engine.Served {
 			s.err = s.fail(s.ctx, s.answer)
 			(&outputs{}).handOver(s.writing, s.err)
--- a/orchidgrpc/unary.go
+++ b/orchidgrpc/unary.go
@@ -15,7 +15,7 @@
 	ctx, c := p.newCall(ctx, method)
 	u := &unaryCall{call: c, req: req, reply: reply, like: typeOf(reply), cc: cc, invoker: invoker}
 	u.plain, u.writing = split(opts)
-	a := p.engine.Do(ctx, c.Call, u)
+	a := c.do(ctx, u)
 	if a.Kind != engine.Served {
 		err := c.fail(ctx, a)
 		(&outputs{}).handOver(u.writing, err)
--- a/test.sh
+++ b/test.sh
@@ -29,4 +29,5 @@
 bin/orchiddrift check deploy/grpc.example.json
 bin/orchiddrift check deploy/operator.example.toml
 bin/orchiddrift check deploy/eureka.example.toml
+bin/orchiddrift check deploy/door.example.toml
 go test -count=1 -timeout 4m $race ./...
