--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -6,6 +6,7 @@
 //	go run ./cmd/measure eureka    # from a flip in a registry to the last request
 //	go run ./cmd/measure subset    # ways to choose a part of 5,000 upstreams, by assignment alone
 //	go run ./cmd/measure many      # daemons over 5,000 listeners, with and without subsets
+//	go run ./cmd/measure door      # queues at the door, limits, repeats and refusals, in virtual time
 //	go run ./cmd/measure grpc      # beside grpc-go's round_robin, weighted_round_robin and least_request
 package main
 
@@ -51,6 +52,10 @@
 
 func (c manyCmd) Run() error { return measure.Many(c.options.options()) }
 
+type doorCmd struct{ options }
+
+func (c doorCmd) Run() error { return measure.Door(c.options.options()) }
+
 type grpcCmd struct{ options }
 
 func (c grpcCmd) Run() error { return measure.GRPC(c.options.options()) }
@@ -70,6 +75,7 @@
 		Eureka eurekaCmd `cmd:"" help:"From a flip in an Eureka registry to the last request; memory with 5,000 instances."`
 		Subset subsetCmd `cmd:"" help:"Ways to choose a part of 5,000 upstreams."`
 		Many   manyCmd   `cmd:"" help:"Daemons over 5,000 listeners, with and without subsets."`
+		Door   doorCmd   `cmd:"" help:"Queues at the door, limits, repeats and refusals, in virtual time."`
 		GRPC   grpcCmd   `cmd:"" name:"grpc" help:"The plug-in beside grpc-go's balancers."`
 	}
 	ctx := kong.Parse(&cli, kong.Name("measure"), kong.UsageOnError())
--- /dev/null
+++ b/internal/doorsim/gates.go
@@ -0,0 +1,428 @@
+package doorsim
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"orchiddrift/internal/door"
+)
+
+// The disciplines that package door was weighed against. They are as small as their sources allow, share one frame, and
+// are used by measurements alone.
+
+// Limit is how many requests may be in hand beyond a Queue.
+type Limit interface {
+	Places() int
+	Sample(now, took time.Duration, inHand int, turned bool)
+}
+
+// discipline orders what waits in a Queue.
+type discipline interface {
+	push(e *held)
+	pop(now time.Duration) *held // nil: nothing
+	took(e *held, cost float64)
+}
+
+type held struct {
+	ticket  door.Ticket
+	a       door.Arrival
+	came    time.Duration
+	went    time.Duration
+	waits   bool
+	queue   int
+	charged float64
+}
+
+// Queue is a Gate of a discipline and a limit. What waits longer than its client does is refused, and so is what comes
+// when Most wait. It tells nobody when to come back.
+type Queue struct {
+	of    discipline
+	limit Limit
+	most  int
+	n     int
+	in    int
+	next  door.Ticket
+	all   map[door.Ticket]*held
+}
+
+// NewQueue returns one in which at most so many wait.
+func NewQueue(of discipline, limit Limit, most int) *Queue {
+	return &Queue{of: of, limit: limit, most: most, all: map[door.Ticket]*held{}}
+}
+
+// Arrive is Gate's.
+func (q *Queue) Arrive(now time.Duration, a door.Arrival, acts []door.Action) (door.Ticket, []door.Action) {
+	q.next++
+	t := q.next
+	if q.n >= q.most {
+		return t, append(acts, door.Action{Kind: door.Refuse, Ticket: t, Reason: door.Full})
+	}
+	e := &held{ticket: t, a: a, came: now, waits: true}
+	q.all[t] = e
+	q.n++
+	q.of.push(e)
+	return t, q.serve(now, acts)
+}
+
+func (q *Queue) serve(now time.Duration, acts []door.Action) []door.Action {
+	for q.n > 0 && q.in < q.limit.Places() {
+		e := q.of.pop(now)
+		if e == nil {
+			break
+		}
+		q.n--
+		e.waits = false
+		if now >= e.a.Expires {
+			delete(q.all, e.ticket)
+			acts = append(acts, door.Action{Kind: door.Refuse, Ticket: e.ticket, Reason: door.Expired})
+			continue
+		}
+		e.went = now
+		q.in++
+		acts = append(acts, door.Action{Kind: door.Pass, Ticket: e.ticket})
+	}
+	return acts
+}
+
+// Done is Gate's.
+func (q *Queue) Done(now time.Duration, t door.Ticket, how door.Result, acts []door.Action) []door.Action {
+	e := q.all[t]
+	if e == nil {
+		return acts
+	}
+	delete(q.all, t)
+	q.limit.Sample(now, now-e.went, q.in, how == door.Turned)
+	q.in--
+	q.of.took(e, (now - e.went).Seconds())
+	return q.serve(now, acts)
+}
+
+// Wake is Gate's.
+func (q *Queue) Wake(now time.Duration, acts []door.Action) []door.Action { return q.serve(now, acts) }
+
+// Next is Gate's.
+func (q *Queue) Next() (time.Duration, bool) { return 0, false }
+
+// fifo is one queue for all.
+type fifo struct{ q []*held }
+
+// NewFIFO returns one queue in the order of coming.
+func NewFIFO() discipline           { return &fifo{} }
+func (f *fifo) push(e *held)        { f.q = append(f.q, e) }
+func (f *fifo) took(*held, float64) {}
+func (f *fifo) pop(time.Duration) *held {
+	if len(f.q) == 0 {
+		return nil
+	}
+	e := f.q[0]
+	f.q = f.q[1:]
+	return e
+}
+
+// codel is one queue under CoDel (K. Nichols, V. Jacobson, 2012; as Facebook's wangle and B. Maurer's "Fail at Scale"
+// give it for requests) with adaptive LIFO: while the queue has not been empty for an interval, the newest goes first and
+// what has waited longer than the target is passed over.
+type codel struct {
+	q         []*held
+	lastEmpty time.Duration
+	target    time.Duration
+	interval  time.Duration
+}
+
+// NewCoDel returns one with the customary 5 ms and 100 ms.
+func NewCoDel() discipline {
+	return &codel{target: 5 * time.Millisecond, interval: 100 * time.Millisecond}
+}
+
+func (c *codel) push(e *held)        { c.q = append(c.q, e) }
+func (c *codel) took(*held, float64) {}
+func (c *codel) pop(now time.Duration) *held {
+	if len(c.q) == 0 {
+		c.lastEmpty = now
+		return nil
+	}
+	if now-c.lastEmpty < c.interval {
+		e := c.q[0]
+		if c.q = c.q[1:]; len(c.q) == 0 {
+			c.lastEmpty = now
+		}
+		return e
+	}
+	// Overloaded: what waited beyond the target is dropped from the old end by ending its time, one with each turn.
+	if old := c.q[0]; now-old.came > c.target && len(c.q) > 1 {
+		c.q = c.q[1:]
+		old.a.Expires = 0
+		return old
+	}
+	e := c.q[len(c.q)-1]
+	if c.q = c.q[:len(c.q)-1]; len(c.q) == 0 {
+		c.lastEmpty = now
+	}
+	return e
+}
+
+// drr is deficit round robin (M. Shreedhar, G. Varghese, 1995) by principal, its cost what the request before took.
+type drr struct {
+	quantum float64
+	flows   map[string]*drrFlow
+	ring    []*drrFlow
+}
+
+type drrFlow struct {
+	q       []*held
+	deficit float64
+	usual   float64
+}
+
+// NewDRR returns one with a quantum of 20 ms of place.
+func NewDRR() discipline { return &drr{quantum: 0.02, flows: map[string]*drrFlow{}} }
+
+func (d *drr) push(e *held) {
+	name := e.a.Group + "\x00" + e.a.Flow
+	f := d.flows[name]
+	if f == nil {
+		f = &drrFlow{usual: 0.02}
+		d.flows[name] = f
+	}
+	if len(f.q) == 0 {
+		f.deficit = 0
+		d.ring = append(d.ring, f)
+	}
+	f.q = append(f.q, e)
+}
+
+func (d *drr) pop(time.Duration) *held {
+	for range len(d.ring) * 1024 {
+		if len(d.ring) == 0 {
+			return nil
+		}
+		f := d.ring[0]
+		if f.deficit < f.usual {
+			f.deficit += d.quantum
+			d.ring = append(d.ring[1:], f)
+			continue
+		}
+		e := f.q[0]
+		f.q = f.q[1:]
+		f.deficit -= f.usual
+		if len(f.q) == 0 {
+			d.ring = d.ring[1:]
+		}
+		return e
+	}
+	return nil
+}
+
+func (d *drr) took(e *held, cost float64) {
+	f := d.flows[e.a.Group+"\x00"+e.a.Flow]
+	f.usual += (cost - f.usual) * 0.1
+}
+
+// shuffled is Kubernetes' API priority and fairness (KEP-1040) at one priority level: queues to which a principal is dealt
+// a hand by its name's hash, the shortest of the hand takes the request, and the queue whose next would finish first by
+// virtual time goes. With a hand of one it is stochastic fair queueing (P. McKenney, 1990).
+type shuffled struct {
+	queues []sq
+	hand   int
+	v      float64
+	usual  float64
+}
+
+type sq struct {
+	q      []*held
+	finish float64
+}
+
+// NewShuffled returns one of so many queues, of which a principal has hand.
+func NewShuffled(queues, hand int) discipline {
+	return &shuffled{queues: make([]sq, queues), hand: hand, usual: 0.02}
+}
+
+func (s *shuffled) push(e *held) {
+	rng := rand.New(rand.NewPCG(xxhash.Sum64String(e.a.Group+"\x00"+e.a.Flow), 1))
+	best, least := 0, math.MaxInt
+	for _, i := range rng.Perm(len(s.queues))[:s.hand] {
+		if n := len(s.queues[i].q); n < least {
+			best, least = i, n
+		}
+	}
+	q := &s.queues[best]
+	if len(q.q) == 0 {
+		q.finish = max(q.finish, s.v)
+	}
+	e.queue = best
+	q.q = append(q.q, e)
+}
+
+func (s *shuffled) pop(time.Duration) *held {
+	best := -1
+	for i := range s.queues {
+		if len(s.queues[i].q) > 0 && (best < 0 || s.queues[i].finish < s.queues[best].finish) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return nil
+	}
+	q := &s.queues[best]
+	s.v = max(s.v, q.finish)
+	e := q.q[0]
+	q.q = q.q[1:]
+	e.charged = s.usual
+	q.finish += s.usual
+	return e
+}
+
+func (s *shuffled) took(e *held, cost float64) {
+	s.queues[e.queue].finish += cost - e.charged
+	s.usual += (cost - s.usual) * 0.05
+}
+
+// The limits.
+
+// Fixed is a Limit that stays.
+type Fixed int
+
+// Places is Limit's.
+func (f Fixed) Places() int { return int(f) }
+
+// Sample is Limit's.
+func (f Fixed) Sample(time.Duration, time.Duration, int, bool) {}
+
+// AIMD adds one a round of answers in time and takes a tenth for one that is later than Late.
+type AIMD struct {
+	Late  time.Duration
+	limit float64
+}
+
+// Places is Limit's.
+func (l *AIMD) Places() int {
+	if l.limit == 0 {
+		l.limit = 64
+	}
+	return int(l.limit)
+}
+
+// Sample is Limit's.
+func (l *AIMD) Sample(_, took time.Duration, inHand int, turned bool) {
+	switch {
+	case turned || took > l.Late:
+		l.limit = max(8, l.limit*0.98)
+	case float64(inHand)*2 > l.limit:
+		l.limit = min(1024, l.limit+1/l.limit)
+	}
+}
+
+// Gradient is Netflix's Gradient2 (concurrency-limits): the long mean of times over the short one, plus room for a queue.
+type Gradient struct {
+	limit, long float64
+}
+
+// Places is Limit's.
+func (l *Gradient) Places() int {
+	if l.limit == 0 {
+		l.limit = 64
+	}
+	return int(l.limit)
+}
+
+// Sample is Limit's.
+func (l *Gradient) Sample(_, took time.Duration, inHand int, _ bool) {
+	short := took.Seconds()
+	if l.long == 0 {
+		l.long = short
+	}
+	l.long += (short - l.long) * 2 / 601
+	if l.long > 2*short {
+		l.long *= 0.95
+	}
+	if float64(inHand) < l.limit/2 {
+		return
+	}
+	gradient := max(0.5, min(1, 1.5*l.long/max(short, 1e-9)))
+	next := l.limit*gradient + 4
+	l.limit = max(8, min(1024, l.limit*0.8+next*0.2))
+}
+
+// RateDelay is what BBR's model comes to for requests: the highest rate of answers seen lately, times the least mean time
+// seen lately, times a gain.
+type RateDelay struct {
+	limit  float64
+	begun  time.Duration
+	took   time.Duration
+	n      int
+	rates  []float64
+	delays []float64
+}
+
+// Places is Limit's.
+func (l *RateDelay) Places() int {
+	if l.limit == 0 {
+		l.limit = 64
+	}
+	return int(l.limit)
+}
+
+// Sample is Limit's.
+func (l *RateDelay) Sample(now, took time.Duration, _ int, turned bool) {
+	if l.begun == 0 {
+		l.begun = now
+	}
+	if !turned {
+		l.took, l.n = l.took+took, l.n+1
+	}
+	if l.n < 32 || now-l.begun < 100*time.Millisecond {
+		return
+	}
+	const rounds, gain = 50, 1.25
+	l.rates = append(l.rates, float64(l.n)/(now-l.begun).Seconds())
+	l.delays = append(l.delays, l.took.Seconds()/float64(l.n))
+	if len(l.rates) > rounds {
+		l.rates, l.delays = l.rates[1:], l.delays[1:]
+	}
+	recent := l.rates[max(0, len(l.rates)-10):]
+	l.limit = max(8, min(1024, gain*slices.Max(recent)*slices.Min(l.delays)))
+	l.begun, l.took, l.n = now, 0, 0
+}
+
+// Vegas is the door's own rule without what tells slower from crowded.
+type Vegas struct {
+	limit, base float64
+	begun       time.Duration
+	took        time.Duration
+	n           int
+}
+
+// Places is Limit's.
+func (l *Vegas) Places() int {
+	if l.limit == 0 {
+		l.limit = 64
+	}
+	return int(l.limit)
+}
+
+// Sample is Limit's.
+func (l *Vegas) Sample(now, took time.Duration, inHand int, turned bool) {
+	if l.begun == 0 {
+		l.begun = now
+	}
+	l.took, l.n = l.took+took, l.n+1
+	if l.n < 32 || now-l.begun < 50*time.Millisecond {
+		return
+	}
+	mean := l.took.Seconds() / float64(l.n)
+	if l.base == 0 || mean < l.base {
+		l.base = mean
+	}
+	switch queue := l.limit * (1 - l.base/mean); {
+	case queue > 6*math.Log10(l.limit)+l.limit/2:
+		l.limit = max(8, l.limit*0.85)
+	case queue < 3*math.Log10(l.limit)+l.limit/4 && float64(inHand) > l.limit*0.8:
+		l.limit = min(1024, l.limit*1.15)
+	}
+	l.begun, l.took, l.n = now, 0, 0
+}
