--- a/internal/daemon/door.go
+++ b/internal/daemon/door.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"orchiddrift/internal/door"
 	"orchiddrift/internal/doorkeeper"
 	"orchiddrift/internal/engine"
@@ -20,7 +22,7 @@
 	}
 	marked := r.Header.Get(k.RepeatHeader())
 	pass, verdict, in := k.Enter(r.Context(), whoOf(r, req.Tenant), door.Arrival{Class: req.Class.Name, Hint: req.Hint, Came: begun,
-		Expires: begun + req.Timeout, Bytes: int64(body), Repeat: marked != "" && marked != "0"})
+		Expires: begun + req.Timeout, Bytes: int64(body), Repeat: marked != "" && marked != "0", Print: printOf(req)})
 	switch verdict {
 	case doorkeeper.Refused:
 		return pass, &engine.Answer{Kind: engine.Refused, RetryIn: in}
@@ -30,6 +32,17 @@
 	return pass, nil
 }
 
+// printOf tells requests apart: method, target and key, which a client's repeat has again.
+func printOf(req *intake.Request) uint64 {
+	var h xxhash.Digest
+	h.Reset()
+	for _, part := range [3]string{req.Method, req.Target, req.Key} {
+		_, _ = h.WriteString(part) // never fails
+		_, _ = h.WriteString("\x00")
+	}
+	return h.Sum64()
+}
+
 // whoOf is what is known of a request's sender.
 func whoOf(r *http.Request, tenant string) door.Who {
 	return door.Who{Tenant: tenant, Header: r.Header.Get,
--- a/internal/door/cost.go
+++ b/internal/door/cost.go
@@ -1,6 +1,7 @@
 package door
 
 import (
+	"math"
 	"time"
 
 	"orchiddrift/balancer"
@@ -22,6 +23,7 @@
 type class struct {
 	balancer.Class
 	usual float64 // mean cost, s
+	apart float64 // mean distance of costs from it, s
 	long  float64 // mean cost over minutes, s; 0: not known yet
 	hint  float64 // mean of the hints that come with it, s; 0: none came
 }
@@ -35,6 +37,12 @@
 	return max(costLeast, cost)
 }
 
+// mostly is what most requests cost at most, as TCP's retransmission timer has it (V. Jacobson, 1988): the mean and twice
+// the mean distance from it.
+func (c *class) mostly() time.Duration { return seconds(c.usual + 2*c.apart) }
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
 // hinted learns from a hint as it comes.
 func (c *class) hinted(hint time.Duration) {
 	if hint <= 0 {
@@ -48,6 +56,7 @@
 
 // took learns from a request that went to its end.
 func (c *class) took(cost float64) {
+	c.apart += (math.Abs(cost-c.usual) - c.apart) * costBlend
 	c.usual += (cost - c.usual) * costBlend
 }
 
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -21,6 +21,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -40,6 +41,7 @@
 	Expires     time.Duration // when its client stops waiting
 	Bytes       int64         // of its body, kept while it waits
 	Repeat      bool          // marked as a repeat by its client
+	Print       uint64        // tells requests apart, the same for a repeat; 0: not known
 }
 
 // Kind tells actions apart.
@@ -71,6 +73,7 @@
 	Kind    Kind
 	Ticket  Ticket
 	RetryIn time.Duration // of Refuse: when to come back
+	Kept    bool          // of Refuse: it is remembered, and who comes then goes before others
 	Reason  Reason        // of Refuse
 }
 
@@ -128,6 +131,7 @@
 	honesty float64
 	budget  budget
 	crowd   bool // one of the 16 that stand for those beyond the bound
+	gone    bool // forgotten
 }
 
 // flow is a principal of the second source, within its group.
@@ -172,6 +176,7 @@
 	expires    time.Duration
 	due        time.Duration // when to look at it again
 	bytes      int64
+	print      uint64
 	prev, next *entry // in its run
 	before     *entry // in the lane
 	after      *entry
@@ -203,9 +208,9 @@
 		d.all = append(d.all, k)
 	}
 	d.all = append(d.all, d.other)
-	d.root = newLevel(d.load)
-	d.dues = heap[*entry]{place: func(e *entry) *int { return &e.at }, less: func(a, b *entry) bool { return a.due < b.due }}
-	d.lapses = heap[*flow]{place: func(f *flow) *int { return &f.lapsing }, less: func(a, b *flow) bool { return a.lapse < b.lapse }}
+	d.root = newLevel()
+	d.dues = heap[*entry]{place: func(e *entry) *int { return &e.at }}
+	d.lapses = heap[*flow]{place: func(f *flow) *int { return &f.lapsing }}
 	d.lane.before, d.lane.after = &d.lane, &d.lane
 	d.calendar = newCalendar(o.longest(), d.rng)
 	return d
@@ -223,10 +228,21 @@
 	d.limit.set(d.limit.limit)
 	for _, g := range d.groups {
 		d.root.reweigh(&g.member, d.weightOf(g))
+		d.weigh(g)
 		d.forgetGroup(g)
 	}
 }
 
+// weigh puts a group and its flows where their loads belong, which another bound or weight has changed.
+func (d *Door) weigh(g *group) {
+	if g.most >= 0 {
+		d.root.most.fix(&g.member, -d.load(&g.member), 0)
+	}
+	for _, x := range slices.Clone(g.level.most.items) {
+		g.level.most.fix(x.of, -d.load(x.of), 0)
+	}
+}
+
 func (d *Door) weightOf(g *group) float64 {
 	if w, named := d.weights[g.name]; named && !g.crowd {
 		return w
@@ -250,6 +266,7 @@
 	g := f.group
 	e := d.entry()
 	e.flow, e.class, e.hinted, e.arrival, e.bytes = f, c, a.Hint, d.now, a.Bytes
+	e.print = a.Print
 	e.aim, e.expires = a.Came+c.Aim, a.Expires
 	if c.Aim <= 0 {
 		e.aim = a.Expires
@@ -261,7 +278,7 @@
 		e.worth *= c.LateShare
 	}
 
-	if d.redeem(f) {
+	if d.redeem(f, a.Print) {
 		e.redeemed = true
 	} else if why, ok := d.admit(e, a.Repeat); !ok {
 		return e.ticket(), d.refuse(e, why, acts)
@@ -309,7 +326,7 @@
 		if e.late {
 			last = e.expires
 		}
-		if begin+e.spent() > last && (e.late || d.ahead(e.flow) > 0) {
+		if begin+e.class.mostly() > last && (e.late || d.ahead(e.flow) > 0) {
 			return TooLate, false
 		}
 	}
@@ -322,7 +339,7 @@
 
 // spent is how long the request will take beyond the door, as such requests do now.
 func (e *entry) spent() time.Duration {
-	return time.Duration(e.class.usual * float64(time.Second))
+	return seconds(e.class.usual)
 }
 
 // ahead is the cost of what goes before another request of a flow, for what the flow and its group owe too.
@@ -426,10 +443,10 @@
 		if m.waiting == 1 {
 			l.of(m).wake(m)
 		}
-		l.most.fix(m)
+		l.most.fix(m, -d.load(m), 0)
 	}
 	e.due = e.lastStart()
-	d.dues.push(e)
+	d.dues.fix(e, float64(e.due), uint64(e.index))
 }
 
 // lastStart is when a request that waits is to be looked at: when it would miss its aim, and then its end.
@@ -521,7 +538,7 @@
 			m.queued = 0
 			l.most.remove(m)
 		} else {
-			l.most.fix(m)
+			l.most.fix(m, -d.load(m), 0)
 		}
 	}
 }
@@ -544,14 +561,15 @@
 		return
 	}
 	if s := l.of(m); s.owes(m) && m.rest < 0 {
-		s.resting.push(m)
+		s.resting.fix(m, m.finish, 0)
 	}
 	l.idle(m)
 }
 
 // refuse words a refusal, and forgets the request.
 func (d *Door) refuse(e *entry, why Reason, acts []Action) []Action {
-	acts = append(acts, Action{Kind: Refuse, Ticket: e.ticket(), RetryIn: d.promise(e.flow, e.class), Reason: why})
+	in, kept := d.promise(e)
+	acts = append(acts, Action{Kind: Refuse, Ticket: e.ticket(), RetryIn: in, Kept: kept, Reason: why})
 	d.end(e)
 	return acts
 }
@@ -686,7 +704,7 @@
 			e.worth *= e.class.LateShare
 			e.flow.push(e)
 			if e.due = e.lastStart(); e.due > d.now {
-				d.dues.fix(e)
+				d.dues.fix(e, float64(e.due), uint64(e.index))
 				continue
 			}
 		}
@@ -743,9 +761,9 @@
 		g = d.spareGroups[n-1]
 		d.spareGroups = d.spareGroups[:n-1]
 	} else {
-		g = &group{level: newLevel(d.load)}
+		g = &group{level: newLevel()}
 	}
-	g.name, g.crowd, g.honesty, g.budget = name, crowd, 1, newBudget()
+	g.name, g.crowd, g.gone, g.honesty, g.budget = name, crowd, false, 1, newBudget()
 	g.member = member{ready: -1, rest: -1, most: -1, group: g}
 	g.weight = d.weightOf(g)
 	g.shared.reset(g, "")
@@ -801,7 +819,7 @@
 
 // forgetGroup lets a group go of which nothing is left.
 func (d *Door) forgetGroup(g *group) {
-	if g.active() || d.groups[g.name] != g {
+	if g.active() || g.gone {
 		return
 	}
 	d.paidWithin(g)
@@ -810,6 +828,7 @@
 	}
 	d.root.of(&g.member).resting.remove(&g.member)
 	delete(d.groups, g.name)
+	g.gone = true
 	if !g.crowd {
 		d.known--
 	}
--- a/internal/door/heap.go
+++ b/internal/door/heap.go
@@ -1,83 +1,83 @@
 package door
 
-// heap is a binary heap whose items know their place in it, so that one in the middle can move or leave in O(log n).
-// The place of one that is in no heap is -1.
+// heap is a 4-ary heap whose items know their place in it, so that one in the middle can move or leave in O(log n). Keys
+// stand in the heap itself: comparing them touches no item. The place of one that is in no heap is -1.
 type heap[T any] struct {
-	items []T
-	less  func(a, b T) bool
+	items []ranked[T]
 	place func(T) *int
 }
 
-func (h *heap[T]) len() int { return len(h.items) }
+type ranked[T any] struct {
+	key float64
+	tie uint64 // of equal keys the lower goes first
+	of  T
+}
 
-// first is the least item; the heap is not empty.
-func (h *heap[T]) first() T { return h.items[0] }
+const arity = 4
 
-func (h *heap[T]) push(x T) {
-	*h.place(x) = len(h.items)
-	h.items = append(h.items, x)
-	h.up(len(h.items) - 1)
-}
+func (h *heap[T]) len() int { return len(h.items) }
+
+// first is the item of the least key; the heap is not empty.
+func (h *heap[T]) first() T { return h.items[0].of }
 
 // remove takes out an item, if it is in.
 func (h *heap[T]) remove(x T) {
-	i := *h.place(x)
+	at := h.place(x)
+	i := *at
 	if i < 0 {
 		return
 	}
+	*at = -1
 	last := len(h.items) - 1
-	if i != last {
-		h.swap(i, last)
-	}
-	var none T
-	h.items[last] = none
+	moved := h.items[last]
+	h.items[last] = ranked[T]{}
 	h.items = h.items[:last]
-	*h.place(x) = -1
-	if i != last && !h.down(i) {
-		h.up(i)
+	if i < last {
+		h.settle(i, moved)
 	}
 }
 
-// fix moves an item whose order has changed; one that is not in goes in.
-func (h *heap[T]) fix(x T) {
+// fix puts an item where its key belongs; one that is not in goes in.
+func (h *heap[T]) fix(x T, key float64, tie uint64) {
 	i := *h.place(x)
 	if i < 0 {
-		h.push(x)
-		return
-	}
-	if !h.down(i) {
-		h.up(i)
+		i = len(h.items)
+		h.items = append(h.items, ranked[T]{})
 	}
+	h.settle(i, ranked[T]{key, tie, x})
 }
 
-func (h *heap[T]) swap(i, j int) {
-	h.items[i], h.items[j] = h.items[j], h.items[i]
-	*h.place(h.items[i]), *h.place(h.items[j]) = i, j
+func (a *ranked[T]) before(b *ranked[T]) bool {
+	return a.key < b.key || a.key == b.key && a.tie < b.tie
 }
 
-func (h *heap[T]) up(i int) {
+// settle puts x into the tree whose place i is free, as near to i as the order allows.
+func (h *heap[T]) settle(i int, x ranked[T]) {
 	for i > 0 {
-		parent := (i - 1) / 2
-		if !h.less(h.items[i], h.items[parent]) {
-			return
+		parent := (i - 1) / arity
+		if !x.before(&h.items[parent]) {
+			break
 		}
-		h.swap(i, parent)
+		h.put(i, h.items[parent])
 		i = parent
 	}
-}
-
-func (h *heap[T]) down(i int) (moved bool) {
 	for {
-		least := i
-		for _, child := range [2]int{2*i + 1, 2*i + 2} {
-			if child < len(h.items) && h.less(h.items[child], h.items[least]) {
+		least := -1
+		for child := arity*i + 1; child <= arity*i+arity && child < len(h.items); child++ {
+			if least < 0 || h.items[child].before(&h.items[least]) {
 				least = child
 			}
 		}
-		if least == i {
-			return moved
+		if least < 0 || !h.items[least].before(&x) {
+			h.put(i, x)
+			return
 		}
-		h.swap(i, least)
-		i, moved = least, true
+		h.put(i, h.items[least])
+		i = least
 	}
 }
+
+func (h *heap[T]) put(i int, x ranked[T]) {
+	h.items[i] = x
+	*h.place(x.of) = i
+}
--- a/internal/door/limit.go
+++ b/internal/door/limit.go
@@ -31,10 +31,11 @@
 	crowded bool    // more than half of it was in use
 
 	mode   mode
-	fell   int     // rounds of this shrinking
-	from   float64 // the limit before it
-	meanAt float64 // and the mean time then, s
-	probed time.Duration
+	fell   int           // rounds of this shrinking
+	from   float64       // the limit before it
+	meanAt float64       // and the mean time then, s
+	probed time.Duration // when the base was tried last
+	slower time.Duration // when upstreams were found to be slower
 }
 
 type mode int8
@@ -48,18 +49,21 @@
 const (
 	limitBegin   = 64
 	roundLeast   = 50 * time.Millisecond
-	roundSamples = 32
-	roundMost    = 256
+	roundSamples = 32 // of a round at least, and half as many again as the limit: most have begun within it
+	roundMost    = 512
+	rFaster      = 0.8  // below, the base is too high
 	rLow         = 1.7  // grow below
 	rHigh        = 2.6  // shrink above
 	grow         = 1.15 // factors of a round
 	shrink       = 0.85
 	turnedHigh   = 0.05 // shrink where more than this part was turned down beyond the door
 	elastic      = 0.4  // where the time follows the limit by less than this power, upstreams are slower and not crowded
-	fallsToTell  = 4    // rounds before that is judged
+	fallsToTell  = 5    // rounds before that is judged; the times of the first still tell of the limit before
 	probeEvery   = 30 * time.Second
-	baseBlend    = 0.2   // weight of a calm round in the base
-	longBlend    = 0.002 // weight of a request in the long means
+	firstProbe   = 500 * time.Millisecond // with requests in hand: until then their times tell of an empty fleet
+	slowerFor    = 3 * time.Second        // what the balancer turns down is not the limit's fault for so long after that
+	baseBlend    = 0.2                    // weight of a calm round in the base
+	longBlend    = 0.002                  // weight of a request in the long means
 )
 
 func newLimiter(least, most int) limiter {
@@ -71,6 +75,9 @@
 
 // sample tells of a request of a class that ended, with so many in hand, itself included.
 func (l *limiter) sample(now time.Duration, c *class, took float64, inHand int, turned bool) {
+	if l.probed == 0 {
+		l.probed = now
+	}
 	l.samples++
 	l.crowded = l.crowded || float64(inHand) > l.limit/2
 	if turned {
@@ -87,7 +94,7 @@
 		l.long += (took - l.long) * longBlend
 		l.took += took * l.long / max(c.long, costLeast)
 	}
-	if need := max(roundSamples, min(roundMost, l.places())); l.samples < need || now-l.begun < roundLeast {
+	if need := max(roundSamples, min(roundMost, l.places()*3/2)); l.samples < need || now-l.begun < roundLeast {
 		return
 	}
 	l.decide(now)
@@ -96,13 +103,21 @@
 
 func (l *limiter) decide(now time.Duration) {
 	n := l.samples - l.turned
-	if float64(l.turned) > turnedHigh*float64(l.samples) || n == 0 {
+	if n == 0 {
 		l.mode, l.fell = steady, 0
 		l.set(l.limit * shrink)
 		return
 	}
 	mean := l.took / float64(n)
+	turned := float64(l.turned) > turnedHigh*float64(l.samples)
 	switch {
+	case turned && l.mode != steady:
+		l.mode = steady
+		l.set(l.from)
+		return
+	case turned && now-l.slower > slowerFor:
+		l.fall(now, mean)
+		return
 	case l.mode == settles:
 		l.mode = probes
 		return
@@ -118,16 +133,20 @@
 			l.base += (mean - l.base) * baseBlend
 		}
 		return
-	case l.base == 0 || now-l.probed > probeEvery && l.fell == 0:
+	case l.fell == 0 && (now-l.probed > probeEvery || l.base == 0 && now-l.probed > firstProbe):
 		l.halve(mean)
 		return
+	case l.base == 0:
+		return
 	}
 	switch r := mean / l.base; {
 	case r > rHigh:
 		l.fall(now, mean)
+	case r < rFaster: // upstreams are faster than they were
+		l.fell, l.base = 0, mean
+		l.set(l.limit * grow)
 	case r < rLow:
 		l.fell = 0
-		l.base += min(0, (mean-l.base)*baseBlend)
 		l.set(l.limit * grow)
 	default:
 		l.fell = 0
@@ -140,7 +159,7 @@
 		l.from, l.meanAt = l.limit, mean
 	}
 	if l.fell++; l.fell > fallsToTell && !l.helped(mean) {
-		l.fell, l.base, l.probed = 0, mean, now
+		l.fell, l.base, l.probed, l.slower = 0, mean, now, now
 		l.set(l.from)
 		return
 	}
--- a/internal/door/promise.go
+++ b/internal/door/promise.go
@@ -9,20 +9,22 @@
 // in one step of it than can be served beside others, and are remembered, so that who comes when told goes first.
 
 const (
-	calendarStep  = 10 * time.Millisecond
-	calendarSteps = 1024 // at most; long waits have longer steps
-	promisedPart  = 0.5  // of what drains may be promised
-	flowPromises  = 16   // of one flow that are remembered at once
-	early         = 10 * time.Millisecond
-	graceLeast    = 250 * time.Millisecond
-	graceMost     = 2 * time.Second
-	gracePart     = 0.25 // of the wait
+	calendarStep   = 10 * time.Millisecond
+	calendarSteps  = 1024 // at most; long waits have longer steps
+	promisedPart   = 0.5  // of what drains may be promised
+	flowPromises   = 256  // of one flow that are remembered at once
+	promisedWithin = 0.75 // of the longest time to stay away; what lies beyond is no promise
+	early          = 10 * time.Millisecond
+	graceLeast     = 250 * time.Millisecond
+	graceMost      = 2 * time.Second
+	gracePart      = 0.25 // of the wait
 )
 
 // promise is a time at which one request of a flow may come.
 type promise struct {
 	at, until time.Duration
 	cost      float64
+	print     uint64 // of the request that was refused
 }
 
 // calendar counts what was promised by steps of time, from now to its end.
@@ -51,9 +53,9 @@
 }
 
 // take finds the first time from at on at which no more than most a step would be promised, and a moment in it; false:
-// there is none before the calendar ends. Where most is under one, a promise takes several steps for itself. It looks through
+// there is none that ends by last. Where most is under one, a promise takes several steps for itself. It looks through
 // all steps at most, 1,026.
-func (c *calendar) take(now, at time.Duration, most float64) (time.Duration, bool) {
+func (c *calendar) take(now, at, last time.Duration, most float64) (time.Duration, bool) {
 	c.advance(now)
 	need := 1 // steps in a row
 	if most < 1 {
@@ -61,7 +63,7 @@
 	}
 	room := uint32(max(0, most-1))
 	size, run := int64(len(c.counts)), 0
-	for s := max(c.from, int64(at/c.step)); s < c.from+size; s++ {
+	for s := max(c.from, int64(at/c.step)); s < c.from+size && time.Duration(s+1)*c.step <= last; s++ {
 		if n := c.counts[s%size]; need > 1 && n > 0 || n > room {
 			run = 0
 			continue
@@ -99,10 +101,15 @@
 	}
 }
 
-// redeem uses up the earliest promise that holds now.
-func (d *Door) redeem(f *flow) bool {
+// redeem uses up the earliest promise that holds now and was given to such a request. Others of the principal don't use it
+// up, and a request for something else gains nothing by coming in its place.
+func (d *Door) redeem(f *flow, print uint64) bool {
 	for i := range f.promises {
-		if p := f.promises[i]; d.now >= p.at-early && d.now <= p.until {
+		p := f.promises[i]
+		if d.now < p.at-early {
+			break
+		}
+		if d.now <= p.until && p.print == print {
 			f.drop(i)
 			d.promises--
 			d.fixLapse(f)
@@ -112,34 +119,26 @@
 	return false
 }
 
-// promise finds when a flow's next refused request is to come back.
-func (d *Door) promise(f *flow, c *class) time.Duration {
-	cost := max(costLeast, c.usual)
+// promise finds when a flow's next refused request is to come back, and tells whether that is remembered. What is stays
+// within promisedWithin of the longest time, what is not is spread over the rest of it.
+func (d *Door) promise(e *entry) (in time.Duration, kept bool) {
+	f, cost := e.flow, max(costLeast, e.class.usual)
 	longest := d.o.longest()
-	rate := d.rateOf(f)
-	wait := longest
-	if rate > 0 {
-		w := (d.ahead(f) + f.promised + cost) / rate
-		wait = time.Duration(min(w, longest.Seconds()) * float64(time.Second))
-	}
-	drain := d.limit.limit / d.usualCost()
-	most := drain * promisedPart * d.calendar.step.Seconds()
-	if len(f.promises) < flowPromises && d.promises < d.o.Promises {
-		if at, ok := d.calendar.take(d.now, d.now+max(wait, early), most); ok && at <= d.now+longest {
-			wait = at - d.now
-			grace := min(graceMost, max(graceLeast, time.Duration(gracePart*float64(wait))))
-			f.keep(promise{at: at, until: at + grace, cost: cost})
+	within := time.Duration(promisedWithin * float64(longest))
+	if rate := d.rateOf(f); rate > 0 && len(f.promises) < flowPromises && d.promises < d.o.Promises {
+		// Half of what the flow gets goes to those who were promised it, and so does half of what all get.
+		wait := max(early, time.Duration(min((d.ahead(f)+(f.promised+cost)/promisedPart)/rate, longest.Seconds())*float64(time.Second)))
+		most := d.limit.limit / d.usualCost() * promisedPart * d.calendar.step.Seconds()
+		if at, ok := d.calendar.take(d.now, d.now+wait, d.now+within, most); ok {
+			in = at - d.now
+			grace := min(graceMost, max(graceLeast, time.Duration(gracePart*float64(in))))
+			f.keep(promise{at: at, until: at + grace, cost: cost, print: e.print})
 			d.promises++
 			d.fixLapse(f)
-			return wait
+			return in, true
 		}
 	}
-	// All that can be promised is: who comes after that takes a chance, spread over what is left of the longest.
-	if n := len(f.promises); n > 0 {
-		wait = max(wait, f.promises[n-1].at-d.now)
-	}
-	wait = min(wait, longest*3/4)
-	return wait + time.Duration(d.rng.Int64N(int64(longest-wait)+1))
+	return within + time.Duration(d.rng.Int64N(int64(longest-within)+1)), false
 }
 
 // fixLapse keeps a flow in the order in which its next promise lapses.
@@ -148,11 +147,8 @@
 		d.lapses.remove(f)
 		return
 	}
-	f.lapse = f.promises[0].until
-	for _, p := range f.promises[1:] {
-		f.lapse = min(f.lapse, p.until)
-	}
-	d.lapses.fix(f)
+	f.lapse = f.promises[0].until // a later one may lapse a little sooner: it is forgotten with this one
+	d.lapses.fix(f, float64(f.lapse), 0)
 }
 
 // lapse forgets what was promised and not come for.
--- a/internal/door/sfq.go
+++ b/internal/door/sfq.go
@@ -39,13 +39,8 @@
 }
 
 func newSFQ() sfq {
-	return sfq{
-		ready: heap[*member]{place: func(m *member) *int { return &m.ready }, less: func(a, b *member) bool {
-			return a.start < b.start || a.start == b.start && a.order < b.order
-		}},
-		resting: heap[*member]{place: func(m *member) *int { return &m.rest },
-			less: func(a, b *member) bool { return a.finish < b.finish }},
-	}
+	return sfq{ready: heap[*member]{place: func(m *member) *int { return &m.ready }},
+		resting: heap[*member]{place: func(m *member) *int { return &m.rest }}}
 }
 
 // wake has a member wait: it had nothing waiting before.
@@ -53,7 +48,7 @@
 	s.resting.remove(m)
 	s.order++
 	m.start, m.order = max(s.v, m.finish), s.order
-	s.ready.push(m)
+	s.ready.fix(m, m.start, m.order)
 }
 
 // charge is for one request of a waiting member that goes, by turn or out of it: v moves with turns only. more says that
@@ -70,7 +65,7 @@
 	}
 	s.order++
 	m.start, m.order = m.finish, s.order
-	s.ready.fix(m)
+	s.ready.fix(m, m.start, m.order)
 }
 
 // settle corrects what a member was charged.
@@ -79,7 +74,7 @@
 	m.finish += by / m.share()
 	s.last = max(s.last, m.finish)
 	if m.rest >= 0 {
-		s.resting.fix(m)
+		s.resting.fix(m, m.finish, 0)
 	}
 	if m.ready < 0 {
 		return
@@ -89,7 +84,7 @@
 	} else {
 		m.start = max(m.start, m.finish)
 	}
-	s.ready.fix(m)
+	s.ready.fix(m, m.start, m.order)
 }
 
 // owes tells whether a member had more than it is due up to now.
@@ -103,12 +98,11 @@
 	fair, free sfq     // with weights, and those that get what is left
 	weights    float64 // of active members; those of weight 0 count nothing
 	actives    int
-	most       heap[*member] // by load
+	most       heap[*member] // by load, the largest first
 }
 
-func newLevel(load func(*member) float64) level {
-	return level{fair: newSFQ(), free: newSFQ(), most: heap[*member]{place: func(m *member) *int { return &m.most },
-		less: func(a, b *member) bool { return load(a) > load(b) }}}
+func newLevel() level {
+	return level{fair: newSFQ(), free: newSFQ(), most: heap[*member]{place: func(m *member) *int { return &m.most }}}
 }
 
 func (l *level) of(m *member) *sfq {
@@ -179,9 +173,6 @@
 	if waits {
 		now.wake(m)
 	} else if rests {
-		now.resting.push(m)
-	}
-	if m.most >= 0 {
-		l.most.fix(m)
+		now.resting.fix(m, m.finish, 0)
 	}
 }
