--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -7,6 +7,7 @@
 //	go run ./cmd/measure subset    # ways to choose a part of 5,000 upstreams, by assignment alone
 //	go run ./cmd/measure many      # daemons over 5,000 listeners, with and without subsets
 //	go run ./cmd/measure door      # queues at the door, limits, repeats and refusals, in virtual time
+//	go run ./cmd/measure counters  # 20 counters beside a script that floods, through the daemon on sockets
 //	go run ./cmd/measure grpc      # beside grpc-go's round_robin, weighted_round_robin and least_request
 package main
 
@@ -56,6 +57,10 @@
 
 func (c doorCmd) Run() error { return measure.Door(c.options.options()) }
 
+type countersCmd struct{ options }
+
+func (c countersCmd) Run() error { return measure.Counters(c.options.options()) }
+
 type grpcCmd struct{ options }
 
 func (c grpcCmd) Run() error { return measure.GRPC(c.options.options()) }
@@ -69,14 +74,15 @@
 		return
 	}
 	var cli struct {
-		Daemon daemonCmd `cmd:"" help:"The daemon beside ReverseProxy."`
-		TLS    tlsCmd    `cmd:"" name:"tls" help:"The daemon beside ReverseProxy, with encryption on both sides."`
-		Routes routesCmd `cmd:"" help:"The daemon with 1, 100 and 10,000 routes."`
-		Eureka eurekaCmd `cmd:"" help:"From a flip in an Eureka registry to the last request; memory with 5,000 instances."`
-		Subset subsetCmd `cmd:"" help:"Ways to choose a part of 5,000 upstreams."`
-		Many   manyCmd   `cmd:"" help:"Daemons over 5,000 listeners, with and without subsets."`
-		Door   doorCmd   `cmd:"" help:"Queues at the door, limits, repeats and refusals, in virtual time."`
-		GRPC   grpcCmd   `cmd:"" name:"grpc" help:"The plug-in beside grpc-go's balancers."`
+		Daemon   daemonCmd   `cmd:"" help:"The daemon beside ReverseProxy."`
+		TLS      tlsCmd      `cmd:"" name:"tls" help:"The daemon beside ReverseProxy, with encryption on both sides."`
+		Routes   routesCmd   `cmd:"" help:"The daemon with 1, 100 and 10,000 routes."`
+		Eureka   eurekaCmd   `cmd:"" help:"From a flip in an Eureka registry to the last request; memory with 5,000 instances."`
+		Subset   subsetCmd   `cmd:"" help:"Ways to choose a part of 5,000 upstreams."`
+		Many     manyCmd     `cmd:"" help:"Daemons over 5,000 listeners, with and without subsets."`
+		Door     doorCmd     `cmd:"" help:"Queues at the door, limits, repeats and refusals, in virtual time."`
+		Counters countersCmd `cmd:"" help:"Twenty counters beside a script that floods, through the daemon."`
+		GRPC     grpcCmd     `cmd:"" name:"grpc" help:"The plug-in beside grpc-go's balancers."`
 	}
 	ctx := kong.Parse(&cli, kong.Name("measure"), kong.UsageOnError())
 	if err := ctx.Run(); err != nil {
--- a/internal/measure/door.go
+++ b/internal/measure/door.go
@@ -114,9 +114,14 @@
 }
 
 func medianOf(results []*doorsim.Result, of func(*doorsim.Result) float64) float64 {
-	x := make([]float64, len(results))
-	for i, r := range results {
-		x[i] = of(r)
+	return medianBy(results, of)
+}
+
+// medianBy is the median of a figure.
+func medianBy[T any](of []T, figure func(T) float64) float64 {
+	x := make([]float64, len(of))
+	for i, v := range of {
+		x[i] = figure(v)
 	}
 	slices.Sort(x)
 	return x[len(x)/2]
--- a/internal/measure/roles.go
+++ b/internal/measure/roles.go
@@ -85,6 +85,10 @@
 		return true, r.serveManyNodes()
 	case "manydaemon":
 		return true, r.serveManyDaemon()
+	case "floornodes":
+		return true, r.serveFloorNodes()
+	case "floordaemon":
+		return true, r.serveFloorDaemon()
 	case "eurekadaemon":
 		return true, r.serveEurekaDaemon()
 	case "client":
