--- /dev/null
+++ b/internal/doorkeeper/doorkeeper_test.go
@@ -0,0 +1,158 @@
+package doorkeeper
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"orchiddrift/balancer"
+	"orchiddrift/internal/clock"
+	"orchiddrift/internal/door"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func keeper(t *testing.T, change func(*Options)) *Keeper {
+	t.Helper()
+	o := Options{Door: door.Default(), Classes: []balancer.Class{{Name: "search", Aim: 400 * time.Millisecond, Deadline: time.Second, LateShare: 0.3}},
+		Clock: clock.New(), Tells: true, Seed: 1}
+	o.Door.Least, o.Door.Most, o.Door.Waiting = 2, 2, 8
+	if change != nil {
+		change(&o)
+	}
+	k, err := New(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(k.Close)
+	return k
+}
+
+func (k *Keeper) search(d time.Duration) door.Arrival {
+	now := k.clock.Now()
+	return door.Arrival{Class: "search", Came: now, Expires: now + d}
+}
+
+// In virtual time: who waits is refused at the very moment at which it can't be answered any more, who leaves is gone at
+// once, a place that gets free goes to the next, and the log tells when refusals begin and end.
+func TestMoments(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log strings.Builder
+		k := keeper(t, func(o *Options) { o.Log = slog.New(slog.NewTextHandler(&log, nil)) })
+		var held []Pass
+		for range 2 {
+			p, v, _ := k.Enter(t.Context(), door.Who{Tenant: "a"}, k.search(time.Second))
+			if v != Passed {
+				t.Fatal(v)
+			}
+			held = append(held, p)
+		}
+		type end struct {
+			v   Verdict
+			in  time.Duration
+			p   Pass
+			at  time.Duration
+			who string
+		}
+		ends := make(chan end, 10)
+		begun := k.clock.Now()
+		enter := func(ctx context.Context, who string, d time.Duration) {
+			go func() {
+				p, v, in := k.Enter(ctx, door.Who{Tenant: who}, k.search(d))
+				ends <- end{v, in, p, k.clock.Now() - begun, who}
+			}()
+			synctest.Wait()
+		}
+		leaving, leave := context.WithCancel(t.Context())
+		enter(leaving, "leaves", time.Second)
+		enter(t.Context(), "waits", time.Second)
+		enter(t.Context(), "short", 300*time.Millisecond)
+		time.Sleep(100 * time.Millisecond)
+		leave()
+		if e := <-ends; e.who != "leaves" || e.v != Left || e.at != 100*time.Millisecond {
+			t.Errorf("%+v", e)
+		}
+		if e := <-ends; e.who != "short" || e.v != Refused || e.in <= 0 || e.at < 250*time.Millisecond || e.at > 300*time.Millisecond {
+			t.Errorf("%+v", e)
+		}
+		held[0].Done(door.Answered)
+		held[0].Done(door.Answered) // counts once
+		e := <-ends
+		if e.who != "waits" || e.v != Passed {
+			t.Errorf("%+v", e)
+		}
+		if v := k.View(); v.InHand != 2 || v.Waiting != 0 {
+			t.Errorf("%+v", v)
+		}
+		time.Sleep(2 * time.Second)
+		held[1].Done(door.Answered)
+		e.p.Done(door.Answered)
+		if text := log.String(); !strings.Contains(text, "refusals begin") || !strings.Contains(text, "refusals have ended") {
+			t.Error(text)
+		}
+	})
+}
+
+// Many at once, some of whom leave, while options change: each has one verdict, nothing is held in the end, and a door that
+// is taken away or closed has nobody wait.
+func TestManyAtOnce(t *testing.T) {
+	for name, end := range map[string]func(*Keeper){"open": (*Keeper).Open, "close": (*Keeper).Close, "neither": nil} {
+		t.Run(name, func(t *testing.T) {
+			k := keeper(t, nil)
+			var passed, refused, left atomic.Int64
+			var wg sync.WaitGroup
+			for i := range 50 {
+				wg.Go(func() {
+					rng := rand.New(rand.NewPCG(uint64(i), 1))
+					for n := range 100 {
+						ctx, cancel := context.WithCancel(context.Background())
+						if rng.IntN(4) == 0 {
+							time.AfterFunc(time.Duration(rng.IntN(2000))*time.Microsecond, cancel)
+						}
+						p, v, _ := k.Enter(ctx, door.Who{Tenant: fmt.Sprint(i % 7)}, k.search(time.Second))
+						switch v {
+						case Passed:
+							passed.Add(1)
+							if rng.IntN(8) == 0 {
+								time.Sleep(100 * time.Microsecond) // the work
+							}
+							p.Done(door.Result(rng.IntN(3)))
+						case Refused:
+							refused.Add(1)
+						case Left:
+							left.Add(1)
+						}
+						cancel()
+						if i == 0 && n%10 == 0 {
+							o := door.Default()
+							o.Least, o.Most, o.Waiting = 2, 2+n/10, 8+n
+							o.Weights = []door.Weight{{Name: "1", Weight: float64(n)}}
+							if err := k.Configure(o); err != nil {
+								t.Error(err)
+							}
+						}
+						if i == 1 && n == 60 && end != nil {
+							end(k)
+						}
+					}
+				})
+			}
+			wg.Wait()
+			if sum := passed.Load() + refused.Load() + left.Load(); sum != 5000 || passed.Load() == 0 {
+				t.Errorf("%d verdicts, %d of them passed", sum, passed.Load())
+			}
+			if v := k.View(); end == nil && v.Waiting+v.InHand != 0 || len(k.waiting) != 0 {
+				t.Errorf("%+v, %d waiting", v, len(k.waiting))
+			}
+		})
+	}
+}
--- a/internal/measure/counters.go
+++ b/internal/measure/counters.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"text/tabwriter"
 	"time"
@@ -64,9 +65,9 @@
 // queue (a door that takes everybody for one), and with none, in turn.
 func Counters(o Options) error {
 	w := tabwriter.NewWriter(o.Out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(w, "door\tcounters in time\tof alone\tp99 ms\tscript's answers in time a second\tJain, 20 x 2.5 times their share\tcame when promised\tof them served\tmost resident\tCPU of a core\t")
+	fmt.Fprintln(w, "door\tcounters in time\tof alone\tp50 ms\tp99 ms\tscript's answers in time a second\tJain, 20 x 2.5 times their share\tcame when promised\tof them served\tmost resident\tCPU of a core\t")
 	var alone float64
-	for _, kind := range []string{"alone", "none", "one queue", "fair"} {
+	for _, kind := range []string{"alone", "fair, alone", "none", "one queue", "fair"} {
 		var all []countersSeen
 		for range min(3, o.Rounds) {
 			s, err := countersRound(kind)
@@ -80,8 +81,8 @@
 		if kind == "alone" {
 			alone = in
 		}
-		fmt.Fprintf(w, "%s\t%.3f\t%.3f\t%.0f\t%.0f\t%.3f\t%.0f\t%.3f\t%s\t%.2f\t\n", kind, in, doorsim.RelativeTo(in, alone),
-			pick(func(s countersSeen) float64 { return s.p99 }), pick(func(s countersSeen) float64 { return s.script }),
+		fmt.Fprintf(w, "%s\t%.3f\t%.3f\t%.1f\t%.1f\t%.0f\t%.3f\t%.0f\t%.3f\t%s\t%.2f\t\n", kind, in, doorsim.RelativeTo(in, alone),
+			pick(func(s countersSeen) float64 { return s.p50 }), pick(func(s countersSeen) float64 { return s.p99 }), pick(func(s countersSeen) float64 { return s.script }),
 			pick(func(s countersSeen) float64 { return s.jain }), pick(func(s countersSeen) float64 { return float64(s.told) }),
 			pick(func(s countersSeen) float64 { return float64(s.kept) / float64(max(1, s.told)) }), all[len(all)-1].resident,
 			pick(func(s countersSeen) float64 { return s.cpu }))
@@ -90,9 +91,9 @@
 }
 
 type countersSeen struct {
-	in, p99, script, jain, cpu float64
-	told, kept                 int
-	resident                   string
+	in, p50, p99, script, jain, cpu float64
+	told, kept                      int
+	resident                        string
 }
 
 func countersRound(kind string) (s countersSeen, err error) {
@@ -135,7 +136,7 @@
 				return nil
 			})
 		}
-		if kind != "alone" && !obey {
+		if !strings.Contains(kind, "alone") && !obey {
 			g.Go(func() error { openLoop(ctx, client, address, "script", floorFlood, 99, 400, script, false); return nil })
 		}
 		_ = g.Wait() // nothing fails: what a client sees is counted
@@ -152,7 +153,9 @@
 		each = append(each, float64(equal.byName[fmt.Sprint("counter-", i)]))
 	}
 	peak, _ := d.memory()
-	s = countersSeen{in: counters.share(), p99: float64(quantile(slices.Sorted(slices.Values(counters.took)), 0.99).Milliseconds()), script: float64(script.in) / floorPeriod.Seconds(),
+	sorted := slices.Sorted(slices.Values(counters.took))
+	ms := func(q float64) float64 { return quantile(sorted, q).Seconds() * 1e3 }
+	s = countersSeen{in: counters.share(), p50: ms(0.5), p99: ms(0.99), script: float64(script.in) / floorPeriod.Seconds(),
 		jain: doorsim.Jain(each), told: equal.told, kept: equal.kept, resident: peak,
 		cpu: (after.CPU - before.CPU).Seconds() / floorPeriod.Seconds()}
 	return s, nil
@@ -263,7 +266,7 @@
 tenant = "header:X-Tenant-Id"
 `, r.Dir, floorRetry, floorAim)
 	switch r.Policy {
-	case "fair":
+	case "fair", "fair, alone":
 		text = append(text, "[[door]]\nservice = \"seats\"\nbytes = \"2MiB\"\nprincipals = 2048\n"...)
 	case "one queue":
 		text = append(text, "[[door]]\nservice = \"seats\"\nby = [\"header:X-Nobody\"]\n"...)
--- a/orchidgrpc/call.go
+++ b/orchidgrpc/call.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/metadata"
@@ -25,6 +26,7 @@
 	p      *Plugin
 	method string
 	engine.Call
+	print uint64 // tells calls apart at the door: a repeat's is the same
 
 	mu   sync.Mutex
 	last *status.Status // of the attempt that ended last without an answer
@@ -36,6 +38,9 @@
 	md, _ := metadata.FromOutgoingContext(ctx)
 	c := &call{p: p, method: method, Call: engine.Call{Class: class.Name, ID: first(md, RequestIDKey),
 		Tenant: first(md, TenantKey), Expires: p.engine.Clock().Now() + class.Deadline}}
+	if p.door != nil { // before a key is made: another would be with the repeat
+		c.print = xxhash.Sum64String(method + "\x00" + first(md, IdempotencyKey))
+	}
 	if c.ID == "" {
 		c.ID = p.newID(1)
 		ctx = metadata.AppendToOutgoingContext(ctx, RequestIDKey, c.ID)
--- a/orchidgrpc/door.go
+++ b/orchidgrpc/door.go
@@ -4,7 +4,6 @@
 	"context"
 	"strings"
 
-	"github.com/cespare/xxhash/v2"
 	"google.golang.org/grpc/metadata"
 
 	"orchiddrift/internal/door"
@@ -22,7 +21,7 @@
 	marked := first(md, strings.ToLower(k.RepeatHeader()))
 	pass, verdict, in := k.Enter(ctx, door.Who{Tenant: c.Tenant, Header: func(name string) string { return first(md, strings.ToLower(name)) }},
 		door.Arrival{Class: c.Class, Hint: c.Hint, Came: c.p.engine.Clock().Now(), Expires: c.Expires,
-			Repeat: marked != "" && marked != "0", Print: xxhash.Sum64String(c.method + "\x00" + first(md, IdempotencyKey))})
+			Repeat: marked != "" && marked != "0", Print: c.print})
 	switch verdict {
 	case doorkeeper.Refused:
 		return engine.Answer{Kind: engine.Refused, RetryIn: in}
