--- a/internal/doorsim/doorsim.go
+++ b/internal/doorsim/doorsim.go
@@ -4,7 +4,6 @@
 package doorsim
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -14,6 +13,7 @@
 
 	"orchiddrift/balancer"
 	"orchiddrift/internal/door"
+	"orchiddrift/internal/virtual"
 )
 
 // Gate is a door, or what is held beside one. *door.Door is one.
@@ -96,26 +96,6 @@
 	return sum * sum / (float64(len(x)) * squares)
 }
 
-type event struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // asked is one try of a client's request.
 type asked struct {
 	id       string
@@ -150,13 +130,11 @@
 }
 
 type sim struct {
-	r      Run
-	gate   Gate
-	b      *balancer.Balancer
-	rng    *rand.Rand
-	now    time.Duration
-	events events
-	seq    int
+	r    Run
+	gate Gate
+	b    *balancer.Balancer
+	rng  *rand.Rand
+	*virtual.Time
 	nodes  map[string]*node
 	asked  map[string]*asked
 	doors  map[door.Ticket]*asked
@@ -173,7 +151,7 @@
 
 const (
 	wire   = 300 * time.Microsecond // one way and back
-	origin = time.Hour              // of virtual time: what lies before began long ago
+	origin = virtual.Origin
 )
 
 // Play plays a run through a gate.
@@ -189,7 +167,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &sim{r: r, gate: gate, b: b, rng: rand.New(rand.NewPCG(r.Seed, 7)), now: origin, nodes: map[string]*node{},
+	s := &sim{r: r, gate: gate, b: b, rng: rand.New(rand.NewPCG(r.Seed, 7)), Time: virtual.New(), nodes: map[string]*node{},
 		asked: map[string]*asked{}, doors: map[door.Ticket]*asked{}}
 	s.out.Clients = make([]Seen, len(r.Clients))
 	bins := int(r.Length/r.Bin) + 2
@@ -206,31 +184,18 @@
 		s.begin(i)
 	}
 	for t := time.Duration(0); t < r.Length; t += 10 * time.Millisecond {
-		s.at(origin+t, func() { s.out.InHand[s.bin()] += float64(s.inHand) / float64(r.Bin/(10*time.Millisecond)) })
-	}
-	end := origin + r.Length
-	for len(s.events) > 0 {
-		e := heap.Pop(&s.events).(event)
-		if e.at > end {
-			break
-		}
-		s.now = e.at
-		e.do()
+		s.At(origin+t, func() { s.out.InHand[s.bin()] += float64(s.inHand) / float64(r.Bin/(10*time.Millisecond)) })
 	}
+	s.Run(r.Length)
 	span := r.Length * time.Duration(r.Nodes)
 	s.out.Busy, s.out.Wasted = float64(s.busy)/float64(span), float64(s.wasted)/float64(span)
 	return &s.out, nil
 }
 
-func (s *sim) at(t time.Duration, do func()) {
-	s.seq++
-	heap.Push(&s.events, event{max(t, s.now), s.seq, do})
-}
-
-func (s *sim) bin() int { return min(len(s.out.InHand)-1, int((s.now-origin)/s.r.Bin)) }
+func (s *sim) bin() int { return min(len(s.out.InHand)-1, int((s.Now()-origin)/s.r.Bin)) }
 
 func (s *sim) open(c *Client) bool {
-	t := s.now - origin
+	t := s.Now() - origin
 	return t >= c.From && (c.To == 0 || t < c.To)
 }
 
@@ -238,20 +203,20 @@
 func (s *sim) begin(i int) {
 	c := &s.r.Clients[i]
 	for range c.Loops {
-		s.at(origin+c.From+time.Duration(s.rng.Int64N(int64(time.Millisecond))), func() { s.ask(i, true) })
+		s.At(origin+c.From+time.Duration(s.rng.Int64N(int64(time.Millisecond))), func() { s.ask(i, true) })
 	}
 	if c.Rate <= 0 {
 		return
 	}
 	var next func()
 	next = func() {
-		if c.To > 0 && s.now-origin >= c.To {
+		if c.To > 0 && s.Now()-origin >= c.To {
 			return
 		}
 		s.ask(i, false)
-		s.at(s.now+time.Duration(s.rng.ExpFloat64()/c.Rate*float64(time.Second)), next)
+		s.At(s.Now()+time.Duration(s.rng.ExpFloat64()/c.Rate*float64(time.Second)), next)
 	}
-	s.at(origin+c.From+time.Duration(s.rng.ExpFloat64()/c.Rate*float64(time.Second)), next)
+	s.At(origin+c.From+time.Duration(s.rng.ExpFloat64()/c.Rate*float64(time.Second)), next)
 }
 
 // ask makes a client's new request.
@@ -263,7 +228,7 @@
 	s.out.Clients[i].First++
 	work := time.Duration(s.rng.ExpFloat64() * float64(c.Work))
 	s.prints++
-	s.try(&asked{client: i, loop: loop, work: work, first: s.now, tries: 1, print: s.prints})
+	s.try(&asked{client: i, loop: loop, work: work, first: s.Now(), tries: 1, print: s.prints})
 }
 
 func (s *sim) class(c *Client) *balancer.Class {
@@ -280,14 +245,14 @@
 	s.out.Clients[a.client].Asked++
 	s.ids++
 	a.id = strconv.Itoa(s.ids)
-	a.begun, a.expires = s.now, s.now+s.class(c).Deadline
+	a.begun, a.expires = s.Now(), s.Now()+s.class(c).Deadline
 	flow := c.Flow
 	if c.Names {
 		flow = a.id
 	}
 	arrival := door.Arrival{Group: c.Group, Flow: flow, Class: c.Class, Hint: time.Duration(c.Hint * float64(a.work)),
-		Came: s.now, Expires: a.expires, Bytes: 512, Repeat: c.Marks && a.tries > 1, Print: a.print}
-	t, acts := s.gate.Arrive(s.now, arrival, s.doActs[:0])
+		Came: s.Now(), Expires: a.expires, Bytes: 512, Repeat: c.Marks && a.tries > 1, Print: a.print}
+	t, acts := s.gate.Arrive(s.Now(), arrival, s.doActs[:0])
 	s.doActs = nil
 	a.ticket = t
 	s.doors[t] = a
@@ -315,10 +280,10 @@
 	s.doActs = acts[:0]
 	if at, ok := s.gate.Next(); ok && at != s.wakeAt {
 		s.wakeAt = at
-		s.at(at, func() {
+		s.At(at, func() {
 			if s.wakeAt == at {
 				s.wakeAt = 0
-				acts := s.gate.Wake(s.now, nil)
+				acts := s.gate.Wake(s.Now(), nil)
 				s.act(acts)
 			}
 		})
@@ -340,7 +305,7 @@
 	if next.waited {
 		wait = in + time.Duration(s.rng.Int64N(int64(5*time.Millisecond)))
 	}
-	s.at(s.now+wait, func() { s.try(next) })
+	s.At(s.Now()+wait, func() { s.try(next) })
 }
 
 // back counts how a try ended that came when it was told.
@@ -360,13 +325,13 @@
 // again goes on with a loop.
 func (s *sim) again(a *asked) {
 	if a.loop {
-		s.at(s.now+time.Millisecond+s.r.Clients[a.client].Pause, func() { s.ask(a.client, true) })
+		s.At(s.Now()+time.Millisecond+s.r.Clients[a.client].Pause, func() { s.ask(a.client, true) })
 	}
 }
 
 // module tells the balancer, and does what it says.
 func (s *sim) module(ev balancer.Event) {
-	for _, x := range s.b.Handle(s.now, ev, nil) {
+	for _, x := range s.b.Handle(s.Now(), ev, nil) {
 		switch x.Kind {
 		case balancer.Send:
 			s.send(x)
@@ -377,7 +342,7 @@
 		case balancer.SetTimer:
 			at := x.At
 			s.timer = at
-			s.at(at, func() {
+			s.At(at, func() {
 				if s.timer == at {
 					s.module(balancer.Wake{})
 				}
@@ -392,15 +357,15 @@
 		return
 	}
 	n := s.nodes[x.Upstream]
-	at := &attempt{of: a, number: len(a.attempts), node: n, sent: s.now}
+	at := &attempt{of: a, number: len(a.attempts), node: n, sent: s.Now()}
 	a.attempts = append(a.attempts, at)
-	limit := a.expires - s.now
+	limit := a.expires - s.Now()
 	if x.Timeout > 0 {
 		limit = min(limit, x.Timeout)
 	}
-	s.at(s.now+limit, func() { s.outcome(at, balancer.Timeout) })
+	s.At(s.Now()+limit, func() { s.outcome(at, balancer.Timeout) })
 	if len(n.queue) >= s.r.NodeQueue {
-		s.at(s.now+wire, func() { s.outcome(at, balancer.Overloaded) })
+		s.At(s.Now()+wire, func() { s.outcome(at, balancer.Overloaded) })
 		return
 	}
 	n.queue = append(n.queue, at)
@@ -417,18 +382,18 @@
 		}
 		factor := 1.0
 		if s.r.Slow != nil {
-			factor = s.r.Slow(s.now - origin)
+			factor = s.r.Slow(s.Now() - origin)
 		}
 		took := time.Duration(float64(at.of.work) * factor)
 		n.busy = true
-		s.at(s.now+took, func() {
+		s.At(s.Now()+took, func() {
 			n.busy = false
 			s.busy += took
 			s.out.Clients[at.of.client].Work += took
-			if at.ended || s.now-at.of.begun > s.class(&s.r.Clients[at.of.client]).Aim {
+			if at.ended || s.Now()-at.of.begun > s.class(&s.r.Clients[at.of.client]).Aim {
 				s.wasted += took
 			}
-			s.at(s.now+wire, func() { s.outcome(at, balancer.OK) })
+			s.At(s.Now()+wire, func() { s.outcome(at, balancer.OK) })
 			s.work(n)
 		})
 	}
@@ -443,7 +408,7 @@
 	if r == balancer.OK {
 		s.finish(a.id, balancer.OK, 0)
 	}
-	s.module(balancer.Outcome{ID: a.id, Attempt: at.number, Result: r, Elapsed: s.now - at.sent, Finished: a.ended})
+	s.module(balancer.Outcome{ID: a.id, Attempt: at.number, Result: r, Elapsed: s.Now() - at.sent, Finished: a.ended})
 }
 
 // finish gives a request its answer.
@@ -460,9 +425,9 @@
 	how := door.Answered
 	switch r {
 	case balancer.OK:
-		took := s.now - a.first
+		took := s.Now() - a.first
 		seen.Took = append(seen.Took, took)
-		if s.now-a.begun <= s.class(&s.r.Clients[a.client]).Aim {
+		if s.Now()-a.begun <= s.class(&s.r.Clients[a.client]).Aim {
 			seen.InAim++
 			seen.Bins[s.bin()]++
 		} else {
@@ -477,7 +442,7 @@
 		seen.Failed++
 		s.again(a)
 	}
-	acts := s.gate.Done(s.now, a.ticket, how, nil)
+	acts := s.gate.Done(s.Now(), a.ticket, how, nil)
 	if how == door.Turned {
 		s.refused(a, in, false)
 	}
--- a/internal/doorsim/gates.go
+++ b/internal/doorsim/gates.go
@@ -369,9 +369,13 @@
 	}
 }
 
-// Gradient is Netflix's Gradient2 (concurrency-limits): the long mean of times over the short one, plus room for a queue.
+// Gradient is Netflix's Gradient2 behind its WindowedLimit (concurrency-limits): the long mean of times over that of a window,
+// plus room for a queue.
 type Gradient struct {
 	limit, long float64
+	begun       time.Duration
+	took        time.Duration
+	n, most     int
 }
 
 // Places is Limit's.
@@ -383,8 +387,13 @@
 }
 
 // Sample is Limit's.
-func (l *Gradient) Sample(_, took time.Duration, inHand int, _ bool) {
-	short := took.Seconds()
+func (l *Gradient) Sample(now, took time.Duration, inHand int, _ bool) {
+	l.took, l.n, l.most = l.took+took, l.n+1, max(l.most, inHand)
+	if l.n < 32 || now-l.begun < 100*time.Millisecond {
+		return
+	}
+	short, most := l.took.Seconds()/float64(l.n), l.most
+	l.begun, l.took, l.n, l.most = now, 0, 0, 0
 	if l.long == 0 {
 		l.long = short
 	}
@@ -392,7 +401,7 @@
 	if l.long > 2*short {
 		l.long *= 0.95
 	}
-	if float64(inHand) < l.limit/2 {
+	if float64(most) < l.limit/2 {
 		return
 	}
 	gradient := max(0.5, min(1, 1.5*l.long/max(short, 1e-9)))
