fleetsim: hundreds of sidecars with the real module and subset before thousands of nodes, in virtual time

Need: what a node has open of all sidecars, its load and who is pushed over can't be seen at 5,000 by 200 on sockets. Tests: the same seed is the same run, connections a node from 4 to 40 sidecars, half of the nodes restarting in two seconds.

--- /dev/null
+++ b/internal/fleetsim/fleetsim.go
@@ -0,0 +1,575 @@
+// Package fleetsim plays a fleet in virtual time: up to hundreds of sidecars, each with the real module and the real subset,
+// in front of thousands of modelled nodes, from one seed. It tells what sockets don't show at that size: the load of each node,
+// what each has open of all sidecars, which cold ones are pushed over.
+//
+// Modelled are nodes (one core, a queue, warm-up and falling over, restarts), the list (told to each sidecar with a delay of
+// its own), connections (opened when no idle one is there, at a cost; closed after they stood idle) and clients (Poisson).
+// Not modelled are the daemon's I/O, limits of descriptors and the network's losses.
+package fleetsim
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"orchiddrift/balancer"
+	"orchiddrift/internal/directory"
+	"orchiddrift/internal/subset"
+	"orchiddrift/internal/virtual"
+)
+
+// Run is a run's parameters.
+type Run struct {
+	Sidecars, Nodes int
+	Zones           int                 // absent: 1
+	Rate            float64             // requests a second, of all sidecars
+	Share           func(i int) float64 // of the traffic, relative to the others'; nil: all alike
+	Work            time.Duration       // mean, exponential
+	Length          time.Duration
+	Seed            uint64
+	Subset          subset.Options // Sidecars and Index are filled in, where Known; not On: all know all
+	Known           bool           // each sidecar is told its index and how many there are
+	Settings        balancer.Settings
+	Idle            time.Duration // connections are closed after so long; absent: 30 s
+	Connect         time.Duration // what a new connection adds
+	Descriptors     int           // connections that a sidecar may have, which bounds its subset; absent: 496
+
+	RestartAt   time.Duration // so that a part of the nodes restarts, spread over RestartOver; 0: none
+	RestartOver time.Duration
+	RestartPart float64
+	Down        time.Duration // a node is away so long
+	Sizes       []Size        // of the list at times; the first Nodes names are listed before
+}
+
+// Size is how many nodes are listed from a time on.
+type Size struct {
+	At    time.Duration
+	Nodes int
+}
+
+// Result is what a run came to.
+type Result struct {
+	Requests, Served, Refused, Failed int
+	Spread                            float64 // the most loaded node's work over the mean of those that were up all the time
+	Asked                             int     // nodes that got a request
+	OpenNode, MostNode                float64 // connections a node, mean over time and nodes, and the most that one had
+	OpenSidecar                       int     // the most that one sidecar had
+	Opened                            int     // connections made
+	Own                               float64 // mean number of a sidecar's own nodes, at the end
+	Fell                              int     // nodes that were pushed over
+	Decisions                         int     // calls of the modules
+	P50, P99                          time.Duration
+}
+
+type node struct {
+	name      string
+	index     int
+	zone      string
+	up        bool
+	fallen    bool
+	restarted bool
+	started   time.Duration // 0: long ago
+	queue     []*attempt
+	busy      bool
+	running   *attempt
+	epoch     int // of its process: what it had before is lost
+	work      time.Duration
+	asked     int
+	open, top int
+	recent    float64 // work that came, forgotten over FallTime, s
+	recentAt  time.Duration
+	overSince time.Duration
+}
+
+type sidecar struct {
+	index int
+	zone  string
+	b     *balancer.Balancer
+	s     *subset.Subset
+	asked map[string]*request
+	conns map[*node]*pool
+	open  int
+	top   int
+	timer time.Duration
+	sent  int
+	rate  float64
+	rng   *rand.Rand
+	news  []directory.Endpoint // of the list, on its way
+}
+
+type pool struct {
+	idle []time.Duration // since when, the newest last
+	out  int
+}
+
+type request struct {
+	id       string
+	work     time.Duration
+	came     time.Duration
+	expires  time.Duration
+	attempts []*attempt
+	done     bool
+}
+
+type attempt struct {
+	of     *request
+	by     *sidecar
+	number int
+	node   *node
+	sent   time.Duration
+	ended  bool
+	conn   bool // it holds a connection
+}
+
+type sim struct {
+	*virtual.Time
+	r        Run
+	rng      *rand.Rand
+	wall     time.Time // at Origin
+	nodes    []*node
+	byName   map[string]*node
+	sidecars []*sidecar
+	out      Result
+	ids      int
+	took     []time.Duration
+	openSum  float64
+	openN    int
+}
+
+const (
+	wire      = 300 * time.Microsecond // one way and back
+	toldMost  = 200 * time.Millisecond // a change of the list reaches every sidecar within this
+	sweep     = time.Second
+	rateBlend = 0.1
+	nodeQueue = 1000
+)
+
+// Play plays a run.
+func Play(r Run) (*Result, error) {
+	if r.Zones == 0 {
+		r.Zones = 1
+	}
+	if r.Idle == 0 {
+		r.Idle = 30 * time.Second
+	}
+	if r.Descriptors == 0 {
+		r.Descriptors = 496
+	}
+	s := &sim{Time: virtual.New(), r: r, rng: rand.New(rand.NewPCG(r.Seed, 11)), wall: time.UnixMilli(1_800_000_000_000),
+		byName: map[string]*node{}}
+	for i := range r.Nodes {
+		n := &node{name: fmt.Sprintf("node-%05d", i), index: i, zone: fmt.Sprint("z", i%r.Zones), up: true}
+		s.nodes = append(s.nodes, n)
+		s.byName[n.name] = n
+	}
+	total := 0.0
+	share := r.Share
+	if share == nil {
+		share = func(int) float64 { return 1 }
+	}
+	for i := range r.Sidecars {
+		total += share(i)
+	}
+	for i := range r.Sidecars {
+		c, err := s.sidecar(i)
+		if err != nil {
+			return nil, err
+		}
+		if rate := r.Rate * share(i) / total; rate > 0 {
+			s.traffic(c, rate)
+		}
+		s.After(time.Duration(s.rng.Int64N(int64(sweep))), func() { s.sweep(c) })
+	}
+	s.restarts()
+	for _, z := range r.Sizes {
+		s.At(virtual.Origin+z.At, func() { s.resize(z.Nodes) })
+	}
+	s.sample()
+	s.Run(r.Length)
+	s.sum()
+	return &s.out, nil
+}
+
+func (s *sim) sidecar(i int) (*sidecar, error) {
+	set := s.r.Settings
+	set.Balancers = s.r.Sidecars
+	zone := fmt.Sprint("z", i%s.r.Zones)
+	set.Zone = zone
+	b, err := balancer.New(set, s.r.Seed<<16+uint64(i))
+	if err != nil {
+		return nil, err
+	}
+	c := &sidecar{index: i, zone: zone, b: b, asked: map[string]*request{}, conns: map[*node]*pool{},
+		rng: rand.New(rand.NewPCG(s.r.Seed, uint64(i)))}
+	if s.r.Subset.On {
+		o := s.r.Subset
+		if o.Index = -1; s.r.Known {
+			o.Sidecars, o.Index = s.r.Sidecars, i
+		}
+		c.s = subset.New(o, fmt.Sprint("sidecar-", i), zone, s.r.Descriptors)
+	}
+	s.sidecars = append(s.sidecars, c)
+	list := &directory.Listing{Snapshot: true}
+	for _, n := range s.nodes {
+		list.Endpoints = append(list.Endpoints, s.endpoint(n, directory.StatusReady))
+	}
+	s.tell(c, list, balancer.Full)
+	return c, nil
+}
+
+func (s *sim) endpoint(n *node, status string) directory.Endpoint {
+	e := directory.Endpoint{Name: n.name, Address: "127.0.0.1:1", Zone: n.zone, Status: status}
+	if n.started > 0 {
+		e.SinceMs = float64(s.at(n.started).UnixMilli())
+	}
+	return e
+}
+
+func (s *sim) at(t time.Duration) time.Time { return s.wall.Add(t - virtual.Origin) }
+
+// tell brings a list, or a change, to a sidecar: through its subset, if it has one.
+func (s *sim) tell(c *sidecar, l *directory.Listing, kind balancer.MembersKind) {
+	if c.s != nil {
+		if l = c.s.Update(s.at(s.Now()), l); l == nil {
+			return
+		}
+		if kind == balancer.Full {
+			kind = balancer.Change
+		}
+	}
+	s.members(c, l, kind)
+}
+
+func (s *sim) members(c *sidecar, l *directory.Listing, kind balancer.MembersKind) {
+	if l == nil {
+		return
+	}
+	m := balancer.Members{Kind: kind}
+	for _, e := range l.Endpoints {
+		member := balancer.Member{Upstream: e.Name, Zone: e.Zone}
+		switch e.Status {
+		case directory.StatusTerminating:
+			member.State = balancer.Leaving
+		case directory.StatusGone:
+			member.State = balancer.Left
+		}
+		if e.SinceMs > 0 {
+			member.CameUp = virtual.Origin + time.UnixMilli(int64(e.SinceMs)).Sub(s.wall)
+		}
+		m.Entries = append(m.Entries, member)
+		if member.State != balancer.Active { // its connections are closed as they come back
+			if p := c.conns[s.byName[e.Name]]; p != nil {
+				s.close(c, s.byName[e.Name], len(p.idle))
+				p.idle = p.idle[:0]
+			}
+		}
+	}
+	s.module(c, m)
+}
+
+// announce tells all sidecars of a node's state, each after a delay of its own.
+func (s *sim) announce(n *node, status string) {
+	e := s.endpoint(n, status)
+	for _, c := range s.sidecars {
+		if c.news = append(c.news, e); len(c.news) > 1 {
+			continue // they come together, as a poll or a watch brings them
+		}
+		s.After(time.Duration(s.rng.Int64N(int64(toldMost))), func() {
+			news := c.news
+			c.news = nil
+			s.tell(c, &directory.Listing{Endpoints: news}, balancer.Change)
+		})
+	}
+}
+
+// restarts has a part of the nodes drain, go, and come back cold.
+func (s *sim) restarts() {
+	if s.r.RestartAt == 0 {
+		return
+	}
+	for _, i := range s.rng.Perm(len(s.nodes))[:int(s.r.RestartPart*float64(len(s.nodes)))] {
+		n := s.nodes[i]
+		s.After(s.r.RestartAt+time.Duration(s.rng.Int64N(int64(s.r.RestartOver)+1)), func() {
+			n.restarted = true
+			s.announce(n, directory.StatusTerminating)
+			s.After(toldMost+time.Second, func() {
+				s.stop(n)
+				s.announce(n, directory.StatusGone)
+				s.After(s.r.Down, func() {
+					n.up, n.started = true, s.Now()
+					s.announce(n, directory.StatusReady)
+				})
+			})
+		})
+	}
+}
+
+// stop ends a node's process: what it has is reset.
+func (s *sim) stop(n *node) {
+	n.up, n.busy = false, false
+	n.epoch++
+	lost := n.queue
+	if n.running != nil {
+		lost = append(lost, n.running)
+	}
+	n.queue, n.running = nil, nil
+	for _, a := range lost {
+		s.After(wire/2, func() { s.outcome(a, balancer.Reset) })
+	}
+	for _, c := range s.sidecars {
+		if p := c.conns[n]; p != nil {
+			s.close(c, n, len(p.idle))
+			p.idle = p.idle[:0]
+		}
+	}
+}
+
+// resize has the list lose its last nodes, or get them back.
+func (s *sim) resize(size int) {
+	for i, n := range s.nodes {
+		switch {
+		case i >= size && n.up:
+			n.restarted = true
+			s.announce(n, directory.StatusTerminating)
+			s.After(toldMost+time.Second, func() { s.stop(n); s.announce(n, directory.StatusGone) })
+		case i < size && !n.up && !n.fallen:
+			n.up, n.started = true, s.Now()
+			s.announce(n, directory.StatusReady)
+		}
+	}
+}
+
+func (s *sim) traffic(c *sidecar, rate float64) {
+	var next func()
+	next = func() {
+		s.ask(c)
+		s.After(time.Duration(c.rng.ExpFloat64()/rate*float64(time.Second)), next)
+	}
+	s.After(time.Duration(c.rng.ExpFloat64()/rate*float64(time.Second)), next)
+}
+
+func (s *sim) ask(c *sidecar) {
+	s.ids++
+	class := &s.r.Settings.Classes[0]
+	q := &request{id: strconv.Itoa(s.ids), work: time.Duration(c.rng.ExpFloat64() * float64(s.r.Work)), came: s.Now(),
+		expires: s.Now() + class.Deadline}
+	c.asked[q.id] = q
+	c.sent++
+	s.out.Requests++
+	s.module(c, balancer.Request{ID: q.id, Class: class.Name, Expires: q.expires})
+}
+
+// module tells a sidecar's balancer, and does what it says.
+func (s *sim) module(c *sidecar, ev balancer.Event) {
+	s.out.Decisions++
+	for _, x := range c.b.Handle(s.Now(), ev, nil) {
+		switch x.Kind {
+		case balancer.Send:
+			s.send(c, x)
+		case balancer.Cancel:
+			if q := c.asked[x.ID]; q != nil && x.Attempt < len(q.attempts) {
+				a := q.attempts[x.Attempt]
+				s.After(0, func() { s.outcome(a, balancer.Cancelled) })
+			}
+		case balancer.Refuse:
+			s.answer(c, x.ID, &s.out.Refused)
+		case balancer.Fail:
+			s.answer(c, x.ID, &s.out.Failed)
+		case balancer.SetTimer:
+			at := x.At
+			c.timer = at
+			s.At(at, func() {
+				if c.timer == at {
+					c.timer = 0
+					s.module(c, balancer.Wake{})
+				}
+			})
+		}
+	}
+}
+
+func (s *sim) answer(c *sidecar, id string, count *int) {
+	if q := c.asked[id]; q != nil && !q.done {
+		q.done = true
+		*count++
+		delete(c.asked, id)
+	}
+}
+
+// send has an attempt go out, on an idle connection or a new one.
+func (s *sim) send(c *sidecar, x balancer.Action) {
+	q := c.asked[x.ID]
+	if q == nil {
+		return
+	}
+	n := s.byName[x.Upstream]
+	a := &attempt{of: q, by: c, number: len(q.attempts), node: n, sent: s.Now()}
+	q.attempts = append(q.attempts, a)
+	limit := q.expires - s.Now()
+	if x.Timeout > 0 {
+		limit = min(limit, x.Timeout)
+	}
+	s.After(limit, func() { s.outcome(a, balancer.Timeout) })
+	p := c.conns[n]
+	if p == nil {
+		p = &pool{}
+		c.conns[n] = p
+	}
+	delay := time.Duration(0)
+	if last := len(p.idle) - 1; last >= 0 {
+		p.idle = p.idle[:last]
+	} else {
+		if !n.up {
+			s.After(wire, func() { s.outcome(a, balancer.ConnectFailed) })
+			return
+		}
+		delay = s.r.Connect
+		c.open++
+		c.top = max(c.top, c.open)
+		n.open++
+		n.top = max(n.top, n.open)
+		s.out.Opened++
+	}
+	p.out++
+	a.conn = true
+	s.After(delay+wire/2, func() { s.arrive(a) })
+}
+
+// capacity is the part of a warm node's that a node has now.
+func (s *sim) capacity(n *node) float64 {
+	set := &s.r.Settings
+	age := s.Now() - n.started
+	if n.started == 0 || set.WarmUp == 0 || age >= set.WarmUp || set.ColdFrom == 0 {
+		return 1
+	}
+	return set.ColdFrom + (1-set.ColdFrom)*float64(age)/float64(set.WarmUp)
+}
+
+func (s *sim) arrive(a *attempt) {
+	n := a.node
+	if a.ended {
+		return
+	}
+	if !n.up {
+		s.outcome(a, balancer.Reset)
+		return
+	}
+	n.asked++
+	s.pushed(n, a.of.work)
+	if len(n.queue) >= nodeQueue {
+		s.After(wire/2, func() { s.outcome(a, balancer.Overloaded) })
+		return
+	}
+	n.queue = append(n.queue, a)
+	s.work(n)
+}
+
+// pushed counts what comes to a cold node: more than FallMultiple of what it can do, kept up for FallTime, and it falls over.
+func (s *sim) pushed(n *node, work time.Duration) {
+	set := &s.r.Settings
+	if set.FallMultiple == 0 || set.FallTime == 0 || s.capacity(n) >= 1 {
+		n.recent, n.overSince = 0, 0
+		return
+	}
+	window := set.FallTime.Seconds()
+	if passed := (s.Now() - n.recentAt).Seconds(); passed > 0 {
+		n.recent *= max(0, 1-passed/window)
+	}
+	n.recentAt = s.Now()
+	n.recent += work.Seconds()
+	switch over := n.recent/window > set.FallMultiple*s.capacity(n); {
+	case !over:
+		n.overSince = 0
+	case n.overSince == 0:
+		n.overSince = s.Now()
+	case s.Now()-n.overSince >= set.FallTime && !n.fallen:
+		n.fallen = true
+		s.out.Fell++
+		s.stop(n)
+	}
+}
+
+func (s *sim) work(n *node) {
+	for !n.busy && len(n.queue) > 0 {
+		a := n.queue[0]
+		n.queue[0] = nil
+		n.queue = n.queue[1:]
+		if a.ended {
+			continue
+		}
+		took := time.Duration(float64(a.of.work) / s.capacity(n))
+		n.busy, n.running = true, a
+		epoch := n.epoch
+		s.After(took, func() {
+			if n.epoch != epoch {
+				return // it was reset
+			}
+			n.busy, n.running = false, nil
+			n.work += a.of.work
+			s.After(wire/2, func() { s.outcome(a, balancer.OK) })
+			s.work(n)
+		})
+	}
+}
+
+func (s *sim) outcome(a *attempt, r balancer.Result) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	c, q := a.by, a.of
+	if a.conn {
+		p := c.conns[a.node]
+		p.out--
+		if (r == balancer.OK || r == balancer.Overloaded) && a.node.up {
+			p.idle = append(p.idle, s.Now())
+		} else {
+			s.close(c, a.node, 1)
+		}
+	}
+	if r == balancer.OK && !q.done {
+		s.took = append(s.took, s.Now()-q.came)
+		s.answer(c, q.id, &s.out.Served)
+	}
+	s.module(c, balancer.Outcome{ID: q.id, Attempt: a.number, Result: r, Elapsed: s.Now() - a.sent, Finished: q.done})
+}
+
+func (s *sim) close(c *sidecar, n *node, count int) {
+	c.open -= count
+	n.open -= count
+}
+
+// sweep closes what has stood idle, and has the subset follow the traffic and the time.
+func (s *sim) sweep(c *sidecar) {
+	for n, p := range c.conns {
+		drop := 0
+		for drop < len(p.idle) && s.Now()-p.idle[drop] >= s.r.Idle {
+			drop++
+		}
+		p.idle = p.idle[drop:]
+		s.close(c, n, drop)
+		if len(p.idle)+p.out == 0 {
+			delete(c.conns, n)
+		}
+	}
+	if c.s != nil {
+		c.rate += rateBlend * (float64(c.sent)/sweep.Seconds() - c.rate)
+		c.sent = 0
+		s.members(c, c.s.Rate(s.at(s.Now()), c.rate), balancer.Change)
+	}
+	s.After(sweep, func() { s.sweep(c) })
+}
+
+// sample takes the mean of open connections over the second half.
+func (s *sim) sample() {
+	s.After(sweep, func() {
+		if s.Since() > s.r.Length/2 {
+			for _, n := range s.nodes {
+				s.openSum += float64(n.open)
+				s.openN++
+			}
+		}
+		s.sample()
+	})
+}
--- /dev/null
+++ b/internal/fleetsim/fleetsim_test.go
@@ -0,0 +1,64 @@
+package fleetsim
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"orchiddrift/balancer"
+	"orchiddrift/internal/subset"
+	"orchiddrift/internal/units"
+)
+
+func run(sidecars, nodes int) Run {
+	o := subset.Default()
+	o.On, o.Least, o.Most, o.Away, o.Settle = true, 8, 4096, 0, units.Duration(2*time.Second)
+	return Run{Sidecars: sidecars, Nodes: nodes, Rate: float64(nodes), Work: 100 * time.Millisecond, Length: 30 * time.Second, Seed: 3, Subset: o, Known: true,
+		Connect: 2 * time.Millisecond, Settings: balancer.Settings{MaxAttempts: 3, Cancelling: true, RetryAfter: true, MaxRetryAfter: time.Second,
+			ConnectTimeout: time.Second, Tick: 5 * time.Millisecond, ColdFrom: 0.2, WarmUp: 20 * time.Second, FallMultiple: 3, FallTime: 2 * time.Second,
+			Classes: []balancer.Class{{Name: "search", Aim: time.Second, Deadline: 3 * time.Second, Worth: 1, LateShare: 0.3}}}}
+}
+
+func play(t *testing.T, r Run) *Result {
+	t.Helper()
+	got, err := Play(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%+v", got)
+	if got.Served+got.Refused+got.Failed > got.Requests || float64(got.Served) < 0.98*float64(got.Requests) {
+		t.Errorf("%d sidecars: %+v", r.Sidecars, got)
+	}
+	return got
+}
+
+// The same seed is the same run, to the last count.
+func TestSameSeed(t *testing.T) {
+	r := run(5, 50)
+	r.RestartAt, r.RestartOver, r.RestartPart, r.Down = 5*time.Second, 2*time.Second, 0.5, time.Second
+	if a, b := play(t, r), play(t, r); !reflect.DeepEqual(a, b) {
+		t.Errorf("%+v\n%+v", a, b)
+	}
+}
+
+// Connections a node stay flat from few sidecars to many at the same traffic, no node is left out, and its load stays even.
+func TestFlat(t *testing.T) {
+	few, many := play(t, run(4, 200)), play(t, run(40, 200))
+	if many.OpenNode > 1.2*few.OpenNode && many.OpenNode > few.OpenNode+1 {
+		t.Errorf("connections a node: %.2f of 4 sidecars, %.2f of 40", few.OpenNode, many.OpenNode)
+	}
+	for _, r := range []*Result{few, many} {
+		if r.Asked != 200 || r.Spread > 2 {
+			t.Errorf("%d nodes asked, spread %.2f", r.Asked, r.Spread)
+		}
+	}
+}
+
+// Half of the nodes restart within two seconds: none of them is pushed over.
+func TestHalfRestarts(t *testing.T) {
+	r := run(20, 200)
+	r.RestartAt, r.RestartOver, r.RestartPart, r.Down = 8*time.Second, 2*time.Second, 0.5, 2*time.Second
+	if got := play(t, r); got.Fell > 0 {
+		t.Errorf("%d fell over", got.Fell)
+	}
+}
