--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -8,6 +8,7 @@
 //	go run ./cmd/measure many      # daemons over 5,000 listeners, with and without subsets
 //	go run ./cmd/measure door      # queues at the door, limits, repeats and refusals, in virtual time
 //	go run ./cmd/measure counters  # 20 counters beside a script that floods, through the daemon on sockets
+//	go run ./cmd/measure fleet     # 10 to 200 sidecars before 5,000 nodes, in virtual time
 //	go run ./cmd/measure grpc      # beside grpc-go's round_robin, weighted_round_robin and least_request
 package main
 
@@ -61,6 +62,13 @@
 
 func (c countersCmd) Run() error { return measure.Counters(c.options.options()) }
 
+type fleetCmd struct {
+	options
+	Plot string `placeholder:"FILE" help:"Write connections a node over sidecars as SVG."`
+}
+
+func (c fleetCmd) Run() error { return measure.Fleet(c.options.options(), c.Plot) }
+
 type grpcCmd struct{ options }
 
 func (c grpcCmd) Run() error { return measure.GRPC(c.options.options()) }
@@ -82,6 +90,7 @@
 		Many     manyCmd     `cmd:"" help:"Daemons over 5,000 listeners, with and without subsets."`
 		Door     doorCmd     `cmd:"" help:"Queues at the door, limits, repeats and refusals, in virtual time."`
 		Counters countersCmd `cmd:"" help:"Twenty counters beside a script that floods, through the daemon."`
+		Fleet    fleetCmd    `cmd:"" help:"Fleets of 10 to 200 sidecars before 5,000 nodes, in virtual time."`
 		GRPC     grpcCmd     `cmd:"" name:"grpc" help:"The plug-in beside grpc-go's balancers."`
 	}
 	ctx := kong.Parse(&cli, kong.Name("measure"), kong.UsageOnError())
--- /dev/null
+++ b/internal/measure/fleet.go
@@ -0,0 +1,116 @@
+package measure
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"orchiddrift/balancer"
+	"orchiddrift/internal/fleetsim"
+	"orchiddrift/internal/subset"
+	"orchiddrift/internal/units"
+)
+
+const (
+	fleetNodes = 5000
+	fleetRate  = 10_000.0
+	fleetWork  = 100 * time.Millisecond // so that nodes are busy for a fifth of the time
+)
+
+func fleetRun(sidecars int) fleetsim.Run {
+	o := subset.Default()
+	o.On, o.Most, o.Away, o.Settle = true, 4096, 0, units.Duration(5*time.Second)
+	return fleetsim.Run{Sidecars: sidecars, Nodes: fleetNodes, Rate: fleetRate, Work: fleetWork, Length: 60 * time.Second, Seed: 1,
+		Subset: o, Known: true, Connect: 2 * time.Millisecond, Descriptors: 1 << 20,
+		Settings: balancer.Settings{MaxAttempts: 3, Cancelling: true, RetryAfter: true, MaxRetryAfter: time.Second, ConnectTimeout: time.Second,
+			Tick: 5 * time.Millisecond, ColdFrom: 0.2, WarmUp: 20 * time.Second, FallMultiple: 3, FallTime: 2 * time.Second,
+			Classes: []balancer.Class{{Name: "search", Aim: time.Second, Deadline: 3 * time.Second, Worth: 1, LateShare: 0.3}}}}
+}
+
+// Fleet prints what fleets of 10 to 200 sidecars do to 5,000 nodes at constant traffic, in virtual time, and the hard cases.
+func Fleet(o Options, plot string) error {
+	type named struct {
+		name string
+		run  fleetsim.Run
+	}
+	var runs []named
+	sizes := []int{10, 25, 50, 100, 200}
+	for _, m := range sizes {
+		runs = append(runs, named{fmt.Sprintf("%d sidecars", m), fleetRun(m)})
+	}
+	add := func(name string, sidecars int, change func(*fleetsim.Run)) {
+		r := fleetRun(sidecars)
+		change(&r)
+		runs = append(runs, named{name, r})
+	}
+	add("200, index not known", 200, func(r *fleetsim.Run) { r.Known = false })
+	add("200, half of the nodes restart in 10 s", 200, func(r *fleetsim.Run) {
+		r.RestartAt, r.RestartOver, r.RestartPart, r.Down = 20*time.Second, 10*time.Second, 0.5, 3*time.Second
+	})
+	add("200, the list shrinks to 50 and grows back", 200, func(r *fleetsim.Run) {
+		r.Rate = 100
+		r.Sizes = []fleetsim.Size{{At: 15 * time.Second, Nodes: 50}, {At: 35 * time.Second, Nodes: fleetNodes}}
+	})
+	add("200, one with a thousand times the others' traffic", 200, func(r *fleetsim.Run) {
+		r.Share = func(i int) float64 {
+			if i == 0 {
+				return 1000
+			}
+			return 1
+		}
+	})
+	results := make([]*fleetsim.Result, len(runs))
+	var g errgroup.Group
+	g.SetLimit(runtime.NumCPU())
+	for i, r := range runs {
+		g.Go(func() (err error) {
+			results[i], err = fleetsim.Play(r.run)
+			return err
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return err
+	}
+	w := tabwriter.NewWriter(o.Out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "fleet\tserved\tits own\tconnections a node\tmost\ta sidecar, most\tmade\tnodes asked\tmost/mean work\tfell over\tp50 ms\tp99 ms\tdecisions\t")
+	for i, r := range results {
+		fmt.Fprintf(w, "%s\t%.4f\t%.0f\t%.2f\t%.0f\t%d\t%d\t%d\t%.2f\t%d\t%.0f\t%.0f\t%d\t\n", runs[i].name, float64(r.Served)/float64(max(1, r.Requests)),
+			r.Own, r.OpenNode, r.MostNode, r.OpenSidecar, r.Opened, r.Asked, r.Spread, r.Fell, r.P50.Seconds()*1e3, r.P99.Seconds()*1e3, r.Decisions)
+	}
+	if err := w.Flush(); err != nil || plot == "" {
+		return err
+	}
+	open := make([]float64, len(sizes))
+	for i := range sizes {
+		open[i] = results[i].OpenNode
+	}
+	return os.WriteFile(plot, []byte(curve("connections a node, by sidecars (5,000 nodes, 10,000 requests a second)", sizes, open)), 0o644)
+}
+
+// curve is a small SVG of values over sizes, from 0.
+func curve(title string, x []int, y []float64) string {
+	const width, height, left, low = 640.0, 320.0, 60.0, 40.0
+	most, last := 0.0, float64(x[len(x)-1])
+	for _, v := range y {
+		most = max(most, v*1.2)
+	}
+	px := func(v float64) float64 { return left + v/last*(width-left-20) }
+	py := func(v float64) float64 { return height - low - v/most*(height-low-40) }
+	var b strings.Builder
+	fmt.Fprintf(&b, "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"%.0f\" height=\"%.0f\" font-family=\"sans-serif\" font-size=\"12\">\n", width, height)
+	fmt.Fprintf(&b, "<rect width=\"100%%\" height=\"100%%\" fill=\"white\"/>\n<text x=\"%.0f\" y=\"20\">%s</text>\n", left, title)
+	fmt.Fprintf(&b, "<path d=\"M%.1f %.1f V%.1f H%.1f\" stroke=\"black\" fill=\"none\"/>\n", left, 40.0, py(0), px(last))
+	var points []string
+	for i := range x {
+		points = append(points, fmt.Sprintf("%.1f,%.1f", px(float64(x[i])), py(y[i])))
+		fmt.Fprintf(&b, "<text x=\"%.1f\" y=\"%.1f\" text-anchor=\"middle\">%d</text>\n", px(float64(x[i])), py(0)+18, x[i])
+		fmt.Fprintf(&b, "<text x=\"%.1f\" y=\"%.1f\" text-anchor=\"middle\">%.2f</text>\n", px(float64(x[i])), py(y[i])-8, y[i])
+	}
+	fmt.Fprintf(&b, "<polyline points=\"%s\" stroke=\"black\" fill=\"none\" stroke-width=\"2\"/>\n</svg>\n", strings.Join(points, " "))
+	return b.String()
+}
