--- a/internal/fleetsim/fleetsim.go
+++ b/internal/fleetsim/fleetsim.go
@@ -554,7 +554,7 @@
 		}
 	}
 	if c.s != nil {
-		c.rate += rateBlend * (float64(c.sent)/sweep.Seconds() - c.rate)
+		c.rate += rateBlend * (float64(c.sent)/sweep.Seconds() - c.rate) // as discovery.Narrowed does
 		c.sent = 0
 		s.members(c, c.s.Rate(s.at(s.Now()), c.rate), balancer.Change)
 	}
--- a/internal/subset/options.go
+++ b/internal/subset/options.go
@@ -15,14 +15,15 @@
 	Most     int            `toml:"most" default:"128" doc:"And at most, those of other zones included. Descriptors bound it too: a fifth of them."`
 	Heard    units.Duration `toml:"heard" default:"2s" doc:"Its size follows its traffic: each of them is to be asked about this often, so that what is known of it is not old."`
 	Away     float64        `toml:"away" default:"0.25" doc:"The part of them that stands in other zones, for the time when the own one is cut off."`
-	Settle   units.Duration `toml:"settle" default:"30s" doc:"For how long its traffic has to call for another size before it is taken."`
+	Settle   units.Duration `toml:"settle" default:"30s" doc:"For how long its traffic has to call for a smaller size before that is taken."`
+	Grow     units.Duration `toml:"grow" default:"3s" doc:"And for a larger one: until then all its traffic goes to the fewer."`
 	Warm     units.Duration `toml:"warm" default:"10s" doc:"An upstream that started less than this ago is cold; where more than half of its own are, warm ones are borrowed."`
 }
 
 // Default is what holds where nothing is said.
 func Default() Options {
 	return Options{Index: -1, Least: 12, Most: 128, Heard: units.Duration(2 * time.Second), Away: 0.25,
-		Settle: units.Duration(30 * time.Second), Warm: units.Duration(10 * time.Second)}
+		Settle: units.Duration(30 * time.Second), Grow: units.Duration(3 * time.Second), Warm: units.Duration(10 * time.Second)}
 }
 
 // Check is tomlfile.Checker's.
--- a/internal/subset/subset.go
+++ b/internal/subset/subset.go
@@ -4,6 +4,7 @@
 package subset
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -28,6 +29,7 @@
 	want  int       // the size that it goes by
 	since time.Time // size has called for another one
 	next  time.Time // when time alone changes something
+	born  time.Time // when it had its first list
 }
 
 // EndFor is how long an upstream that is no longer its own may finish what it has, before it is forgotten.
@@ -44,11 +46,17 @@
 	return s
 }
 
+// young is how long after its first list a Subset takes any larger size at once.
+const young = 10 * time.Second
+
 // descriptorPart: each upstream of its own may have this many connections, on average.
 const descriptorPart = 5
 
 // Update takes a list, whole or what changed in it, and returns what changes in the smaller one; nil: nothing.
 func (s *Subset) Update(now time.Time, l *directory.Listing) *directory.Listing {
+	if s.born.IsZero() {
+		s.born = now
+	}
 	if l.Snapshot {
 		listed := make(map[string]bool, len(l.Endpoints))
 		for i := range l.Endpoints {
@@ -93,8 +101,9 @@
 	return s.away
 }
 
-// Rate tells how many requests a second the sidecar has sent of late. Another size is taken once it has been called for
-// long enough, and by steps of two, so that sidecars with a little more traffic than others have the same.
+// Rate tells how many requests a second the sidecar has sent of late. A larger size is taken soon, since until then few
+// upstreams carry all of it; a smaller one once it has been called for long enough. Sizes go by steps of two, so that sidecars
+// with a little more traffic than others have the same.
 func (s *Subset) Rate(now time.Time, perSecond float64) *directory.Listing {
 	size := s.o.Least
 	for float64(size) < perSecond*s.o.Heard.D().Seconds() && size < s.most {
@@ -109,7 +118,13 @@
 		s.since = now
 	}
 	s.size = size
-	if now.Sub(s.since) < s.o.Settle.D() {
+	wait := s.o.Settle.D()
+	if size > s.want {
+		if wait = s.o.Grow.D(); now.Sub(s.born) < young { // how much traffic there is has never been known yet
+			wait = 0
+		}
+	}
+	if now.Sub(s.since) < wait {
 		return s.tick(now)
 	}
 	s.want, s.since = size, time.Time{}
@@ -146,6 +161,7 @@
 	picked := make(map[string]bool, s.want+1)
 	s.pick(now, s.home, home, picked)
 	s.pick(now, s.away, away, picked)
+	s.keep(now, picked)
 	out := &directory.Listing{}
 	for name := range picked {
 		e := s.all[name]
@@ -205,8 +221,7 @@
 	own = min(own, max(0, s.most-len(picked)))
 	warm, borrow := 0, 0
 	for i, name := range names {
-		begun := time.UnixMilli(int64(s.all[name].SinceMs)).Add(s.o.Warm.D())
-		cold := s.all[name].SinceMs > 0 && begun.After(now)
+		begun, cold := s.cold(now, name)
 		if i < own {
 			picked[name] = true
 			if cold {
@@ -226,6 +241,37 @@
 	}
 }
 
+// cold tells whether a listed upstream has started lately, and until when it counts so.
+func (s *Subset) cold(now time.Time, name string) (until time.Time, cold bool) {
+	until = time.UnixMilli(int64(s.all[name].SinceMs)).Add(s.o.Warm.D())
+	return until, s.all[name].SinceMs > 0 && until.After(now)
+}
+
+// keep has those stay that were its own and are warm, while more than half of what was picked is cold: where a fleet grows many
+// times over at once, hardly a warm one is left on the ring to be borrowed.
+func (s *Subset) keep(now time.Time, picked map[string]bool) {
+	warm := 0
+	for name := range picked {
+		if _, cold := s.cold(now, name); !cold {
+			warm++
+		}
+	}
+	if 2*warm >= len(picked) {
+		return
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.chosen)) {
+		if 2*warm >= len(picked) || len(picked) >= s.most {
+			return
+		}
+		if _, cold := s.cold(now, name); cold || picked[name] || s.chosen[name].Status != directory.StatusReady ||
+			s.all[name].Status != directory.StatusReady {
+			continue
+		}
+		picked[name] = true
+		warm++
+	}
+}
+
 func (s *Subset) soon(at time.Time) {
 	if s.next.IsZero() || at.Before(s.next) {
 		s.next = at
