--- a/internal/config/plan.go
+++ b/internal/config/plan.go
@@ -307,28 +307,6 @@
 	}
 }
 
-// Door reads of an operator's file the door of one service: all that a plug-in takes from it besides Registries. Its error
-// is Problems.
-func Door(text []byte, service string) (*door.Options, error) {
-	f := &File{}
-	doc := tomlfile.Decode(text, f)
-	var of *door.Options
-	for i := range f.Doors {
-		if o := &f.Doors[i]; o.Service == service {
-			of = o
-			for _, by := range o.By {
-				if by == "address" || by == "certificate" {
-					doc.Report(fmt.Sprintf("door[%d].by", i), "a plug-in's callers have no %s: \"tenant\" and \"header:NAME\", of the metadata, tell them apart", by)
-				}
-			}
-		}
-	}
-	if !doc.Broken() && of == nil {
-		doc.Report("door", "there is none of service %q", service)
-	}
-	return of, problems(doc)
-}
-
 // registries checks the registries against the services, gives the platform's service its own, and notes where the process
 // registers.
 func (f *File) registries(p *Plan, beside *Config, doc *tomlfile.Document) {
@@ -359,21 +337,45 @@
 	}
 }
 
-// Registries reads of an operator's file the registries of one service, and how lists are merged: all that a plug-in takes
-// from it. Its error is Problems.
-func Registries(text []byte, service string) ([]eureka.Declaration, membership.Options, error) {
+// PluginFile is what a plug-in takes from an operator's file.
+type PluginFile struct {
+	Registries []eureka.Declaration
+	Members    membership.Options
+	Door       *door.Options  // nil: there is none
+	Subset     subset.Options // of the [[service]] of that name, which needs no upstreams there
+}
+
+// PluginPart reads an operator's file for a plug-in's service. Its error is Problems.
+func PluginPart(text []byte, service string) (PluginFile, error) {
 	f := &File{}
 	doc := tomlfile.Decode(text, f)
-	of := f.registriesOf(service)
-	if !doc.Broken() && len(of) == 0 {
-		doc.Report("eureka", "there is none of service %q", service)
-	}
+	p := PluginFile{Registries: f.registriesOf(service), Members: f.Members}
 	for i, r := range f.Eureka {
 		if r.Service == service && r.Register.Application != "" {
 			doc.Report(fmt.Sprintf("eureka[%d].register", i), "a plug-in listens nowhere, and does not register")
 		}
 	}
-	return of, f.Members, problems(doc)
+	for i := range f.Doors {
+		o := &f.Doors[i]
+		if o.Service != service {
+			continue
+		}
+		p.Door = o
+		for _, by := range o.By {
+			if by == "address" || by == "certificate" {
+				doc.Report(fmt.Sprintf("door[%d].by", i), "a plug-in's callers have no %s: \"tenant\" and \"header:NAME\", of the metadata, tell them apart", by)
+			}
+		}
+	}
+	for i := range f.Services {
+		if f.Services[i].Name == service {
+			p.Subset = f.Services[i].Subset
+		}
+	}
+	if !doc.Broken() && len(p.Registries) == 0 && p.Door == nil && !p.Subset.On {
+		doc.Report("eureka", "nothing in it is for service %q: no [[eureka]], no [[door]], no [service.subset]", service)
+	}
+	return p, problems(doc)
 }
 
 // listName is what a service's own list is called among its sources.
--- a/orchidgrpc/call.go
+++ b/orchidgrpc/call.go
@@ -34,6 +34,7 @@
 
 // newCall reads what the module is to know from the context, and puts the id and the key into it.
 func (p *Plugin) newCall(ctx context.Context, method string) (context.Context, *call) {
+	p.asked.Add(1)
 	class := p.methods.class(method)
 	md, _ := metadata.FromOutgoingContext(ctx)
 	c := &call{p: p, method: method, Call: engine.Call{Class: class.Name, ID: first(md, RequestIDKey),
--- a/orchidgrpc/door_test.go
+++ b/orchidgrpc/door_test.go
@@ -25,7 +25,7 @@
 	f := newFleet(t, standin.NodeOptions{Answer: func(j standin.Job) []byte { came <- j.ID; <-answer; return nil }})
 	file := base.File(t, "o.toml", []byte("[[door]]\nservice = \"service\"\nby = [\"tenant\", \"header:x-shop\"]\nlimit_least = 1\nlimit_most = 1\nwaiting = 3\n"))
 	conn, _ := f.dial(t, func(o *orchidgrpc.Options) {
-		o.Door = file
+		o.File = file
 		o.Settings.SecondCopies, o.Settings.MaxAttempts = false, 1
 		for i := range o.Settings.Classes {
 			o.Settings.Classes[i].Deadline = time.Minute
@@ -124,10 +124,51 @@
 		"no such source":       "[[door]]\nservice = \"service\"\nby = [\"shop\"]\n",
 	} {
 		o := orchidgrpc.Options{Settings: settings(), Seed: 7, Endpoints: []orchidgrpc.Endpoint{{Name: "a", Address: "127.0.0.1:1"}},
-			Files: files(t), Door: base.File(t, "o.toml", []byte(text))}
+			Files: files(t), File: base.File(t, "o.toml", []byte(text))}
 		if p, err := orchidgrpc.New(o); err == nil {
 			p.Close()
 			t.Errorf("%s: it is taken", name)
 		}
 	}
 }
+
+// Of many endpoints a plug-in asks those alone that are its own by [service.subset], also after another list was set.
+func TestSubset(t *testing.T) {
+	options := make([]standin.NodeOptions, 24)
+	f := newFleet(t, options...)
+	file := base.File(t, "o.toml", []byte("[[service]]\nname = \"service\"\n[service.subset]\non = true\nleast = 4\nmost = 4\nsidecars = 3\nindex = 1\naway = 0.0\n"))
+	conn, p := f.dial(t, func(o *orchidgrpc.Options) { o.File = file })
+	asked := func() map[string]bool {
+		names := map[string]bool{}
+		for range 200 {
+			name, err := ask(t.Context(), conn, search)
+			if err != nil {
+				t.Fatal(err)
+			}
+			names[name] = true
+		}
+		return names
+	}
+	first := asked()
+	if len(first) < 2 || len(first) > 4 {
+		t.Errorf("%d nodes were asked", len(first))
+	}
+	rest := f.endpoints[:0:0]
+	for _, e := range f.endpoints {
+		if !first[e.Name] {
+			rest = append(rest, e)
+		}
+	}
+	if err := p.SetEndpoints(rest); err != nil {
+		t.Fatal(err)
+	}
+	second := asked()
+	for name := range second {
+		if first[name] {
+			t.Errorf("%s is asked, and not listed", name)
+		}
+	}
+	if len(second) < 2 || len(second) > 4 {
+		t.Errorf("%d nodes were asked of another list", len(second))
+	}
+}
--- a/orchidgrpc/eureka_test.go
+++ b/orchidgrpc/eureka_test.go
@@ -49,7 +49,7 @@
 applications = ["SEATS"]
 poll = "100ms"
 `, e.Base))
-	conn, p := nodes.dial(t, func(o *orchidgrpc.Options) { o.Registries, o.Endpoints = file, nodes.endpoints[:1] })
+	conn, p := nodes.dial(t, func(o *orchidgrpc.Options) { o.File, o.Endpoints = file, nodes.endpoints[:1] })
 	serving := func(n int) func() bool {
 		return func() (ok bool) {
 			answered := map[string]bool{}
--- a/orchidgrpc/load.go
+++ b/orchidgrpc/load.go
@@ -52,9 +52,9 @@
 		c.GRPC = &config.GRPC{}
 	}
 	o := Options{Service: c.GRPC.Service, Settings: c.Settings.Settings, Seed: c.Seed, Discovery: c.Discovery,
-		Methods: c.GRPC.Methods, Registries: c.GRPC.File}
-	if o.Registries != "" {
-		if _, _, err := readRegistries(o.Registries, cmp.Or(o.Service, defaultService)); err != nil {
+		Methods: c.GRPC.Methods, File: c.GRPC.File}
+	if o.File != "" {
+		if _, err := readFile(o); err != nil {
 			bad = append(bad, config.Problem{Key: "grpc.file", Reason: err.Error()})
 		}
 	}
--- a/orchidgrpc/plugin.go
+++ b/orchidgrpc/plugin.go
@@ -21,10 +21,12 @@
 	"fmt"
 	"log/slog"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -38,14 +40,15 @@
 	"orchiddrift/internal/config"
 	"orchiddrift/internal/directory"
 	"orchiddrift/internal/discovery"
+	"orchiddrift/internal/door"
 	"orchiddrift/internal/doorkeeper"
 	"orchiddrift/internal/engine"
 	"orchiddrift/internal/eureka"
 	"orchiddrift/internal/logs"
-	"orchiddrift/internal/membership"
+	"orchiddrift/internal/subset"
 )
 
-// Options are a Plugin's parameters. One of Discovery, Endpoints and Registries is needed.
+// Options are a Plugin's parameters. One of Discovery, Endpoints and a File with registries is needed.
 type Options struct {
 	Service   string            // names the service in targets and as the calls' authority; absent: "service"
 	Settings  balancer.Settings // as the daemon's; LoadOptions reads both from one form of file
@@ -63,12 +66,11 @@
 	Answers []codes.Code
 	Files   *protoregistry.Files // where idempotency levels are looked up; absent: protoregistry.GlobalFiles
 	Log     func(string)         // a line for the operators; absent: dropped
-	// Registries names an operator's file, as the daemon's: the registries ([[eureka]]) of this service in it list upstreams
-	// beside Discovery or Endpoints, or alone, merged as its [membership] says.
-	Registries string
-	// Door names an operator's file, as the daemon's: the door ([[door]]) of this service in it has calls wait in an order
-	// that is fair between those on whose behalf they are made, by the metadata.
-	Door string
+	// File names an operator's file, as the daemon's. Of this service the registries ([[eureka]]) in it list upstreams beside
+	// Discovery or Endpoints, or alone, merged as its [membership] says; the door ([[door]]) has calls wait in an order that is
+	// fair between those on whose behalf they are made, by the metadata; [service.subset] has the process know a part of many
+	// upstreams as its own.
+	File string
 	// TLS encrypts connections; absent: credentials are the caller's to add. With it, DialOptions bring them.
 	TLS *TLS
 }
@@ -106,7 +108,10 @@
 	engine         *engine.Engine
 	directory      *directory.Directory
 	feed           *discovery.Feed
-	merged         *discovery.Merged // nil: there is one list
+	merged         *discovery.Merged   // nil: there is one list
+	narrow         *discovery.Narrowed // before the feed; nil: every upstream is its own
+	sink           directory.Sink      // where lists go
+	asked          atomic.Int64        // calls so far
 	methods        *methods
 	answers        map[codes.Code]bool
 	connectTimeout time.Duration
@@ -134,8 +139,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("orchidgrpc: %w", err)
 	}
-	if o.Discovery == "" && len(o.Endpoints) == 0 && o.Registries == "" {
-		return nil, errors.New("orchidgrpc: none of Discovery, Endpoints and Registries is given")
+	file, err := readFile(o)
+	if err != nil {
+		return nil, fmt.Errorf("orchidgrpc: %w", err)
+	}
+	if o.Discovery == "" && len(o.Endpoints) == 0 && len(file.Registries) == 0 {
+		return nil, errors.New("orchidgrpc: none of Discovery, Endpoints and a File with registries is given")
 	}
 	if o.Discovery != "" {
 		if err := directory.CheckAddress(o.Discovery); err != nil {
@@ -166,16 +175,27 @@
 			return nil, fmt.Errorf("orchidgrpc: %w", err)
 		}
 	}
-	if o.Door != "" {
-		if p.door, err = openDoor(o, p.service, clk, log); err != nil {
+	if file.Door != nil {
+		if p.door, err = openDoor(o, *file.Door, clk, log); err != nil {
 			return nil, fmt.Errorf("orchidgrpc: %w", err)
 		}
 	}
-	source, known, err := p.openSource(o, known, set.MustSubscribe, log)
+	source, known, err := p.openSource(o, file, known, set.MustSubscribe, log)
 	if err != nil {
 		return nil, fmt.Errorf("orchidgrpc: %w", err)
 	}
-	members := p.feed.Take(known)
+	p.sink = p.feed
+	if file.Subset.On {
+		p.narrow = discovery.NewNarrowed(subset.New(file.Subset, fmt.Sprintf("%016x", o.Seed), set.Zone, math.MaxInt32), p.feed, p.asked.Load)
+		p.sink = p.narrow
+		if known != nil {
+			known = p.narrow.Load(known)
+		}
+	}
+	var members balancer.Members
+	if known != nil {
+		members = p.feed.Take(known)
+	}
 	subscribe := func() {}
 	if source != nil {
 		subscribe = source.Ask
@@ -190,39 +210,39 @@
 	if p.guard != nil {
 		p.watching.Go(func() { p.guard.follow(ctx, p.withdrawn) })
 	}
+	if p.narrow != nil {
+		p.watching.Go(func() { p.narrow.Run(ctx) })
+	}
 	if p.merged != nil {
-		p.merged.Attach(p.feed)
+		p.merged.Attach(p.sink)
 	}
 	if source != nil {
-		p.watching.Go(func() { source.Run(ctx, p.feed) })
+		p.watching.Go(func() { source.Run(ctx, p.sink) })
 	}
 	return p, nil
 }
 
 // openSource makes the source of the list, and the list to begin with; nil: the list is SetEndpoints' alone.
-func (p *Plugin) openSource(o Options, known *directory.Listing, moduleAsks bool, log *slog.Logger) (directory.Source,
+func (p *Plugin) openSource(o Options, file config.PluginFile, known *directory.Listing, moduleAsks bool, log *slog.Logger) (directory.Source,
 	*directory.Listing, error) {
 	var own directory.Source
 	if o.Discovery != "" {
 		own = discovery.New(discovery.Options{Address: o.Discovery, Index: o.Version, ConnectTimeout: p.connectTimeout,
 			ModuleAsks: moduleAsks, Log: log})
 	}
-	if o.Registries == "" {
+	if len(file.Registries) == 0 {
 		return own, known, nil
 	}
-	registries, members, err := readRegistries(o.Registries, p.service)
-	if err != nil {
-		return nil, nil, err
-	}
 	sources := []discovery.Named{{Name: ownList, Source: own, Known: known, Leads: true}}
-	for _, r := range registries {
+	for _, r := range file.Registries {
 		one, err := eureka.New(r, p.connectTimeout, o.Seed^xxhash.Sum64String(r.Name), log)
 		if err != nil {
 			return nil, nil, err
 		}
 		sources = append(sources, discovery.Named{Name: r.Name, Source: one})
 	}
-	if p.merged, err = discovery.NewMerged(members, log, sources...); err != nil {
+	var err error
+	if p.merged, err = discovery.NewMerged(file.Members, log, sources...); err != nil {
 		return nil, nil, err
 	}
 	return p.merged, p.merged.Load(), nil
@@ -231,30 +251,26 @@
 // ownList is what Discovery's or SetEndpoints' list is called beside registries.
 const ownList = "list"
 
-func readRegistries(path, service string) ([]eureka.Declaration, membership.Options, error) {
-	text, err := os.ReadFile(path)
+// readFile reads what the operator's file has for the plug-in; nothing, where none is named.
+func readFile(o Options) (config.PluginFile, error) {
+	if o.File == "" {
+		return config.PluginFile{}, nil
+	}
+	text, err := os.ReadFile(o.File)
 	if err != nil {
-		return nil, membership.Options{}, fmt.Errorf("Registries: %w", err)
+		return config.PluginFile{}, fmt.Errorf("File: %w", err)
 	}
-	of, members, err := config.Registries(text, service)
+	file, err := config.PluginPart(text, cmp.Or(o.Service, defaultService))
 	if err != nil {
-		err = fmt.Errorf("Registries: %s: %w", path, err)
+		return config.PluginFile{}, fmt.Errorf("File: %s: %w", o.File, err)
 	}
-	return of, members, err
+	return file, nil
 }
 
-// openDoor makes the door that an operator's file tells of.
-func openDoor(o Options, service string, clk clock.Clock, log *slog.Logger) (*doorkeeper.Keeper, error) {
-	text, err := os.ReadFile(o.Door)
-	if err != nil {
-		return nil, fmt.Errorf("Door: %w", err)
-	}
-	of, err := config.Door(text, service)
-	if err != nil {
-		return nil, fmt.Errorf("Door: %s: %w", o.Door, err)
-	}
+// openDoor makes the door that the operator's file tells of.
+func openDoor(o Options, of door.Options, clk clock.Clock, log *slog.Logger) (*doorkeeper.Keeper, error) {
 	of.Longest = o.Settings.MaxRetryAfter
-	return doorkeeper.New(doorkeeper.Options{Door: *of, Classes: o.Settings.Classes, Clock: clk, Log: log,
+	return doorkeeper.New(doorkeeper.Options{Door: of, Classes: o.Settings.Classes, Clock: clk, Log: log,
 		Seed: o.Seed ^ xxhash.Sum64String("door"), Tells: o.Settings.RetryAfter})
 }
 
@@ -296,7 +312,7 @@
 		p.merged.Update(ownList, l)
 		return nil
 	}
-	p.feed.Update(l)
+	p.sink.Update(l)
 	return nil
 }
 
--- a/orchidgrpc/unary_test.go
+++ b/orchidgrpc/unary_test.go
@@ -378,7 +378,7 @@
 	for want, change := range map[string]func(*orchidgrpc.Options){
 		"Discovery":     func(o *orchidgrpc.Options) { o.Discovery = "nowhere" },
 		"none of":       func(o *orchidgrpc.Options) { o.Endpoints = nil },
-		"Registries":    func(o *orchidgrpc.Options) { o.Registries = "/nowhere" },
+		"File":          func(o *orchidgrpc.Options) { o.File = "/nowhere" },
 		"Endpoints":     func(o *orchidgrpc.Options) { o.Endpoints = []orchidgrpc.Endpoint{{Name: "a", Address: "b"}} },
 		"unknown class": func(o *orchidgrpc.Options) { o.Methods = map[string]string{search: "none"} },
 		"neither /pack": func(o *orchidgrpc.Options) { o.Methods = map[string]string{"Search": "search"} },
