--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -30,6 +30,7 @@
 	Log      logs.Declaration     `toml:"log" doc:"The log."`
 	Members  membership.Options   `toml:"membership" doc:"How several lists of one service are merged."`
 	Eureka   []eureka.Declaration `toml:"eureka" doc:"An Eureka registry that lists upstreams of a service, beside that one's own list or alone."`
+	Platform PlatformPart         `toml:"platform" doc:"Added to the platform's service, beside its file."`
 	Doors    []door.Options       `toml:"door" doc:"A queue before a service, fair between those who ask."`
 	Services []Service            `toml:"service" doc:"A service: upstreams that answer the same requests. There are as many as there are such tables."`
 	Routes   []routes.Declaration `toml:"route" doc:"A route: which requests go to which service, and as what. Absent, with one service: all go there."`
@@ -72,6 +73,11 @@
 	settings.Declaration
 }
 
+// PlatformPart is what the operator's file says of the platform's service.
+type PlatformPart struct {
+	Subset subset.Options `toml:"subset" doc:"For many upstreams: a part of them is this process's own."`
+}
+
 // Check is tomlfile.Checker's.
 func (d *Daemon) Check(report func(key, format string, args ...any)) {
 	if err := directory.CheckAddress(d.Listen); err != nil {
--- a/internal/config/plan.go
+++ b/internal/config/plan.go
@@ -198,6 +198,7 @@
 		p.Name, p.Listen, p.Seed, p.Limits = of.Name, of.Listen, of.Seed, of.Limits
 		p.HeadTimeout, p.BodyTimeout, p.Grace = of.HeadTimeout, of.BodyTimeout, of.Grace
 		p.Services = of.Services
+		p.Services[0].Subset = f.Platform.Subset
 		names[Platform] = 0
 		for _, r := range of.Table.Routes() {
 			all, places = append(all, r), append(places, "")
@@ -209,6 +210,9 @@
 		_, _ = rand.Read(b[:]) // never fails
 		p.Seed, p.SeedDrawn = binary.LittleEndian.Uint64(b[:]), true
 	}
+	if beside == nil && f.Platform.Subset.On {
+		doc.Report("platform.subset.on", "there is no platform's file: a service has its own [service.subset]")
+	}
 	f.registries(p, beside, doc)
 	longest := time.Duration(0)
 	for i := range f.Services {
--- a/internal/daemon/subset_test.go
+++ b/internal/daemon/subset_test.go
@@ -1,14 +1,18 @@
 package daemon
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"maps"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
 	"sync"
 	"testing"
 
+	"orchiddrift/internal/config"
 	"orchiddrift/internal/testkit"
 	"orchiddrift/internal/testkit/base"
 )
@@ -99,3 +103,50 @@
 		t.Errorf("%d moved: %v, before %v", moved, now, before)
 	}
 }
+
+// The platform's own service has a part of its list as its own where the operator's file beside its one says so.
+func TestSubsetOfThePlatform(t *testing.T) {
+	var known []string
+	for i := range 30 {
+		name := fmt.Sprint("n", i)
+		known = append(known, testkit.Entry(name, base.HTTP(t, nil, says(name)), "Ready"))
+	}
+	c := testkit.Config(t, testkit.Quiet(t).Address, known...)
+	if _, err := config.ParseFile([]byte("[[service]]\nname = \"a\"\naddresses = [\"127.0.0.1:1\"]\n[platform.subset]\non = true\n")); err == nil {
+		t.Error("taken without a platform")
+	}
+	p, err := config.ParseBeside(c, []byte("[log]\nlevel = \"error\"\n[platform.subset]\non = true\nleast = 5\nmost = 5\naway = 0.0\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	over, up := make(chan error, 1), make(chan *daemon, 1)
+	go func() { over <- serve(ctx, p, l, config.Sources{}, nil, func(d *daemon) { up <- d }) }()
+	defer func() {
+		stop()
+		if err := <-over; err != nil {
+			t.Error(err)
+		}
+	}()
+	d := <-up
+	own := slices.Sorted(maps.Keys(d.routing.Load().services[config.Platform].dir.Places()))
+	if len(own) != 5 {
+		t.Fatalf("its own are %v", own)
+	}
+	for range 50 {
+		resp, err := http.DefaultClient.Do(testkit.Request(t, l.Addr().String(), "search", ""))
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if err != nil || !slices.Contains(own, string(body)) {
+			t.Fatalf("%s %q, %v; its own are %v", resp.Status, body, err, own)
+		}
+	}
+	http.DefaultClient.CloseIdleConnections()
+}
