--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -9,6 +9,7 @@
 //	go run ./cmd/measure door      # queues at the door, limits, repeats and refusals, in virtual time
 //	go run ./cmd/measure counters  # 20 counters beside a script that floods, through the daemon on sockets
 //	go run ./cmd/measure fleet     # 10 to 200 sidecars before 5,000 nodes, in virtual time
+//	go run ./cmd/measure probes    # whether probes would help sidecars that send little, in virtual time
 //	go run ./cmd/measure grpc      # beside grpc-go's round_robin, weighted_round_robin and least_request
 package main
 
@@ -69,6 +70,10 @@
 
 func (c fleetCmd) Run() error { return measure.Fleet(c.options.options(), c.Plot) }
 
+type probesCmd struct{ options }
+
+func (c probesCmd) Run() error { return measure.Probe(c.options.options()) }
+
 type grpcCmd struct{ options }
 
 func (c grpcCmd) Run() error { return measure.GRPC(c.options.options()) }
@@ -91,6 +96,7 @@
 		Door     doorCmd     `cmd:"" help:"Queues at the door, limits, repeats and refusals, in virtual time."`
 		Counters countersCmd `cmd:"" help:"Twenty counters beside a script that floods, through the daemon."`
 		Fleet    fleetCmd    `cmd:"" help:"Fleets of 10 to 200 sidecars before 5,000 nodes, in virtual time."`
+		Probes   probesCmd   `cmd:"" help:"Whether probes would help sidecars that send little."`
 		GRPC     grpcCmd     `cmd:"" name:"grpc" help:"The plug-in beside grpc-go's balancers."`
 	}
 	ctx := kong.Parse(&cli, kong.Name("measure"), kong.UsageOnError())
--- a/internal/fleetsim/fleetsim.go
+++ b/internal/fleetsim/fleetsim.go
@@ -10,6 +10,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -35,6 +36,9 @@
 	Connect         time.Duration // what a new connection adds
 	Descriptors     int           // connections that a sidecar may have, which bounds its subset; absent: 496
 
+	Speed  func(i int) float64 // of a node; nil: 1
+	Probes *Probes             // in place of the module; nil: the module chooses
+
 	RestartAt   time.Duration // so that a part of the nodes restarts, spread over RestartOver; 0: none
 	RestartOver time.Duration
 	RestartPart float64
@@ -59,6 +63,7 @@
 	Own                               float64 // mean number of a sidecar's own nodes, at the end
 	Fell                              int     // nodes that were pushed over
 	Decisions                         int     // calls of the modules
+	Probes                            int     // sent
 	P50, P99                          time.Duration
 }
 
@@ -73,7 +78,10 @@
 	queue     []*attempt
 	busy      bool
 	running   *attempt
-	epoch     int // of its process: what it had before is lost
+	speed     float64
+	took      float64       // mean time here, s
+	owed      time.Duration // work that probes have cost
+	epoch     int           // of its process: what it had before is lost
 	work      time.Duration
 	asked     int
 	open, top int
@@ -95,6 +103,8 @@
 	sent  int
 	rate  float64
 	rng   *rand.Rand
+	own   []string             // active ones, where probes choose
+	seen  []int                // requests in hand, by the last probes
 	news  []directory.Endpoint // of the list, on its way
 }
 
@@ -159,7 +169,10 @@
 	s := &sim{Time: virtual.New(), r: r, rng: rand.New(rand.NewPCG(r.Seed, 11)), wall: time.UnixMilli(1_800_000_000_000),
 		byName: map[string]*node{}}
 	for i := range r.Nodes {
-		n := &node{name: fmt.Sprintf("node-%05d", i), index: i, zone: fmt.Sprint("z", i%r.Zones), up: true}
+		n := &node{name: fmt.Sprintf("node-%05d", i), index: i, zone: fmt.Sprint("z", i%r.Zones), up: true, speed: 1}
+		if r.Speed != nil {
+			n.speed = r.Speed(i)
+		}
 		s.nodes = append(s.nodes, n)
 		s.byName[n.name] = n
 	}
@@ -258,6 +271,12 @@
 			member.CameUp = virtual.Origin + time.UnixMilli(int64(e.SinceMs)).Sub(s.wall)
 		}
 		m.Entries = append(m.Entries, member)
+		if s.r.Probes != nil {
+			c.own = slices.DeleteFunc(c.own, func(name string) bool { return name == e.Name })
+			if member.State == balancer.Active {
+				c.own = append(c.own, e.Name)
+			}
+		}
 		if member.State != balancer.Active { // its connections are closed as they come back
 			if p := c.conns[s.byName[e.Name]]; p != nil {
 				s.close(c, s.byName[e.Name], len(p.idle))
@@ -357,6 +376,10 @@
 	c.asked[q.id] = q
 	c.sent++
 	s.out.Requests++
+	if s.r.Probes != nil {
+		s.probed(c, q)
+		return
+	}
 	s.module(c, balancer.Request{ID: q.id, Class: class.Name, Expires: q.expires})
 }
 
@@ -498,7 +521,8 @@
 		if a.ended {
 			continue
 		}
-		took := time.Duration(float64(a.of.work) / s.capacity(n))
+		took := time.Duration(float64(a.of.work+n.owed) / s.capacity(n) / n.speed)
+		n.owed = 0
 		n.busy, n.running = true, a
 		epoch := n.epoch
 		s.After(took, func() {
@@ -507,6 +531,7 @@
 			}
 			n.busy, n.running = false, nil
 			n.work += a.of.work
+			n.took += ((s.Now() - a.sent).Seconds() - n.took) * tookBlend
 			s.After(wire/2, func() { s.outcome(a, balancer.OK) })
 			s.work(n)
 		})
@@ -532,6 +557,12 @@
 		s.took = append(s.took, s.Now()-q.came)
 		s.answer(c, q.id, &s.out.Served)
 	}
+	if s.r.Probes != nil {
+		if r != balancer.OK {
+			s.answer(c, q.id, &s.out.Failed)
+		}
+		return
+	}
 	s.module(c, balancer.Outcome{ID: q.id, Attempt: a.number, Result: r, Elapsed: s.Now() - a.sent, Finished: q.done})
 }
 
