--- a/internal/daemon/door_test.go
+++ b/internal/daemon/door_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
 	"fmt"
 	"net/http"
+	"net/url"
 	"os"
 	"slices"
 	"strconv"
@@ -210,3 +214,32 @@
 		testkit.Eventually(t, path, func() bool { return slices.Equal(r.ended(path), []string{want}) })
 	}
 }
+
+// A sender is known by its certificate's URI, DNS name or common name, in that order, and by its address.
+func TestWhoOf(t *testing.T) {
+	id, err := url.Parse("spiffe://rail/counter/7")
+	if err != nil {
+		t.Fatal(err)
+	}
+	named := x509.Certificate{Subject: pkix.Name{CommonName: "cn"}}
+	dns := x509.Certificate{Subject: pkix.Name{CommonName: "cn"}, DNSNames: []string{"counter.example.org"}}
+	both := dns
+	both.URIs = []*url.URL{id}
+	for _, tt := range []struct {
+		from *tls.ConnectionState
+		want string
+	}{{nil, ""}, {&tls.ConnectionState{}, ""}, {shows(&named), "cn"}, {shows(&dns), "counter.example.org"}, {shows(&both), id.String()}} {
+		r := &http.Request{RemoteAddr: "192.0.2.9:4711", TLS: tt.from, Header: http.Header{"X-Shop": {"a"}}}
+		who := whoOf(r, "acme")
+		if who.Certificate() != tt.want || who.Peer().String() != "192.0.2.9" || who.Tenant != "acme" || who.Header("x-shop") != "a" {
+			t.Errorf("%q from %v, for %q", who.Certificate(), who.Peer(), tt.want)
+		}
+	}
+	if who := whoOf(&http.Request{RemoteAddr: "@"}, ""); who.Peer().IsValid() {
+		t.Error("an address out of nothing")
+	}
+}
+
+func shows(c *x509.Certificate) *tls.ConnectionState {
+	return &tls.ConnectionState{PeerCertificates: []*x509.Certificate{c}}
+}
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -137,6 +137,12 @@
 // setDoor takes over what a plan says of the door: another one keeps who waits, none lets them on.
 func (s *service) setDoor(plan config.ServicePlan) error {
 	now := s.door.Load()
+	if plan.Door != nil { // before the bulkhead, which knows no principals, has to turn anybody away
+		o, part := *plan.Door, max(1, (s.shared.connections-s.shared.connections/handSpare)/2)
+		o.Waiting, o.Most = min(o.Waiting, part), min(o.Most, part)
+		o.Least = min(o.Least, o.Most)
+		plan.Door = &o
+	}
 	switch {
 	case plan.Door == nil && now != nil:
 		s.door.Store(nil)
--- a/internal/measure/probes.go
+++ b/internal/measure/probes.go
@@ -49,7 +49,7 @@
 		return err
 	}
 	for _, r := range rows {
-		fmt.Fprintf(w, "%.1f\t%.1f\t%s\t%.4f\t%.0f\t%.0f\t%.1f\t%.1f\t\n", r.busy, rate(r)/sidecars, r.name, float64(r.seen.Served)/float64(r.seen.Requests),
+		fmt.Fprintf(w, "%.2f\t%.1f\t%s\t%.4f\t%.0f\t%.0f\t%.1f\t%.1f\t\n", r.busy, rate(r)/sidecars, r.name, float64(r.seen.Served)/float64(r.seen.Requests),
 			r.seen.P50.Seconds()*1e3, r.seen.P99.Seconds()*1e3, float64(r.seen.Probes)/nodes/60, float64(r.seen.Probes)/float64(r.seen.Requests))
 	}
 	return w.Flush()
