--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -483,16 +483,13 @@
 func (f *flow) pull(e *entry) {
 	for i := range f.runs {
 		r := &f.runs[i]
-		if r.first != e && r.last != e && i < len(f.runs)-1 && e.prev == nil {
-			continue
-		}
 		if r.first == e {
 			r.first = e.next
 		}
 		if r.last == e {
 			r.last = e.prev
 		}
-		if r.first == nil || r.last == nil {
+		if r.first == nil {
 			f.runs = append(f.runs[:i], f.runs[i+1:]...)
 			break
 		}
