--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -21,12 +21,12 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"orchiddrift/balancer"
+	"orchiddrift/internal/priority"
 )
 
 // Ticket is one request at the door. It is never used again.
@@ -109,13 +109,13 @@
 	free    []uint32
 	waiting int
 	bytes   int64
-	dues    heap[*entry]
+	dues    priority.Queue[*entry]
 	lane    entry // of those who came when told: a ring by next and prev, lane itself its root
 	byLane  bool  // the last one went by the lane
 
 	calendar    calendar
 	promises    int
-	lapses      heap[*flow]
+	lapses      priority.Queue[*flow]
 	spareGroups []*group
 	spareFlows  []*flow
 }
@@ -206,8 +206,8 @@
 		d.classes[c.Name] = k
 	}
 	d.root = newLevel()
-	d.dues = heap[*entry]{place: func(e *entry) *int { return &e.at }}
-	d.lapses = heap[*flow]{place: func(f *flow) *int { return &f.lapsing }}
+	d.dues = priority.New(func(e *entry) *int { return &e.at })
+	d.lapses = priority.New(func(f *flow) *int { return &f.lapsing })
 	d.lane.before, d.lane.after = &d.lane, &d.lane
 	d.calendar = newCalendar(o.longest(), d.rng)
 	return d
@@ -233,10 +233,17 @@
 // weigh puts a group and its flows where their loads belong, which another bound or weight has changed.
 func (d *Door) weigh(g *group) {
 	if g.most >= 0 {
-		d.root.most.fix(&g.member, -d.load(&g.member), 0)
+		d.root.most.Fix(&g.member, -d.load(&g.member), 0)
 	}
-	for _, x := range slices.Clone(g.level.most.items) {
-		g.level.most.fix(x.of, -d.load(x.of), 0)
+	for _, f := range g.flows {
+		d.weighFlow(f)
+	}
+	d.weighFlow(&g.shared)
+}
+
+func (d *Door) weighFlow(f *flow) {
+	if f.most >= 0 {
+		f.group.level.most.Fix(&f.member, -d.load(&f.member), 0)
 	}
 }
 
@@ -388,14 +395,14 @@
 	if d.waiting == 0 {
 		return e
 	}
-	most := d.root.most.first()
+	most := d.root.most.First()
 	if most.group != g && d.load(most) <= d.loadWith(&g.member, 1, e.bytes) {
 		most = &g.member
 	}
 	if most.group == g && g.waiting == 0 {
 		return e
 	}
-	of := most.group.level.most.first()
+	of := most.group.level.most.First()
 	if of != &f.member && most.group == g && d.load(of) <= d.loadWith(&f.member, 1, e.bytes) {
 		of = &f.member
 	}
@@ -435,10 +442,10 @@
 		if m.waiting == 1 {
 			l.of(m).wake(m)
 		}
-		l.most.fix(m, -d.load(m), 0)
+		l.most.Fix(m, -d.load(m), 0)
 	}
 	e.due = e.lastStart()
-	d.dues.fix(e, float64(e.due), uint64(e.index))
+	d.dues.Fix(e, float64(e.due), uint64(e.index))
 }
 
 // lastStart is when a request that waits is to be looked at: when it would miss its aim, and then its end.
@@ -508,7 +515,7 @@
 // out takes a waiting request out of all that counts waiting ones but the ready heaps.
 func (d *Door) out(e *entry) {
 	f, g := e.flow, e.flow.group
-	d.dues.remove(e)
+	d.dues.Remove(e)
 	f.pull(e)
 	if e.redeemed {
 		e.before.after, e.after.before = e.after, e.before
@@ -522,9 +529,9 @@
 		m.bytes -= e.bytes
 		if m.queued -= e.cost; m.waiting == 0 {
 			m.queued = 0
-			l.most.remove(m)
+			l.most.Remove(m)
 		} else {
-			l.most.fix(m, -d.load(m), 0)
+			l.most.Fix(m, -d.load(m), 0)
 		}
 	}
 }
@@ -535,7 +542,7 @@
 	for _, m := range [2]*member{&e.flow.member, &e.flow.group.member} {
 		l := d.levelOf(m)
 		if m.waiting == 0 {
-			l.of(m).ready.remove(m)
+			l.of(m).ready.Remove(m)
 		}
 		d.rested(l, m)
 	}
@@ -547,7 +554,7 @@
 		return
 	}
 	if s := l.of(m); s.owes(m) && m.rest < 0 {
-		s.resting.fix(m, m.finish, 0)
+		s.resting.Fix(m, m.finish, 0)
 	}
 	l.idle(m)
 }
@@ -621,9 +628,9 @@
 // paid forgets those members of a level whose debts are paid by now.
 func (d *Door) paid(l *level) {
 	for _, s := range [2]*sfq{&l.fair, &l.free} {
-		for s.resting.len() > 0 && !s.owes(s.resting.first()) {
-			m := s.resting.first()
-			s.resting.remove(m)
+		for s.resting.Len() > 0 && !s.owes(s.resting.First()) {
+			m := s.resting.First()
+			s.resting.Remove(m)
 			if m.flow != nil {
 				d.forget(m.flow)
 			} else {
@@ -677,24 +684,24 @@
 
 // Next is when Wake is to be called at the latest; false: there is no need.
 func (d *Door) Next() (time.Duration, bool) {
-	if d.dues.len() == 0 {
+	if d.dues.Len() == 0 {
 		return 0, false
 	}
-	return d.dues.first().due, true
+	return d.dues.First().due, true
 }
 
 // pass has time pass: who can't be answered in time any more is turned away at once.
 func (d *Door) pass(now time.Duration, acts []Action) []Action {
 	d.tell(now)
-	for d.dues.len() > 0 && d.dues.first().due <= d.now {
-		e := d.dues.first()
+	for d.dues.Len() > 0 && d.dues.First().due <= d.now {
+		e := d.dues.First()
 		if !e.late && e.class.LateShare > 0 && e.expires > e.aim {
 			e.flow.pull(e)
 			e.late = true
 			e.worth *= e.class.LateShare
 			e.flow.push(e)
 			if e.due = e.lastStart(); e.due > d.now {
-				d.dues.fix(e, float64(e.due), uint64(e.index))
+				d.dues.Fix(e, float64(e.due), uint64(e.index))
 				continue
 			}
 		}
@@ -797,7 +804,7 @@
 	if s := g.level.of(&f.member); s.owes(&f.member) { // it rests until that is paid
 		return
 	} else if f != &g.shared && g.flows[f.name] == f {
-		s.resting.remove(&f.member)
+		s.resting.Remove(&f.member)
 		delete(g.flows, f.name)
 		d.known--
 		if len(d.spareFlows) < spares {
@@ -816,7 +823,7 @@
 	if s := d.root.of(&g.member); len(g.flows) > 0 || len(g.shared.promises) > 0 || s.owes(&g.member) {
 		return
 	}
-	d.root.of(&g.member).resting.remove(&g.member)
+	d.root.of(&g.member).resting.Remove(&g.member)
 	delete(d.groups, g.name)
 	g.gone = true
 	if !g.crowd {
@@ -831,9 +838,9 @@
 // paidWithin forgets the flows of a group that has nothing waiting or in hand: none of them owes the others anything.
 func (d *Door) paidWithin(g *group) {
 	for _, s := range [2]*sfq{&g.level.fair, &g.level.free} {
-		for s.resting.len() > 0 {
-			f := s.resting.first().flow
-			s.resting.remove(&f.member)
+		for s.resting.Len() > 0 {
+			f := s.resting.First().flow
+			s.resting.Remove(&f.member)
 			if len(f.promises) == 0 && f != &g.shared {
 				delete(g.flows, f.name)
 				d.known--
--- a/internal/door/promise.go
+++ b/internal/door/promise.go
@@ -144,17 +144,17 @@
 // fixLapse keeps a flow in the order in which its next promise lapses.
 func (d *Door) fixLapse(f *flow) {
 	if len(f.promises) == 0 {
-		d.lapses.remove(f)
+		d.lapses.Remove(f)
 		return
 	}
 	f.lapse = f.promises[0].until // a later one may lapse a little sooner: it is forgotten with this one
-	d.lapses.fix(f, float64(f.lapse), 0)
+	d.lapses.Fix(f, float64(f.lapse), 0)
 }
 
 // lapse forgets what was promised and not come for.
 func (d *Door) lapse() {
-	for d.lapses.len() > 0 && d.lapses.first().lapse < d.now {
-		f := d.lapses.first()
+	for d.lapses.Len() > 0 && d.lapses.First().lapse < d.now {
+		f := d.lapses.First()
 		for i := 0; i < len(f.promises); {
 			if f.promises[i].until < d.now {
 				f.drop(i)
--- a/internal/door/sfq.go
+++ b/internal/door/sfq.go
@@ -1,5 +1,7 @@
 package door
 
+import "orchiddrift/internal/priority"
+
 // member is one of those between whom a level is fair: a group among groups, or a flow among those of its group. Times
 // are virtual: cost (seconds of a place) divided by weight.
 type member struct {
@@ -34,22 +36,22 @@
 // was charged moves the member's tags then, so that over time shares are of what was really taken.
 type sfq struct {
 	v, last float64 // virtual time, and the largest finish so far
-	ready   heap[*member]
-	resting heap[*member] // have nothing waiting and a finish above v: they are not forgotten before v gets there
+	ready   priority.Queue[*member]
+	resting priority.Queue[*member] // have nothing waiting and a finish above v: they are not forgotten before v gets there
 	order   uint64
 }
 
 func newSFQ() sfq {
-	return sfq{ready: heap[*member]{place: func(m *member) *int { return &m.ready }},
-		resting: heap[*member]{place: func(m *member) *int { return &m.rest }}}
+	return sfq{ready: priority.New(func(m *member) *int { return &m.ready }),
+		resting: priority.New(func(m *member) *int { return &m.rest })}
 }
 
 // wake has a member wait: it had nothing waiting before.
 func (s *sfq) wake(m *member) {
-	s.resting.remove(m)
+	s.resting.Remove(m)
 	s.order++
 	m.start, m.order = max(s.v, m.finish), s.order
-	s.ready.fix(m, m.start, m.order)
+	s.ready.Fix(m, m.start, m.order)
 }
 
 // charge is for one request of a waiting member that goes, by turn or out of it: v moves with turns only. more says that
@@ -61,12 +63,12 @@
 	m.finish = m.start + cost/m.share()
 	s.last = max(s.last, m.finish)
 	if !more {
-		s.ready.remove(m)
+		s.ready.Remove(m)
 		return
 	}
 	s.order++
 	m.start, m.order = m.finish, s.order
-	s.ready.fix(m, m.start, m.order)
+	s.ready.Fix(m, m.start, m.order)
 }
 
 // settle corrects what a member was charged.
@@ -75,7 +77,7 @@
 	m.finish += by / m.share()
 	s.last = max(s.last, m.finish)
 	if m.rest >= 0 {
-		s.resting.fix(m, m.finish, 0)
+		s.resting.Fix(m, m.finish, 0)
 	}
 	if m.ready < 0 {
 		return
@@ -85,7 +87,7 @@
 	} else {
 		m.start = max(m.start, m.finish)
 	}
-	s.ready.fix(m, m.start, m.order)
+	s.ready.Fix(m, m.start, m.order)
 }
 
 // owes tells whether a member had more than it is due up to now.
@@ -99,11 +101,11 @@
 	fair, free sfq     // with weights, and those that get what is left
 	weights    float64 // of active members; those of weight 0 count nothing
 	actives    int
-	most       heap[*member] // by load, the largest first
+	most       priority.Queue[*member] // by load, the largest first
 }
 
 func newLevel() level {
-	return level{fair: newSFQ(), free: newSFQ(), most: heap[*member]{place: func(m *member) *int { return &m.most }}}
+	return level{fair: newSFQ(), free: newSFQ(), most: priority.New(func(m *member) *int { return &m.most })}
 }
 
 func (l *level) of(m *member) *sfq {
@@ -116,10 +118,10 @@
 // next is the member whose turn it is; nil: nobody waits.
 func (l *level) next() *member {
 	switch {
-	case l.fair.ready.len() > 0:
-		return l.fair.ready.first()
-	case l.free.ready.len() > 0:
-		return l.free.ready.first()
+	case l.fair.ready.Len() > 0:
+		return l.fair.ready.First()
+	case l.free.ready.Len() > 0:
+		return l.free.ready.First()
 	}
 	return nil
 }
@@ -163,8 +165,8 @@
 	}
 	was := l.of(m)
 	waits, rests := m.ready >= 0, m.rest >= 0
-	was.ready.remove(m)
-	was.resting.remove(m)
+	was.ready.Remove(m)
+	was.resting.Remove(m)
 	m.weight = weight
 	now := l.of(m)
 	if now != was { // the other's virtual time is another
@@ -174,6 +176,6 @@
 	if waits {
 		now.wake(m)
 	} else if rests {
-		now.resting.fix(m, m.finish, 0)
+		now.resting.Fix(m, m.finish, 0)
 	}
 }
