door: memory as stated, budgets that a flood of names can't use up, aims that stretch

Need, from a second reading: the test of memory held 10,001 principals (790 bytes each) against the bound of 16,384 and could not fail; flows kept the room of past promises; new names came with ten repeats each, paid from the common budget; aim_stretch and weights of names over 64 bytes did not count; that early comers gain nothing was logged and not held. Change: the half for weight 0 is made where it is needed, promises' room shrinks, budgets as docs/design/door.md says; the tests fail without.

--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -14,7 +14,8 @@
 // promise.go when who was refused may come back, budget.go bounds repeats, principal.go names principals.
 //
 // Bounds: Options.Waiting requests wait; Options.Known groups and flows are known, of one group a 16th at most, beside 16
-// shared ones; one of them takes under 700 bytes with its name, so 11 MB at the default of 16,384. A principal is forgotten
+// shared ones; one of them takes under 700 bytes with its name, and what waits and was promised 1 MB at the defaults,
+// so 12 MB at 16,384 (TestMemory). A principal is forgotten
 // when nothing of it waits or is in hand, it owes nothing (its finish is no later than virtual time) and no promise to it
 // stands. None of that depends on how many others there are, so that a flood of names neither keeps nor ousts anybody.
 package door
@@ -190,11 +191,11 @@
 	crowdName = "\x00"
 )
 
-// New returns a Door for a service's classes, or an error that Options.Check would have reported.
+// New returns a Door for a service's classes. The options have passed Options.Check.
 func New(o Options, classes []balancer.Class, seed uint64) *Door {
 	d := &Door{o: o, weights: o.weights(), classes: map[string]*class{}, seed: seed,
 		rng: rand.New(rand.NewPCG(seed, 0x646f6f72)), groups: map[string]*group{}, limit: newLimiter(o.Least, o.Most),
-		budget: newBudget(), usual: costUsual, other: &class{usual: costUsual}}
+		budget: budget{tokens: budgetAll, most: budgetAll}, usual: costUsual, other: &class{usual: costUsual}}
 	for _, c := range classes {
 		k := &class{Class: c, usual: costUsual}
 		if k.Worth == 0 {
@@ -272,7 +273,7 @@
 	e := d.entry()
 	e.flow, e.class, e.hinted, e.arrival, e.bytes = f, c, a.Hint, d.now, a.Bytes
 	e.print = a.Print
-	e.aim, e.expires = a.Came+c.Aim, a.Expires
+	e.aim, e.expires = a.Came+c.Aim+time.Duration(c.AimStretch*float64(a.Hint)), a.Expires
 	if c.Aim <= 0 {
 		e.aim = a.Expires
 	}
@@ -627,8 +628,8 @@
 
 // paid forgets those members of a level whose debts are paid by now.
 func (d *Door) paid(l *level) {
-	for _, s := range [2]*sfq{&l.fair, &l.free} {
-		for s.resting.Len() > 0 && !s.owes(s.resting.First()) {
+	for _, s := range l.halves() {
+		for s != nil && s.resting.Len() > 0 && !s.owes(s.resting.First()) {
 			m := s.resting.First()
 			s.resting.Remove(m)
 			if m.flow != nil {
@@ -760,7 +761,7 @@
 	} else {
 		g = &group{level: newLevel()}
 	}
-	g.name, g.crowd, g.gone, g.honesty, g.budget = name, crowd, false, 1, newBudget()
+	g.name, g.crowd, g.gone, g.honesty, g.budget = name, crowd, false, 1, budget{tokens: 1, most: budgetOne}
 	g.member = member{ready: -1, rest: -1, most: -1, group: g}
 	g.weight = d.weightOf(g)
 	g.shared.reset(g, "")
@@ -837,8 +838,8 @@
 
 // paidWithin forgets the flows of a group that has nothing waiting or in hand: none of them owes the others anything.
 func (d *Door) paidWithin(g *group) {
-	for _, s := range [2]*sfq{&g.level.fair, &g.level.free} {
-		for s.resting.Len() > 0 {
+	for _, s := range g.level.halves() {
+		for s != nil && s.resting.Len() > 0 {
 			f := s.resting.First().flow
 			s.resting.Remove(&f.member)
 			if len(f.promises) == 0 && f != &g.shared {
--- a/internal/door/door_test.go
+++ b/internal/door/door_test.go
@@ -202,6 +202,12 @@
 	}
 }
 
+// What the package's comment states.
+const (
+	principalBytes = 700
+	otherBytes     = 1 << 20
+)
+
 // Ten thousand principals with one request each, and one with thousands, in the memory that the package's comment states.
 func TestMemory(t *testing.T) {
 	if testing.Short() {
@@ -213,26 +219,37 @@
 		runtime.ReadMemStats(&m)
 		return int64(m.HeapAlloc)
 	}
-	o := one(8, 1024)
-	o.Longest = 2 * time.Minute
-	before := heap()
-	d := New(o, testClasses, 1)
-	var acts []Action
-	now := time.Hour
-	for i := range 10_000 {
-		_, acts = d.Arrive(now, Arrival{Group: "client-" + strings.Repeat("x", 40) + fmt.Sprint(i), Class: "search", Came: now, Expires: now + time.Second}, acts[:0])
-		_, acts = d.Arrive(now, Arrival{Group: "flood", Class: "search", Came: now, Expires: now + time.Second}, acts[:0])
-	}
-	v := d.View()
-	used := heap() - before
-	t.Logf("%d KB for %+v", used>>10, v)
-	if limit := int64(d.o.Known) * 700; used > limit {
-		t.Errorf("%d bytes, of %d", used, limit)
-	}
-	if v.Known < 9000 {
-		t.Errorf("only %d are known", v.Known)
-	}
-	runtime.KeepAlive(d)
+	for _, tt := range []struct {
+		n     int
+		flows bool
+	}{{10_000, false}, {40_000, false}, {40_000, true}} { // within what may be known, and beyond it
+		n := tt.n
+		o := one(8, 1024)
+		o.Longest = 4 * time.Minute
+		before := heap()
+		d := New(o, testClasses, 1)
+		var acts []Action
+		now := time.Hour
+		for i := range n {
+			name := "client-" + strings.Repeat("x", 50) + fmt.Sprintf("%07d", i) // as long as a name may be
+			flow := ""
+			if tt.flows {
+				flow = name + "f"
+			}
+			_, acts = d.Arrive(now, Arrival{Group: name, Flow: flow, Class: "search", Came: now, Expires: now + time.Second}, acts[:0])
+			_, acts = d.Arrive(now, Arrival{Group: "flood", Class: "search", Came: now, Expires: now + time.Second}, acts[:0])
+		}
+		v := d.View()
+		used := heap() - before
+		t.Logf("%d KB for %+v", used>>10, v)
+		if limit := int64(v.Known)*principalBytes + otherBytes; used > limit {
+			t.Errorf("%d bytes for %d principals, of %d", used, v.Known, limit)
+		}
+		if v.Known < min(n, o.Known)-1 {
+			t.Errorf("only %d are known", v.Known)
+		}
+		runtime.KeepAlive(d)
+	}
 }
 
 // Who was told when to come back: spread, no more in a moment than drain, mostly served when they come then, and coming
@@ -254,6 +271,11 @@
 	told, kept, earlyKept, earlyAsked := 0, 0, 0, 0
 	seen := 0
 	arrive := func(group string, isBack, early bool) {
+		standing := r.d.View().Promises
+		if err := r.wake(); err != nil {
+			t.Fatal(err)
+		}
+		standing = r.d.View().Promises // those that have lapsed are gone
 		ticket, err := r.arrive(Arrival{Group: group, Expires: r.now + time.Second})
 		must(t, err)
 		groups[ticket] = group
@@ -262,7 +284,7 @@
 		}
 		if early {
 			earlyAsked++
-			if r.state[ticket] != none {
+			if r.d.View().Promises < standing {
 				earlyKept++
 			}
 		} else {
@@ -285,7 +307,10 @@
 		early := rng.IntN(4) == 0
 		at := r.now + r.told[ticket]
 		if early {
-			at = r.now + r.told[ticket]/2
+			at = r.now + r.told[ticket]/2 // 20 ms are let pass, so that this is before its time
+			if r.told[ticket] < 50*time.Millisecond {
+				early, at = false, r.now+r.told[ticket]
+			}
 		}
 		backs = append(backs, back{at, groups[ticket], early})
 	}
@@ -325,7 +350,9 @@
 	if part := float64(kept) / float64(told); part < 0.95 {
 		t.Errorf("of %d who came when told %d were kept", told, kept)
 	}
-	t.Logf("told %d kept %d; early %d, of them not refused at once %d", told, kept, earlyAsked, earlyKept)
+	if earlyAsked < 20 || earlyKept > 0 {
+		t.Errorf("of %d who came early %d had their promise kept", earlyAsked, earlyKept)
+	}
 }
 
 // Repeats have their part of first requests, of each principal and of all, and none where nobody waits.
@@ -341,13 +368,21 @@
 		must(t, r.done(ticket, Answered))
 	}
 	r.fill(t, 1, forever(Arrival{Group: "x"}))
-	if n := len(r.fill(t, 100, forever(Arrival{Group: "a", Repeat: true}))); n != budgetBurst {
+	repeats := func(name string) int { return len(r.fill(t, 100, forever(Arrival{Group: name, Repeat: true}))) }
+	if n := repeats("a"); n != 1 {
 		t.Errorf("%d repeats wait beside no first request", n)
 	}
 	r.fill(t, 100, forever(Arrival{Group: "a"}))
-	if n := len(r.fill(t, 100, forever(Arrival{Group: "a", Repeat: true}))); n < budgetBurst-1 || n > 20 {
+	if n := repeats("a"); n != budgetOne {
 		t.Errorf("%d repeats wait beside 100 first requests", n)
 	}
+	r.fill(t, 50, forever(Arrival{Group: "b"}))
+	for i := range 100 { // names that repeat without having asked don't use up what others have earned
+		repeats(fmt.Sprint("name", i))
+	}
+	if n := repeats("b"); n != budgetOne {
+		t.Errorf("%d of another's repeats wait beside its 50 first requests", n)
+	}
 }
 
 // Names are told apart as By says, and none is longer than its bound.
--- a/internal/door/options.go
+++ b/internal/door/options.go
@@ -106,7 +106,7 @@
 func (o *Options) weights() map[string]float64 {
 	m := make(map[string]float64, len(o.Weights))
 	for _, w := range o.Weights {
-		m[w.Name] = w.Weight
+		m[bounded(w.Name)] = w.Weight
 	}
 	return m
 }
--- a/internal/door/principal.go
+++ b/internal/door/principal.go
@@ -81,7 +81,12 @@
 			return network(w.Peer())
 		}
 	}
-	if len(name) > longestName {
+	return bounded(name)
+}
+
+// bounded is a name of no more than longestName bytes, and none that stands for a crowd.
+func bounded(name string) string {
+	if len(name) > longestName || strings.HasPrefix(name, crowdName) {
 		sum := sha256.Sum256([]byte(name))
 		name = hex.EncodeToString(sum[:longestName/2])
 	}
--- a/internal/door/promise.go
+++ b/internal/door/promise.go
@@ -99,6 +99,9 @@
 	if len(f.promises) == 0 {
 		f.promised = 0
 	}
+	if cap(f.promises) > 8 && cap(f.promises) > 4*len(f.promises) { // what all flows keep follows what is promised
+		f.promises = append(make([]promise, 0, 2*len(f.promises)), f.promises...)
+	}
 }
 
 // redeem uses up the earliest promise that holds now and was given to such a request. Others of the principal don't use it
--- a/internal/door/sfq.go
+++ b/internal/door/sfq.go
@@ -98,29 +98,37 @@
 
 // level is the members of one parent.
 type level struct {
-	fair, free sfq     // with weights, and those that get what is left
-	weights    float64 // of active members; those of weight 0 count nothing
-	actives    int
-	most       priority.Queue[*member] // by load, the largest first
+	fair    sfq
+	free    *sfq    // of those of weight 0, that get what is left; nil: there was none yet
+	weights float64 // of active members; those of weight 0 count nothing
+	actives int
+	most    priority.Queue[*member] // by load, the largest first
 }
 
 func newLevel() level {
-	return level{fair: newSFQ(), free: newSFQ(), most: priority.New(func(m *member) *int { return &m.most })}
+	return level{fair: newSFQ(), most: priority.New(func(m *member) *int { return &m.most })}
 }
 
 func (l *level) of(m *member) *sfq {
 	if m.weight > 0 {
 		return &l.fair
 	}
-	return &l.free
+	if l.free == nil {
+		s := newSFQ()
+		l.free = &s
+	}
+	return l.free
 }
 
+// halves are what of it there is.
+func (l *level) halves() [2]*sfq { return [2]*sfq{&l.fair, l.free} }
+
 // next is the member whose turn it is; nil: nobody waits.
 func (l *level) next() *member {
 	switch {
 	case l.fair.ready.Len() > 0:
 		return l.fair.ready.First()
-	case l.free.ready.Len() > 0:
+	case l.free != nil && l.free.ready.Len() > 0:
 		return l.free.ready.First()
 	}
 	return nil
@@ -146,13 +154,15 @@
 	if l.actives == 0 {
 		l.weights = 0 // sums of fractions drift
 		l.fair.calm()
-		l.free.calm()
+		if l.free != nil {
+			l.free.calm()
+		}
 	}
 }
 
 // reset is for a level that nobody is in.
 func (l *level) reset() {
-	l.fair.v, l.fair.last, l.free.v, l.free.last = 0, 0, 0, 0
+	l.fair.v, l.fair.last, l.free = 0, 0, nil
 }
 
 // reweigh gives a member another weight under way. Its tags are of the old one until they are used up.
--- a/internal/doorsim/doorsim.go
+++ b/internal/doorsim/doorsim.go
@@ -58,6 +58,7 @@
 	First, InAim, Late, Refused, Failed int // first requests, and how they ended in the end
 	Asked                               int // with repeats
 	Told, Kept                          int // came back when promised, and were served then
+	Firsts, Repeats                     int // first tries and marked repeats that went on while it asked at least twice its rate
 	Chanced, Lucky                      int // came back when told without a promise, and were served then
 	Took                                []time.Duration
 	Work                                time.Duration // that nodes did for it
--- a/internal/measure/door.go
+++ b/internal/measure/door.go
@@ -29,7 +29,7 @@
 		ConnectTimeout: time.Second, Tick: time.Millisecond}
 }
 
-// Gate is a kind of gate by name.
+// namedGate is a kind of gate by name.
 type namedGate struct {
 	name string
 	make func(seed uint64) doorsim.Gate
