--- a/internal/door/door_test.go
+++ b/internal/door/door_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"orchiddrift/balancer"
 )
 
 // must ends the test on an error.
@@ -422,7 +424,28 @@
 	}
 }
 
-// The limit follows crowding and not slowness: see the measured table for the figures.
+// An aim that stretches with the hint holds a request longer, and a weight counts for a name that is known by its hash.
+func TestStretchAndLongNames(t *testing.T) {
+	long := strings.Repeat("n", longestName+1)
+	o := one(1, 100)
+	o.Weights = []Weight{{long, 0}}
+	d := New(o, []balancer.Class{{Name: "search", Aim: 100 * time.Millisecond, AimStretch: 2, Deadline: 5 * time.Second}}, 1)
+	now := time.Hour
+	by, err := ParseBy([]string{"tenant"})
+	must(t, err)
+	group, _ := by.Names(Who{Tenant: long})
+	for _, hint := range []time.Duration{0, time.Second} {
+		d.Arrive(now, Arrival{Group: group, Class: "search", Hint: hint, Came: now, Expires: now + 5*time.Second}, nil)
+	}
+	if at, ok := d.Next(); !ok || at < now+time.Second {
+		t.Errorf("an aim of 0.1 s and two of a hint of 1 s ends in %v", at-now)
+	}
+	if w := d.groups[group].weight; w != 0 {
+		t.Errorf("the long name weighs %v", w)
+	}
+}
+
+// BenchmarkRequest is a request's arrival, its turn and its end, while so many principals wait.
 func BenchmarkRequest(b *testing.B) {
 	for _, n := range []int{1, 100, 10_000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
