What stood twice in measurements and tests is written once

Need: a check of the change found a daemon's role, a test's start of a plan and the limits' rounds written again. Change: attendFile, startPlan, and places and rounds in doorsim.

--- a/internal/daemon/eureka_test.go
+++ b/internal/daemon/eureka_test.go
@@ -185,20 +185,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, stop := context.WithCancel(context.Background())
-	over, up := make(chan error, 1), make(chan *daemon, 1)
-	go func() { over <- serve(ctx, p, l, config.Sources{}, nil, func(d *daemon) { up <- d }) }()
-	defer func() {
-		stop()
-		if err := <-over; err != nil {
-			t.Error(err)
-		}
-	}()
-	s := (<-up).routing.Load().services[config.Platform]
+	started, _ := startPlan(t, p)
+	s := started.routing.Load().services[config.Platform]
 	takes := func(want ...string) func() bool {
 		return func() bool {
 			got := []string{}
--- a/internal/daemon/file_test.go
+++ b/internal/daemon/file_test.go
@@ -69,6 +69,25 @@
 	return r
 }
 
+// startPlan starts a daemon by a plan, and ends it with the test.
+func startPlan(t *testing.T, p *config.Plan) (d *daemon, address string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	over, up := make(chan error, 1), make(chan *daemon, 1)
+	go func() { over <- serve(ctx, p, l, config.Sources{}, nil, func(d *daemon) { up <- d }) }()
+	t.Cleanup(func() {
+		stop()
+		if err := <-over; err != nil {
+			t.Error(err)
+		}
+	})
+	return <-up, l.Addr().String()
+}
+
 func (r *fileRig) reload(t testing.TB, text string) error {
 	t.Helper()
 	base.Replace(t, r.path, []byte(text))
--- a/internal/daemon/subset_test.go
+++ b/internal/daemon/subset_test.go
@@ -1,11 +1,9 @@
 package daemon
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"maps"
-	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -119,26 +117,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, stop := context.WithCancel(context.Background())
-	over, up := make(chan error, 1), make(chan *daemon, 1)
-	go func() { over <- serve(ctx, p, l, config.Sources{}, nil, func(d *daemon) { up <- d }) }()
-	defer func() {
-		stop()
-		if err := <-over; err != nil {
-			t.Error(err)
-		}
-	}()
-	d := <-up
+	d, address := startPlan(t, p)
 	own := slices.Sorted(maps.Keys(d.routing.Load().services[config.Platform].dir.Places()))
 	if len(own) != 5 {
 		t.Fatalf("its own are %v", own)
 	}
 	for range 50 {
-		resp, err := http.DefaultClient.Do(testkit.Request(t, l.Addr().String(), "search", ""))
+		resp, err := http.DefaultClient.Do(testkit.Request(t, address, "search", ""))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/doorsim/gates.go
+++ b/internal/doorsim/gates.go
@@ -345,145 +345,133 @@
 // Sample is Limit's.
 func (f Fixed) Sample(time.Duration, time.Duration, int, bool) {}
 
-// AIMD adds one a round of answers in time and takes a tenth for one that is later than Late.
-type AIMD struct {
-	Late  time.Duration
-	limit float64
-}
+// places is a limit that moves.
+type places struct{ limit float64 }
 
 // Places is Limit's.
-func (l *AIMD) Places() int {
-	if l.limit == 0 {
-		l.limit = 64
+func (p *places) Places() int {
+	if p.limit == 0 {
+		p.limit = 64
+	}
+	return int(p.limit)
+}
+
+func (p *places) set(limit float64) { p.limit = max(8, min(1024, limit)) }
+
+// rounds gathers samples.
+type rounds struct {
+	begun, took time.Duration
+	n, most     int
+}
+
+// round is one of at least 32 samples.
+type round struct {
+	mean, rate float64 // s, and answers a second
+	most       int     // in hand
+}
+
+func (r *rounds) add(now, took time.Duration, inHand int, least time.Duration) (_ round, ended bool) {
+	if r.begun == 0 {
+		r.begun = now
+	}
+	r.took, r.n, r.most = r.took+took, r.n+1, max(r.most, inHand)
+	if r.n < 32 || now-r.begun < least {
+		return round{}, false
 	}
-	return int(l.limit)
+	out := round{r.took.Seconds() / float64(r.n), float64(r.n) / (now - r.begun).Seconds(), r.most}
+	*r = rounds{begun: now}
+	return out, true
+}
+
+// AIMD adds one for a limit's worth of answers in time, and takes two hundredths for one that is later than Late.
+type AIMD struct {
+	Late time.Duration
+	places
 }
 
 // Sample is Limit's.
 func (l *AIMD) Sample(_, took time.Duration, inHand int, turned bool) {
 	switch {
 	case turned || took > l.Late:
-		l.limit = max(8, l.limit*0.98)
+		l.set(l.limit * 0.98)
 	case float64(inHand)*2 > l.limit:
-		l.limit = min(1024, l.limit+1/l.limit)
+		l.set(l.limit + 1/l.limit)
 	}
 }
 
 // Gradient is Netflix's Gradient2 behind its WindowedLimit (concurrency-limits): the long mean of times over that of a window,
 // plus room for a queue.
 type Gradient struct {
-	limit, long float64
-	begun       time.Duration
-	took        time.Duration
-	n, most     int
-}
-
-// Places is Limit's.
-func (l *Gradient) Places() int {
-	if l.limit == 0 {
-		l.limit = 64
-	}
-	return int(l.limit)
+	places
+	rounds
+	long float64
 }
 
 // Sample is Limit's.
 func (l *Gradient) Sample(now, took time.Duration, inHand int, _ bool) {
-	l.took, l.n, l.most = l.took+took, l.n+1, max(l.most, inHand)
-	if l.n < 32 || now-l.begun < 100*time.Millisecond {
+	r, ended := l.add(now, took, inHand, 100*time.Millisecond)
+	if !ended {
 		return
 	}
-	short, most := l.took.Seconds()/float64(l.n), l.most
-	l.begun, l.took, l.n, l.most = now, 0, 0, 0
 	if l.long == 0 {
-		l.long = short
+		l.long = r.mean
 	}
-	l.long += (short - l.long) * 2 / 601
-	if l.long > 2*short {
+	l.long += (r.mean - l.long) * 2 / 601
+	if l.long > 2*r.mean {
 		l.long *= 0.95
 	}
-	if float64(most) < l.limit/2 {
+	if float64(r.most) < l.limit/2 {
 		return
 	}
-	gradient := max(0.5, min(1, 1.5*l.long/max(short, 1e-9)))
-	next := l.limit*gradient + 4
-	l.limit = max(8, min(1024, l.limit*0.8+next*0.2))
+	next := l.limit*max(0.5, min(1, 1.5*l.long/max(r.mean, 1e-9))) + 4
+	l.set(l.limit*0.8 + next*0.2)
 }
 
 // RateDelay is what BBR's model comes to for requests: the highest rate of answers seen lately, times the least mean time
 // seen lately, times a gain.
 type RateDelay struct {
-	limit  float64
-	begun  time.Duration
-	took   time.Duration
-	n      int
-	rates  []float64
-	delays []float64
-}
-
-// Places is Limit's.
-func (l *RateDelay) Places() int {
-	if l.limit == 0 {
-		l.limit = 64
-	}
-	return int(l.limit)
+	places
+	rounds
+	rates, delays []float64
 }
 
 // Sample is Limit's.
-func (l *RateDelay) Sample(now, took time.Duration, _ int, turned bool) {
-	if l.begun == 0 {
-		l.begun = now
-	}
-	if !turned {
-		l.took, l.n = l.took+took, l.n+1
+func (l *RateDelay) Sample(now, took time.Duration, inHand int, turned bool) {
+	if turned {
+		return
 	}
-	if l.n < 32 || now-l.begun < 100*time.Millisecond {
+	r, ended := l.add(now, took, inHand, 100*time.Millisecond)
+	if !ended {
 		return
 	}
-	const rounds, gain = 50, 1.25
-	l.rates = append(l.rates, float64(l.n)/(now-l.begun).Seconds())
-	l.delays = append(l.delays, l.took.Seconds()/float64(l.n))
-	if len(l.rates) > rounds {
+	const kept, recent, gain = 50, 10, 1.25
+	l.rates, l.delays = append(l.rates, r.rate), append(l.delays, r.mean)
+	if len(l.rates) > kept {
 		l.rates, l.delays = l.rates[1:], l.delays[1:]
 	}
-	recent := l.rates[max(0, len(l.rates)-10):]
-	l.limit = max(8, min(1024, gain*slices.Max(recent)*slices.Min(l.delays)))
-	l.begun, l.took, l.n = now, 0, 0
+	l.set(gain * slices.Max(l.rates[max(0, len(l.rates)-recent):]) * slices.Min(l.delays))
 }
 
-// Vegas is the door's own rule without what tells slower from crowded.
+// Vegas is TCP Vegas' rule by rounds, for requests: what of the limit waits, by the least mean time ever seen.
 type Vegas struct {
-	limit, base float64
-	begun       time.Duration
-	took        time.Duration
-	n           int
-}
-
-// Places is Limit's.
-func (l *Vegas) Places() int {
-	if l.limit == 0 {
-		l.limit = 64
-	}
-	return int(l.limit)
+	places
+	rounds
+	base float64
 }
 
 // Sample is Limit's.
-func (l *Vegas) Sample(now, took time.Duration, inHand int, turned bool) {
-	if l.begun == 0 {
-		l.begun = now
-	}
-	l.took, l.n = l.took+took, l.n+1
-	if l.n < 32 || now-l.begun < 50*time.Millisecond {
+func (l *Vegas) Sample(now, took time.Duration, inHand int, _ bool) {
+	r, ended := l.add(now, took, inHand, 50*time.Millisecond)
+	if !ended {
 		return
 	}
-	mean := l.took.Seconds() / float64(l.n)
-	if l.base == 0 || mean < l.base {
-		l.base = mean
+	if l.base == 0 || r.mean < l.base {
+		l.base = r.mean
 	}
-	switch queue := l.limit * (1 - l.base/mean); {
+	switch queue := l.limit * (1 - l.base/r.mean); {
 	case queue > 6*math.Log10(l.limit)+l.limit/2:
-		l.limit = max(8, l.limit*0.85)
-	case queue < 3*math.Log10(l.limit)+l.limit/4 && float64(inHand) > l.limit*0.8:
-		l.limit = min(1024, l.limit*1.15)
+		l.set(l.limit * 0.85)
+	case queue < 3*math.Log10(l.limit)+l.limit/4 && float64(r.most) > l.limit*0.8:
+		l.set(l.limit * 1.15)
 	}
-	l.begun, l.took, l.n = now, 0, 0
 }
--- a/internal/measure/counters.go
+++ b/internal/measure/counters.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -19,8 +18,6 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"orchiddrift/internal/config"
-	"orchiddrift/internal/daemon"
 	"orchiddrift/internal/doorsim"
 	"orchiddrift/internal/standin"
 )
@@ -271,14 +268,5 @@
 	case "one queue":
 		text = append(text, "[[door]]\nservice = \"seats\"\nby = [\"header:X-Nobody\"]\n"...)
 	}
-	p, err := config.ParseFile(text)
-	if err != nil {
-		return err
-	}
-	daemon.LimitMemory(p)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return err
-	}
-	return attendDaemon(p, l)
+	return attendFile(text)
 }
--- a/internal/measure/eureka.go
+++ b/internal/measure/eureka.go
@@ -184,16 +184,7 @@
 
 // serveEurekaDaemon is a daemon of its own process, whose registry Addresses name.
 func (r role) serveEurekaDaemon() error {
-	p, err := config.ParseFile(eurekaFile(r.Addresses[0], 200*time.Millisecond, "48MiB", r.Policy == "delta"))
-	if err != nil {
-		return err
-	}
-	daemon.LimitMemory(p)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return err
-	}
-	return attendDaemon(p, l)
+	return attendFile(eurekaFile(r.Addresses[0], 200*time.Millisecond, "48MiB", r.Policy == "delta"))
 }
 
 // eurekaMemory prints the memory and CPU of a daemon process that follows 5,000 instances, whose document changes with
--- a/internal/measure/many.go
+++ b/internal/measure/many.go
@@ -13,9 +13,6 @@
 	"sync"
 	"text/tabwriter"
 	"time"
-
-	"orchiddrift/internal/config"
-	"orchiddrift/internal/daemon"
 )
 
 // manySeen is what 5,000 nodes saw.
@@ -213,14 +210,5 @@
 	if r.Nodes > 0 {
 		text = fmt.Appendf(text, "[service.subset]\non = true\nsidecars = %d\nindex = %d\nleast = %d\nmost = 128\naway = 0.0\n", r.Workers, r.Calls, r.Nodes)
 	}
-	p, err := config.ParseFile(text)
-	if err != nil {
-		return err
-	}
-	daemon.LimitMemory(p)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return err
-	}
-	return attendDaemon(p, l)
+	return attendFile(text)
 }
--- a/internal/measure/roles.go
+++ b/internal/measure/roles.go
@@ -112,6 +112,20 @@
 	return in.Err()
 }
 
+// attendFile is attend beside a daemon by an operator's file, within its memory limit, on a free port.
+func attendFile(text []byte) error {
+	p, err := config.ParseFile(text)
+	if err != nil {
+		return err
+	}
+	daemon.LimitMemory(p)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	return attendDaemon(p, l)
+}
+
 // attendDaemon is attend beside a daemon.
 func attendDaemon(p *config.Plan, l net.Listener) error {
 	ctx, cancel := context.WithCancel(context.Background())
