--- a/internal/fleetsim/fleetsim.go
+++ b/internal/fleetsim/fleetsim.go
@@ -36,6 +36,7 @@
 	Connect         time.Duration // what a new connection adds
 	Descriptors     int           // connections that a sidecar may have, which bounds its subset; absent: 496
 
+	Blind  bool                // modules are not told what cold nodes can take, nor which are cold
 	Speed  func(i int) float64 // of a node; nil: 1
 	Probes *Probes             // in place of the module; nil: the module chooses
 
@@ -207,6 +208,9 @@
 func (s *sim) sidecar(i int) (*sidecar, error) {
 	set := s.r.Settings
 	set.Balancers = s.r.Sidecars
+	if s.r.Blind {
+		set.ColdFrom, set.WarmUp, set.FallMultiple, set.FallTime = 0, 0, 0, 0
+	}
 	zone := fmt.Sprint("z", i%s.r.Zones)
 	set.Zone = zone
 	b, err := balancer.New(set, s.r.Seed<<16+uint64(i))
@@ -267,7 +271,7 @@
 		case directory.StatusGone:
 			member.State = balancer.Left
 		}
-		if e.SinceMs > 0 {
+		if e.SinceMs > 0 && !s.r.Blind {
 			member.CameUp = virtual.Origin + time.UnixMilli(int64(e.SinceMs)).Sub(s.wall)
 		}
 		m.Entries = append(m.Entries, member)
--- a/internal/fleetsim/fleetsim_test.go
+++ b/internal/fleetsim/fleetsim_test.go
@@ -40,11 +40,14 @@
 	}
 }
 
-// Connections a node stay flat from few sidecars to many at the same traffic, no node is left out, and its load stays even.
+// Connections a node stay nearly flat from few sidecars to many at the same traffic, no node is left out, and its load stays
+// even. Where each sidecar chooses among all nodes by chance they grow.
 func TestFlat(t *testing.T) {
 	few, many := play(t, run(4, 200)), play(t, run(40, 200))
-	if many.OpenNode > 1.2*few.OpenNode && many.OpenNode > few.OpenNode+1 {
-		t.Errorf("connections a node: %.2f of 4 sidecars, %.2f of 40", few.OpenNode, many.OpenNode)
+	chance := run(40, 200)
+	chance.Subset.On, chance.Probes = false, &Probes{Each: 1}
+	if whole := play(t, chance); many.OpenNode > 1.5*few.OpenNode || whole.OpenNode < 3*many.OpenNode {
+		t.Errorf("connections a node: %.2f of 4 sidecars, %.2f of 40, %.2f of 40 by chance", few.OpenNode, many.OpenNode, whole.OpenNode)
 	}
 	for _, r := range []*Result{few, many} {
 		if r.Asked != 200 || r.Spread > 2 {
@@ -53,12 +56,20 @@
 	}
 }
 
-// Half of the nodes restart within two seconds: none of them is pushed over.
+// Half of the nodes restart within two seconds, while the fleet is half busy: none is pushed over, and some are where modules are
+// not told which are cold.
 func TestHalfRestarts(t *testing.T) {
 	r := run(20, 200)
+	r.Rate *= 5
+	r.Settings.ColdFrom, r.Settings.FallMultiple, r.Settings.FallTime = 0.1, 2, time.Second
 	r.RestartAt, r.RestartOver, r.RestartPart, r.Down = 8*time.Second, 2*time.Second, 0.5, 2*time.Second
-	if got := play(t, r); got.Fell > 0 {
-		t.Errorf("%d fell over", got.Fell)
+	got, err := Play(r)
+	if err != nil || got.Fell > 0 {
+		t.Errorf("%v; %+v", err, got)
+	}
+	r.Blind = true
+	if blind, err := Play(r); err != nil || blind.Fell == 0 || blind.Served > got.Served {
+		t.Errorf("%v; blind %+v: no restart to speak of", err, blind)
 	}
 }
 
--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -49,9 +49,15 @@
 		runs = append(runs, named{name, r})
 	}
 	add("200, index not known", 200, func(r *fleetsim.Run) { r.Known = false })
-	add("200, half of the nodes restart in 10 s", 200, func(r *fleetsim.Run) {
+	add("200, no subsets", 200, func(r *fleetsim.Run) { r.Subset.On = false })
+	add("10, no subsets", 10, func(r *fleetsim.Run) { r.Subset.On = false })
+	add("200, by chance among all", 200, func(r *fleetsim.Run) { r.Subset.On, r.Probes = false, &fleetsim.Probes{Each: 1} })
+	restart := func(r *fleetsim.Run) {
 		r.RestartAt, r.RestartOver, r.RestartPart, r.Down = 20*time.Second, 10*time.Second, 0.5, 3*time.Second
-	})
+		r.Rate, r.Settings.ColdFrom, r.Settings.FallMultiple, r.Settings.FallTime = 25_000, 0.1, 2, time.Second
+	}
+	add("200, half restart in 10 s at half busy", 200, restart)
+	add("the same, modules not told of cold ones", 200, func(r *fleetsim.Run) { restart(r); r.Blind = true })
 	add("200, the list shrinks to 50 and grows back", 200, func(r *fleetsim.Run) {
 		r.Rate = 100
 		r.Sizes = []fleetsim.Size{{At: 15 * time.Second, Nodes: 50}, {At: 35 * time.Second, Nodes: fleetNodes}}
