--- a/internal/doorsim/doorsim_test.go
+++ b/internal/doorsim/doorsim_test.go
@@ -157,6 +157,9 @@
 		return sum / float64(to-from)
 	}
 	before, during, after := rate(3, 8), rate(11, 16), rate(18, 24)
+	if inHand := r.InHand[6]; inHand < nodes || inHand > 5*nodes { // the base is found at a start under load
+		t.Errorf("%.0f in hand before", inHand)
+	}
 	t.Logf("%.0f a second before, %.0f during, %.0f after two seconds", before, during, after)
 	if before < 850 || during < 0.3*1200/8 || after < 0.9*before {
 		t.Errorf("%.0f a second before, %.0f during, %.0f after two seconds", before, during, after)
