warm: connections to own upstreams open before requests need them, at a bounded rate

Need: the first request to an upstream that is new pays for its connection, and a restarted fleet is met by all connections at once. Change: package warm decides (spread, rate, part of the limit, waits after failures), upstream.Pool.KeepWarm opens, [service.warm] and [platform.warm] set it; those never used are closed first at the limit. Result: any history keeps the bounds (go test ./internal/warm); six upstreams, one connection each before any request (go test -run KeepWarm ./internal/upstream).

--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -19,6 +19,7 @@
 	"orchiddrift/internal/subset"
 	"orchiddrift/internal/tomlfile"
 	"orchiddrift/internal/units"
+	"orchiddrift/internal/warm"
 )
 
 // File is the operator's file. Each subsystem's part is declared next to it; this is where they come together.
@@ -69,12 +70,14 @@
 	Answers   []string         `toml:"answers" default:"2xx, 3xx, 4xx" doc:"Statuses that are an upstream's answer, and passed on as they are. Any other is a failure. 429 and 503 never count."`
 	Share     float64          `toml:"share" default:"1" doc:"Its weight in what is set aside for services."`
 	TLS       keys.Upstream    `toml:"tls" doc:"Encryption towards its upstreams."`
+	Warm      warm.Options     `toml:"warm" doc:"Connections that are open before requests need them."`
 	Subset    subset.Options   `toml:"subset" doc:"For many upstreams: a part of them is this process's own."`
 	settings.Declaration
 }
 
 // PlatformPart is what the operator's file says of the platform's service.
 type PlatformPart struct {
+	Warm   warm.Options   `toml:"warm" doc:"Connections that are open before requests need them."`
 	Subset subset.Options `toml:"subset" doc:"For many upstreams: a part of them is this process's own."`
 }
 
--- a/internal/config/plan.go
+++ b/internal/config/plan.go
@@ -27,6 +27,7 @@
 	"orchiddrift/internal/subset"
 	"orchiddrift/internal/tomlfile"
 	"orchiddrift/internal/units"
+	"orchiddrift/internal/warm"
 )
 
 // Plan is what a daemon runs, from whichever files: the platform's, the operator's, or both.
@@ -55,6 +56,7 @@
 	Share    float64
 	TLS      keys.Upstream
 	Subset   subset.Options
+	Warm     warm.Options
 
 	// Where its upstreams come from: Discovery, ListFile or else Known alone.
 	Discovery string
@@ -198,7 +200,7 @@
 		p.Name, p.Listen, p.Seed, p.Limits = of.Name, of.Listen, of.Seed, of.Limits
 		p.HeadTimeout, p.BodyTimeout, p.Grace = of.HeadTimeout, of.BodyTimeout, of.Grace
 		p.Services = of.Services
-		p.Services[0].Subset = f.Platform.Subset
+		p.Services[0].Subset, p.Services[0].Warm = f.Platform.Subset, f.Platform.Warm
 		names[Platform] = 0
 		for _, r := range of.Table.Routes() {
 			all, places = append(all, r), append(places, "")
@@ -210,8 +212,8 @@
 		_, _ = rand.Read(b[:]) // never fails
 		p.Seed, p.SeedDrawn = binary.LittleEndian.Uint64(b[:]), true
 	}
-	if beside == nil && f.Platform.Subset.On {
-		doc.Report("platform.subset.on", "there is no platform's file: a service has its own [service.subset]")
+	if beside == nil && (f.Platform.Subset.On || f.Platform.Warm.On) {
+		doc.Report("platform", "there is no platform's file: a service has its own [service.subset] and [service.warm]")
 	}
 	f.registries(p, beside, doc)
 	longest := time.Duration(0)
@@ -445,7 +447,7 @@
 	if err != nil { // reported by Check
 		answers = httphead.Only200()
 	}
-	p := ServicePlan{Name: s.Name, Settings: s.Settings(), Answers: answers, Share: s.Share, TLS: s.TLS, Subset: s.Subset,
+	p := ServicePlan{Name: s.Name, Settings: s.Settings(), Answers: answers, Share: s.Share, TLS: s.TLS, Subset: s.Subset, Warm: s.Warm,
 		Discovery: s.Discovery, ListFile: s.ListFile}
 	p.Settings.MustSubscribe = s.Discovery != "" && !s.Push
 	if entries := s.entries(); len(entries) > 0 {
@@ -457,5 +459,5 @@
 // Same tells whether two plans of a service differ in nothing but where its upstreams come from, and its door.
 func (s *ServicePlan) Same(o *ServicePlan) bool {
 	return s.Name == o.Name && reflect.DeepEqual(s.Settings, o.Settings) && *s.Answers == *o.Answers &&
-		reflect.DeepEqual(s.TLS, o.TLS) && s.Subset == o.Subset
+		reflect.DeepEqual(s.TLS, o.TLS) && s.Subset == o.Subset && s.Warm == o.Warm
 }
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"reflect"
 	"slices"
 	"sync"
@@ -26,6 +27,7 @@
 	"orchiddrift/internal/keys"
 	"orchiddrift/internal/subset"
 	"orchiddrift/internal/upstream"
+	"orchiddrift/internal/warm"
 )
 
 // shared is what the services of a daemon have in common.
@@ -87,6 +89,9 @@
 		}
 		o.Secure = keys.NewClient(s.keys, plan.TLS)
 	}
+	if plan.Warm.On {
+		o.Warm = warm.New(plan.Warm, sh.connections, rand.New(rand.NewPCG(sh.seed, xxhash.Sum64String("warm/"+plan.Name))))
+	}
 	list, source, err := s.openSource(plan, known, log)
 	if err != nil {
 		return nil, fmt.Errorf("service %s: %w", plan.Name, err)
@@ -124,6 +129,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	s.stop = stop
 	s.running.Go(func() { s.pool.Sweep(ctx) })
+	s.running.Go(func() { s.pool.KeepWarm(ctx, sh.clock) })
 	if s.keys != nil {
 		s.running.Go(func() { s.keys.Run(ctx) })
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -17,6 +17,7 @@
 	"orchiddrift/internal/bulkhead"
 	"orchiddrift/internal/directory"
 	"orchiddrift/internal/httphead"
+	"orchiddrift/internal/warm"
 )
 
 const (
@@ -40,6 +41,7 @@
 	Bytes   *bulkhead.Semaphore // of answers in hand, shared with other services; nil: not counted
 	Answers *httphead.Statuses  // what counts as served; nil: 200 alone
 	Secure  Secure              // nil: connections are not encrypted
+	Warm    *warm.Warmer        // has KeepWarm open connections ahead of use; nil: none are
 }
 
 // Secure encrypts connections.
@@ -68,6 +70,7 @@
 	mu     sync.Mutex
 	idle   map[string][]*poolConn // by upstream, the one idle for longest first
 	closed bool
+	warm   *warming // nil: nothing is opened ahead
 }
 
 // New returns an empty Pool. Whoever owns the Directory tells it of upstreams whose connections are no longer
@@ -77,6 +80,9 @@
 		rest: restFor, maxAnswer: o.MaxAnswer, answers: o.Answers, secure: o.Secure,
 		maxIdle:    time.Duration(float64(o.Idle) * idlePart),
 		sweepEvery: time.Duration(float64(o.Idle) * sweepPart), idle: map[string][]*poolConn{}}
+	if o.Warm != nil {
+		u.warm = &warming{w: o.Warm, open: map[string]int{}, used: map[string]bool{}}
+	}
 	if u.answers == nil {
 		u.answers = httphead.Only200()
 	}
@@ -119,6 +125,7 @@
 	name     string
 	at       directory.Place
 	since    time.Time // when it became idle
+	unused   bool      // it was opened ahead, and no request has gone out on it
 }
 
 var errSaturated = errors.New("all upstream connections that the limits allow are busy")
@@ -214,6 +221,7 @@
 		return nil, err
 	}
 	c := &poolConn{Conn: conn, name: name, at: at}
+	u.warm.opened(name, 1)
 	if c.raw, err = conn.(*net.TCPConn).SyscallConn(); err == nil && u.secure != nil {
 		if c.secure, err = u.secure.Client(ctx, conn, at); err == nil {
 			c.Conn = c.secure
@@ -221,6 +229,7 @@
 	}
 	if err != nil {
 		conn.Close()
+		u.warm.opened(name, -1)
 		return nil, err
 	}
 	return c, nil
@@ -244,12 +253,13 @@
 	return u.evictLocked()
 }
 
-// evictLocked closes the connection that has been idle for longest.
+// evictLocked closes the connection that is worth least: one that was opened ahead and never used, else the one that has been
+// idle for longest.
 func (u *Pool) evictLocked() bool {
 	var oldest *poolConn
 	for _, idle := range u.idle {
-		if oldest == nil || idle[0].since.Before(oldest.since) {
-			oldest = idle[0]
+		if c := idle[0]; oldest == nil || c.unused && !oldest.unused || c.unused == oldest.unused && c.since.Before(oldest.since) {
+			oldest = c
 		}
 	}
 	if oldest != nil {
@@ -273,16 +283,18 @@
 func (u *Pool) take(name string, at directory.Place) *poolConn {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.warm.use(name)
 	idle := u.idle[name]
 	defer func() { u.setIdleLocked(name, idle) }()
 	now := time.Now()
 	for i := len(idle) - 1; i >= 0; i-- {
 		c := idle[i]
-		if now.Sub(c.since) < u.rest {
+		if now.Sub(c.since) < u.rest && !c.unused { // nothing can come behind an answer that there was not
 			continue
 		}
 		idle = slices.Delete(idle, i, i+1)
 		if c.at == at && u.trusted(c) && c.quiet() {
+			c.unused = false
 			return c
 		}
 		u.discard(c)
@@ -303,6 +315,7 @@
 
 func (u *Pool) discard(c *poolConn) {
 	c.end()
+	u.warm.opened(c.name, -1)
 	u.slots.Release(u.service, 1)
 }
 
