fleetsim and the daemon's tests with connections open ahead

Need: the effect on a fleet, and that the setting reaches the sockets. Change: the simulator has the real warmer beside module and subset; a test for a service and the platform's.

--- a/internal/daemon/subset_test.go
+++ b/internal/daemon/subset_test.go
@@ -4,10 +4,12 @@
 	"fmt"
 	"io"
 	"maps"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"orchiddrift/internal/config"
@@ -135,3 +137,52 @@
 	}
 	http.DefaultClient.CloseIdleConnections()
 }
+
+// A service's upstreams have a connection each before any request where the operator's file says so, and the platform's too.
+func TestWarmServices(t *testing.T) {
+	var addresses, known []string
+	var made [4]atomic.Int64
+	for i := range made {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { l.Close() })
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				made[i].Add(1)
+				t.Cleanup(func() { c.Close() })
+			}
+		}()
+		addresses = append(addresses, l.Addr().String())
+		known = append(known, testkit.Entry(fmt.Sprint("n", i), l.Addr().String(), "Ready"))
+	}
+	all := func(n int64) func() bool {
+		return func() bool {
+			for i := range made {
+				if made[i].Load() != n {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	startFile(t, fmt.Sprintf("[log]\nlevel = \"error\"\n[[service]]\nname = \"a\"\naddresses = [%q, %q, %q, %q]\n[service.warm]\non = true\nspread = \"10ms\"\n",
+		addresses[0], addresses[1], addresses[2], addresses[3]))
+	testkit.Eventually(t, "one connection each", all(1))
+	p, err := config.ParseBeside(testkit.Config(t, testkit.Quiet(t).Address, known...), []byte("[log]\nlevel = \"error\"\n[platform.warm]\non = true\nspread = \"10ms\"\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	startPlan(t, p)
+	testkit.Eventually(t, "and of the platform's", all(2))
+	for _, bad := range []string{"rate = 0", "each = 0", "part = 2.0"} {
+		if _, err := config.ParseFile([]byte("[[service]]\nname = \"a\"\naddresses = [\"127.0.0.1:1\"]\n[service.warm]\n" + bad + "\n")); err == nil {
+			t.Errorf("%q is taken", bad)
+		}
+	}
+}
--- a/internal/fleetsim/fleetsim.go
+++ b/internal/fleetsim/fleetsim.go
@@ -18,6 +18,7 @@
 	"orchiddrift/internal/directory"
 	"orchiddrift/internal/subset"
 	"orchiddrift/internal/virtual"
+	"orchiddrift/internal/warm"
 )
 
 // Run is a run's parameters.
@@ -34,6 +35,7 @@
 	Settings        balancer.Settings
 	Idle            time.Duration // connections are closed after so long; absent: 30 s
 	Connect         time.Duration // what a new connection adds
+	Warm            warm.Options  // not On: connections are made as requests need them
 	Descriptors     int           // connections that a sidecar may have, which bounds its subset; absent: 496
 
 	Blind  bool                // modules are not told what cold nodes can take, nor which are cold
@@ -61,6 +63,9 @@
 	OpenNode, MostNode                float64 // connections a node, mean over time and nodes, and the most that one had
 	OpenSidecar                       int     // the most that one sidecar had
 	Opened                            int     // connections made
+	Ahead                             int     // of them before a request needed them
+	Waited                            int     // requests whose first send waited for a connection
+	MostMade                          int     // most connections made to one node within a second
 	Own                               float64 // mean number of a sidecar's own nodes, at the end
 	Fell                              int     // nodes that were pushed over
 	Decisions                         int     // calls of the modules
@@ -80,6 +85,8 @@
 	busy      bool
 	running   *attempt
 	speed     float64
+	made      int // connections since madeFrom
+	madeFrom  time.Duration
 	took      float64       // mean time here, s
 	owed      time.Duration // work that probes have cost
 	epoch     int           // of its process: what it had before is lost
@@ -104,6 +111,8 @@
 	sent  int
 	rate  float64
 	rng   *rand.Rand
+	warm  *warm.Warmer         // nil: there is none
+	ready map[string]uint64    // what the warmer is told of
 	own   []string             // active ones, where probes choose
 	seen  []int                // requests in hand, by the last probes
 	news  []directory.Endpoint // of the list, on its way
@@ -154,6 +163,7 @@
 	sweep     = time.Second
 	rateBlend = 0.1
 	nodeQueue = 1000
+	warmEvery = 100 * time.Millisecond
 )
 
 // Play plays a run.
@@ -226,6 +236,10 @@
 		}
 		c.s = subset.New(o, fmt.Sprint("sidecar-", i), zone, s.r.Descriptors)
 	}
+	if s.r.Warm.On {
+		c.warm, c.ready = warm.New(s.r.Warm, s.r.Descriptors, rand.New(rand.NewPCG(s.r.Seed, uint64(i)+1<<32))), map[string]uint64{}
+		s.After(time.Duration(s.rng.Int64N(int64(warmEvery))), func() { s.keepWarm(c) })
+	}
 	s.sidecars = append(s.sidecars, c)
 	list := &directory.Listing{Snapshot: true}
 	for _, n := range s.nodes {
@@ -275,6 +289,11 @@
 			member.CameUp = virtual.Origin + time.UnixMilli(int64(e.SinceMs)).Sub(s.wall)
 		}
 		m.Entries = append(m.Entries, member)
+		if c.warm != nil {
+			if delete(c.ready, e.Name); member.State == balancer.Active {
+				c.ready[e.Name] = uint64(e.SinceMs) + 1
+			}
+		}
 		if s.r.Probes != nil {
 			c.own = slices.DeleteFunc(c.own, func(name string) bool { return name == e.Name })
 			if member.State == balancer.Active {
@@ -438,11 +457,10 @@
 		limit = min(limit, x.Timeout)
 	}
 	s.After(limit, func() { s.outcome(a, balancer.Timeout) })
-	p := c.conns[n]
-	if p == nil {
-		p = &pool{}
-		c.conns[n] = p
+	if c.warm != nil {
+		c.warm.Used(s.Now(), n.name)
 	}
+	p := c.pool(n)
 	delay := time.Duration(0)
 	if last := len(p.idle) - 1; last >= 0 {
 		p.idle = p.idle[:last]
@@ -452,11 +470,10 @@
 			return
 		}
 		delay = s.r.Connect
-		c.open++
-		c.top = max(c.top, c.open)
-		n.open++
-		n.top = max(n.top, n.open)
-		s.out.Opened++
+		s.made(c, n)
+		if a.number == 0 {
+			s.out.Waited++
+		}
 	}
 	p.out++
 	a.conn = true
@@ -570,6 +587,62 @@
 	s.module(c, balancer.Outcome{ID: q.id, Attempt: a.number, Result: r, Elapsed: s.Now() - a.sent, Finished: q.done})
 }
 
+func (c *sidecar) pool(n *node) *pool {
+	p := c.conns[n]
+	if p == nil {
+		p = &pool{}
+		c.conns[n] = p
+	}
+	return p
+}
+
+// made counts a connection that is being made.
+func (s *sim) made(c *sidecar, n *node) {
+	c.open++
+	c.top = max(c.top, c.open)
+	n.open++
+	n.top = max(n.top, n.open)
+	s.out.Opened++
+	if s.Now()-n.madeFrom >= time.Second {
+		n.made, n.madeFrom = 0, s.Now()
+	}
+	n.made++
+	s.out.MostMade = max(s.out.MostMade, n.made)
+}
+
+// keepWarm opens what the sidecar's warmer names, as upstream.Pool.KeepWarm does.
+func (s *sim) keepWarm(c *sidecar) {
+	c.warm.Members(s.Now(), c.ready)
+	open := func(name string) int {
+		p := c.conns[s.byName[name]]
+		if p == nil {
+			return 0
+		}
+		return len(p.idle) + p.out
+	}
+	for _, name := range c.warm.Tick(s.Now(), open, c.open) {
+		n, process := s.byName[name], c.warm.Process(name)
+		if !n.up {
+			s.After(wire, func() { c.warm.Ended(s.Now(), name, process, false) })
+			continue
+		}
+		s.made(c, n)
+		s.out.Ahead++
+		epoch := n.epoch
+		s.After(s.r.Connect, func() {
+			ok := n.up && n.epoch == epoch
+			if ok {
+				p := c.pool(n)
+				p.idle = append(p.idle, s.Now())
+			} else {
+				s.close(c, n, 1)
+			}
+			c.warm.Ended(s.Now(), name, process, ok)
+		})
+	}
+	s.After(warmEvery, func() { s.keepWarm(c) })
+}
+
 func (s *sim) close(c *sidecar, n *node, count int) {
 	c.open -= count
 	n.open -= count
--- a/internal/fleetsim/fleetsim_test.go
+++ b/internal/fleetsim/fleetsim_test.go
@@ -8,6 +8,7 @@
 	"orchiddrift/balancer"
 	"orchiddrift/internal/subset"
 	"orchiddrift/internal/units"
+	"orchiddrift/internal/warm"
 )
 
 func run(sidecars, nodes int) Run {
@@ -93,3 +94,19 @@
 		t.Errorf("%+v", got)
 	}
 }
+
+// With connections open ahead of use few requests wait for one, also where half of the nodes restart, at the same number of
+// connections a node; and what a node is met by is spread.
+func TestWarmConnections(t *testing.T) {
+	r := run(40, 200)
+	r.Connect = 50 * time.Millisecond
+	r.RestartAt, r.RestartOver, r.RestartPart, r.Down = 8*time.Second, time.Second, 0.5, time.Second
+	cold := play(t, r)
+	r.Warm = warm.Default()
+	r.Warm.On = true
+	got := play(t, r)
+	if 2*got.Waited > cold.Waited || got.OpenNode > 1.5*cold.OpenNode+1 || got.MostMade > cold.MostMade+2 {
+		t.Errorf("%d of %d requests wait for a connection, %d without; %.2f and %.2f open a node, %d and %d made in a second", got.Waited, got.Requests,
+			cold.Waited, got.OpenNode, cold.OpenNode, got.MostMade, cold.MostMade)
+	}
+}
--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -14,6 +14,7 @@
 	"orchiddrift/internal/fleetsim"
 	"orchiddrift/internal/subset"
 	"orchiddrift/internal/units"
+	"orchiddrift/internal/warm"
 )
 
 const (
@@ -58,6 +59,12 @@
 	}
 	add("200, half restart in 10 s at half busy", 200, restart)
 	add("the same, modules not told of cold ones", 200, func(r *fleetsim.Run) { restart(r); r.Blind = true })
+	dear := func(r *fleetsim.Run) {
+		r.Connect = 50 * time.Millisecond
+		r.RestartAt, r.RestartOver, r.RestartPart, r.Down = 20*time.Second, 10*time.Second, 0.5, 3*time.Second
+	}
+	add("200, half restart, a connection takes 50 ms", 200, dear)
+	add("the same, connections open ahead", 200, func(r *fleetsim.Run) { dear(r); r.Warm = warm.Default(); r.Warm.On = true })
 	add("200, the list shrinks to 50 and grows back", 200, func(r *fleetsim.Run) {
 		r.Rate = 100
 		r.Sizes = []fleetsim.Size{{At: 15 * time.Second, Nodes: 50}, {At: 35 * time.Second, Nodes: fleetNodes}}
@@ -83,10 +90,10 @@
 		return err
 	}
 	w := tabwriter.NewWriter(o.Out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(w, "fleet\tserved\tits own\tconnections a node\tmost\ta sidecar, most\tmade\tnodes asked\tmost/mean work\tfell over\tp50 ms\tp99 ms\tdecisions\t")
+	fmt.Fprintln(w, "fleet\tserved\tits own\tconnections a node\tmost\ta sidecar, most\tmade\tmost to one in 1 s\trequests that wait for one\tnodes asked\tmost/mean work\tfell over\tp50 ms\tp99 ms\tdecisions\t")
 	for i, r := range results {
-		fmt.Fprintf(w, "%s\t%.4f\t%.0f\t%.2f\t%.0f\t%d\t%d\t%d\t%.2f\t%d\t%.0f\t%.0f\t%d\t\n", runs[i].name, float64(r.Served)/float64(max(1, r.Requests)),
-			r.Own, r.OpenNode, r.MostNode, r.OpenSidecar, r.Opened, r.Asked, r.Spread, r.Fell, r.P50.Seconds()*1e3, r.P99.Seconds()*1e3, r.Decisions)
+		fmt.Fprintf(w, "%s\t%.4f\t%.0f\t%.2f\t%.0f\t%d\t%d\t%d\t%.3f\t%d\t%.2f\t%d\t%.0f\t%.0f\t%d\t\n", runs[i].name, float64(r.Served)/float64(max(1, r.Requests)),
+			r.Own, r.OpenNode, r.MostNode, r.OpenSidecar, r.Opened, r.MostMade, float64(r.Waited)/float64(max(1, r.Requests)), r.Asked, r.Spread, r.Fell, r.P50.Seconds()*1e3, r.P99.Seconds()*1e3, r.Decisions)
 	}
 	if err := w.Flush(); err != nil || plot == "" {
 		return err
