testkit: one way to start a test's server, also with its connections counted

Need: the warming test wrote base.HTTP again for its ConnState. Change: base.Serve takes a server, HTTP a handler.

--- a/internal/testkit/base/base.go
+++ b/internal/testkit/base/base.go
@@ -70,6 +70,12 @@
 
 // HTTP serves a handler at a free port, encrypted where config is not nil, and returns where.
 func HTTP(t testing.TB, config *tls.Config, h http.HandlerFunc) string {
+	t.Helper()
+	return Serve(t, config, &http.Server{Handler: h})
+}
+
+// Serve is HTTP for a server that is more than its handler.
+func Serve(t testing.TB, config *tls.Config, srv *http.Server) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -79,7 +85,7 @@
 	if config != nil {
 		l = tls.NewListener(l, config)
 	}
-	srv := &http.Server{Handler: h, ErrorLog: log.New(io.Discard, "", 0), ReadHeaderTimeout: Patience}
+	srv.ErrorLog, srv.ReadHeaderTimeout = log.New(io.Discard, "", 0), Patience
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/internal/upstream/warming_test.go
+++ b/internal/upstream/warming_test.go
@@ -14,6 +14,7 @@
 	"orchiddrift/internal/clock"
 	"orchiddrift/internal/directory"
 	"orchiddrift/internal/testkit"
+	"orchiddrift/internal/testkit/base"
 	"orchiddrift/internal/units"
 	"orchiddrift/internal/warm"
 )
@@ -26,28 +27,15 @@
 
 func (d *doors) start(t *testing.T, name string) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	srv := &http.Server{ReadHeaderTimeout: testkit.Patience, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(name)) }),
+	return base.Serve(t, nil, &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(name)) }),
 		ConnState: func(_ net.Conn, s http.ConnState) {
 			if s == http.StateNew {
 				d.mu.Lock()
 				defer d.mu.Unlock()
 				d.made[name]++
 			}
-		}}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = srv.Serve(l) // ends with Close
-	}()
-	t.Cleanup(func() {
-		srv.Close()
-		<-done
-	})
-	return l.Addr().String()
+		}})
 }
 
 func (d *doors) of(names ...string) func() bool {
