eureka: failures that take turns cost no log line a poll

Change: each reason is logged once an outage, four at most; only the registry that hangs has a short time-out in the test.

--- a/internal/eureka/eureka_test.go
+++ b/internal/eureka/eureka_test.go
@@ -185,8 +185,8 @@
 			t.Run(fmt.Sprint(name, " ", delta), func(t *testing.T) {
 				e := base.Eureka(t, standin.EurekaOptions{})
 				d := declaration(e)
-				if d.Applications, d.Delta = []string{"SEATS"}, delta; name == "huge" {
-					d.MaxAnswer = units.MiB
+				if d.Applications, d.Delta, d.MaxAnswer = []string{"SEATS"}, delta, units.MiB; name != "hangs" {
+					d.Timeout = units.Duration(30 * time.Second) // 20 MB take a slow machine their time
 				}
 				e.Put(node("SEATS", "a", 81, "UP"))
 				e.Put(node("SEATS", "b", 82, "UP"))
@@ -209,6 +209,21 @@
 	}
 }
 
+// Guards against failures that take turns and are logged with every poll.
+func TestFailuresInTurn(t *testing.T) {
+	h := &heard{}
+	s := &Source{log: logs.To(func(line string) { h.said = append(h.said, line) })}
+	for outage := 1; outage <= 2; outage++ {
+		for n := range 100 {
+			s.say(fmt.Errorf("reason %d", n%(2*maxReasons)))
+		}
+		s.say(nil)
+		if lost, again := h.logged("stays"), h.logged("again"); lost != outage*maxReasons || again != outage {
+			t.Errorf("outage %d: said %d and %d times", outage, lost, again)
+		}
+	}
+}
+
 // Guards against changes that were lost, sums that never fit, servers that tell no changes, and replicas that are away.
 func TestDeltas(t *testing.T) {
 	start := func(t *testing.T, others ...*standin.Eureka) (*standin.Eureka, *heard) {
--- a/internal/eureka/source.go
+++ b/internal/eureka/source.go
@@ -14,6 +14,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -30,9 +31,9 @@
 	rng     *rand.Rand
 	copy    *registry
 	state   poller
-	partial bool   // the copy may lack instances
-	said    string // the failure that was logged last
-	odd     int    // instances without a usable address, as logged last
+	partial bool     // the copy may lack instances
+	said    []string // the failures that were logged since it could last be used, maxReasons at most
+	odd     int      // instances without a usable address, as logged last
 	asked   atomic.Int64
 }
 
@@ -188,15 +189,19 @@
 	}
 }
 
-// say logs a failure once, and that it is over.
+// maxReasons is how many different failures of one outage are logged.
+const maxReasons = 4
+
+// say logs a failure once an outage, and that the outage is over: replicas that fail in turn, each in its own way, cost
+// no line a poll.
 func (s *Source) say(err error) {
 	switch {
-	case err == nil && s.said != "":
+	case err == nil && len(s.said) > 0:
 		s.log.Info("the registry can be used again", "registry", s.d.Name)
-		s.said = ""
-	case err != nil && s.said != err.Error():
+		s.said = nil
+	case err != nil && len(s.said) < maxReasons && !slices.Contains(s.said, err.Error()):
 		s.log.Warn("the last good list stays", "registry", s.d.Name, "reason", err)
-		s.said = err.Error()
+		s.said = append(s.said, err.Error())
 	}
 }
 
