graphql: which operation a request is, its class, its cost, what an answer is

Need: one POST to a GraphQL endpoint can carry a search or a booking, and the sidecar can't tell them apart. Result: go test ./internal/graphql; FuzzDecide holds the class against a plain reading of what a node runs.

--- /dev/null
+++ b/internal/graphql/batch.go
@@ -0,0 +1,110 @@
+package graphql
+
+// End is how an entry of a batch has ended.
+type End int
+
+// The ends.
+const (
+	Answered  End = iota // a node's answer stands for it, errors or not
+	NotRun               // refused, or turned down: nothing of it has run
+	Uncertain            // no answer: it may have run, or may yet
+)
+
+// Batch says which entries of a batch are to be sent, and when. It is a state machine without clock: Next after the start
+// and after each Done. Queries go side by side, at most so many at once; mutations go one at a time in their order, beside
+// the queries: each entry is a request of its own, and nothing says that one is to see what another did, but for the
+// order of mutations, which the specification has within one operation and clients expect of a list.
+//
+// A mutation whose end is uncertain may still be running, and one that was not run leaves a gap: what stands behind either is
+// not sent, so that a client that sends it again gets the order that it asked for. An entry that was not taken leaves a gap if it
+// is a mutation or its kind could not be told.
+type Batch struct {
+	kinds    []Kind
+	state    []entryState
+	parallel int
+	out      int  // sent and not ended
+	mutating bool // one of them is a mutation
+	left     int  // entries that have not ended
+}
+
+type entryState int8
+
+const (
+	waits entryState = iota
+	sent
+	ended
+	gap // ended, and no mutation behind it is sent
+)
+
+// NewBatch begins a batch of these entries. Those that have a problem are not sent; their kind is Mutation if it is not known.
+func NewBatch(kinds []Kind, problems []*Problem, parallel int) *Batch {
+	b := &Batch{kinds: kinds, state: make([]entryState, len(kinds)), parallel: max(1, parallel), left: len(kinds)}
+	for i, p := range problems {
+		if p != nil {
+			b.end(i, kinds[i] != Mutation)
+		}
+	}
+	return b
+}
+
+func (b *Batch) end(i int, well bool) {
+	b.left--
+	if b.state[i] = ended; b.kinds[i] == Mutation && !well {
+		b.state[i] = gap
+	}
+}
+
+// Next appends the entries that are to be sent now to send, and those that end without being sent to drop.
+func (b *Batch) Next(send, drop []int) (_, _ []int) {
+	blocked, broken := b.mutating, false // for the mutations behind
+	for i, kind := range b.kinds {
+		broken = broken || b.state[i] == gap
+		mutation := kind == Mutation
+		switch {
+		case b.state[i] != waits || mutation && blocked:
+		case mutation && broken:
+			b.end(i, false)
+			drop = append(drop, i)
+		case b.out >= b.parallel:
+			blocked = blocked || mutation
+		default:
+			b.state[i] = sent
+			b.out++
+			b.mutating = b.mutating || mutation
+			blocked = b.mutating
+			send = append(send, i)
+		}
+	}
+	return send, drop
+}
+
+// Done tells that an entry that was sent has ended.
+func (b *Batch) Done(i int, end End) {
+	if b.state[i] != sent {
+		return
+	}
+	b.out--
+	if b.kinds[i] == Mutation {
+		b.mutating = false
+	}
+	b.end(i, end == Answered)
+}
+
+// Over tells whether every entry has ended.
+func (b *Batch) Over() bool { return b.left == 0 }
+
+// Status is the HTTP status of a batch's answer by its entries' ends: 200 where one of them has an answer or failed by its own
+// mistake, else 503 where none has run, else 502.
+func Status(ends []End, problems []*Problem) int {
+	uncertain := false
+	for i, e := range ends {
+		if problems[i] != nil || e == Answered {
+			return 200
+		}
+		uncertain = uncertain || e == Uncertain
+	}
+	if uncertain {
+		return 502
+	}
+	return 503
+}
--- /dev/null
+++ b/internal/graphql/options.go
@@ -0,0 +1,157 @@
+package graphql
+
+import (
+	"math"
+	"strings"
+
+	"orchiddrift/internal/routes"
+	"orchiddrift/internal/units"
+)
+
+// Options are an endpoint's part of the operator's file.
+type Options struct {
+	Match    string        `toml:"match" sample:"\"/graphql\"" doc:"Where it is: [HOST]/PATH, without a method: POST, and GET for queries."`
+	Service  string        `toml:"service" sample:"\"seats\"" doc:"Whose upstreams answer. Absent: the only service."`
+	Query    string        `toml:"query" default:"read" doc:"The class of queries whose root fields have none."`
+	Mutation string        `toml:"mutation" default:"write" doc:"The class of mutations whose root fields have none."`
+	Schema   string        `toml:"schema" sample:"\"/etc/orchiddrift/seats.graphql\"" doc:"The schema's file, in GraphQL's own language: operations are held against it before anything is sent. Absent: they are told apart by their kind and their root fields' names."`
+	Fields   []Field       `toml:"field" doc:"What is to be known of a field."`
+	Named    []Operation   `toml:"operation" doc:"The class of operations of a name. Names are the client's: such a class counts where it is at least as strict as the root fields', or the operation is a known one."`
+	Persist  string        `toml:"persisted" default:"off" oneof:"off|automatic|known" doc:"automatic: a client may send a query's SHA-256 in its place, once one has sent both. known: only the operations in known pass, by hash or in full."`
+	Known    string        `toml:"known" sample:"\"/etc/orchiddrift/operations.json\"" doc:"The known operations' file, JSON: {\"HASH\": \"TEXT\"}, or a manifest with operations of id and body."`
+	Stored   units.Size    `toml:"persisted_bytes" default:"1MiB" doc:"Texts that automatic persisted queries may take, at most; the ones longest unused go first."`
+	Cache    units.Size    `toml:"cache_bytes" default:"2MiB" doc:"Texts and parsed forms of documents that are kept, at most."`
+	Failing  []string      `toml:"failing_codes" sample:"[\"SERVICE_UNAVAILABLE\"]" doc:"extensions.code of errors that come of a failing upstream, where there is no data: such an answer is a failure that may have run. All others are answers."`
+	Unrun    []string      `toml:"not_run_codes" sample:"[\"OVERLOADED\"]" doc:"extensions.code by which upstreams say that they have not run the operation, where there is no data: it may be sent to another, a mutation too."`
+	Limits   Limits        `toml:"limits" doc:"What an operation may have at most."`
+	Sizes    []string      `toml:"size_arguments" default:"first, last, limit" doc:"Arguments that say how long a list is, where the schema has no @listSize."`
+	Assumed  int           `toml:"assumed_size" default:"10" doc:"How long a list is that nothing tells the length of."`
+	Parallel int           `toml:"batch_parallel" default:"4" doc:"Entries of one batch that are sent at once. Its mutations go one at a time."`
+	Tenant   routes.Source `toml:"tenant" doc:"As of a route."`
+	Cost     routes.Source `toml:"cost" doc:"As of a route: it goes before the estimate made here."`
+	ID       routes.Source `toml:"id" doc:"As of a route."`
+	Deadline routes.Source `toml:"deadline" doc:"As of a route."`
+	MaxBody  units.Size    `toml:"max_body" default:"64KiB" doc:"What a body may have."`
+}
+
+// Field is what the operator says of a field.
+type Field struct {
+	Name   string  `toml:"name" sample:"\"Mutation.confirm\"" doc:"TYPE.FIELD; of root fields Query.FIELD and Mutation.FIELD, whatever the schema calls these types. Without a schema only root fields are known."`
+	Class  string  `toml:"class" doc:"Of a root field: its class. Of several the strictest counts."`
+	Key    string  `toml:"key" sample:"\"input.requestId\"" doc:"Of a mutation's root field with a keyed class: the argument that is the key, parts of an input after dots. Without a value there it is of the class of mutations."`
+	Weight float64 `toml:"weight" default:"-1" doc:"Its cost beside a field of weight 1. Below 0: by @cost in the schema, else 1 with a selection and 0 without."`
+}
+
+// Operation is a name's class.
+type Operation struct {
+	Name  string `toml:"name" sample:"\"SeatSearch\"" doc:"The operation's name."`
+	Class string `toml:"class" doc:"Its class."`
+}
+
+// Limits bound documents and what they ask for. A document that is beyond one is refused before it is validated.
+type Limits struct {
+	Tokens     int        `toml:"tokens" default:"4000" doc:"Tokens of a document."`
+	Depth      int        `toml:"depth" default:"20" doc:"Fields within each other, fragments spread out."`
+	Fields     int        `toml:"fields" default:"5000" doc:"Fields, fragments spread out."`
+	Roots      int        `toml:"root_fields" default:"20" doc:"Root fields."`
+	Aliases    int        `toml:"aliases" default:"50" doc:"Aliases of a document."`
+	Directives int        `toml:"directives" default:"50" doc:"Directives of a document."`
+	Batch      int        `toml:"batch" default:"10" doc:"Entries of a batch; 1: there are no batches."`
+	Variables  units.Size `toml:"variables" default:"32KiB" doc:"Variables of an operation, as JSON."`
+	Cost       float64    `toml:"cost" doc:"The estimate of an operation's cost; 0: any."`
+	Answers    units.Size `toml:"batch_answers" default:"1MiB" doc:"The answers of a batch together."`
+}
+
+// DefaultLimits are those of a file that says nothing.
+func DefaultLimits() Limits {
+	return Limits{Tokens: 4000, Depth: 20, Fields: 5000, Roots: 20, Aliases: 50, Directives: 50, Batch: 10,
+		Variables: 32 * units.KiB, Answers: units.MiB}
+}
+
+// Default is what holds where nothing is said.
+func Default() Options {
+	return Options{Query: "read", Mutation: "write", Persist: "off", Stored: units.MiB, Cache: 2 * units.MiB, Limits: DefaultLimits(),
+		Sizes: []string{"first", "last", "limit"}, Assumed: 10, Parallel: 4, MaxBody: 64 * units.KiB}
+}
+
+// Check is tomlfile.Checker's.
+func (o *Options) Check(report func(key, format string, args ...any)) {
+	if p, err := routes.ParsePattern(o.Match, nil); err != nil {
+		report("match", "%v", err)
+	} else if p.Method != "" || len(p.Wildcards()) > 0 || strings.HasSuffix(o.Match, "/") {
+		report("match", "an endpoint is one path, without a method")
+	}
+	if o.MaxBody > routes.MaxMaxBody {
+		report("max_body", "%v is over %v", o.MaxBody, routes.MaxMaxBody)
+	}
+	if (o.Known != "") != (o.Persist == "known") {
+		report("known", "it belongs to persisted = \"known\"")
+	}
+	if o.Stored < 0 || o.Cache < 0 {
+		report("cache_bytes", "less than nothing can't be kept")
+	}
+	between := func(key string, n, least, most int) {
+		if n < least || n > most {
+			report(key, "%d is not from %d to %d", n, least, most)
+		}
+	}
+	between("assumed_size", o.Assumed, 0, 1e6)
+	between("batch_parallel", o.Parallel, 1, maxBatch)
+	named := map[string]bool{}
+	for _, f := range o.Fields {
+		typ, field, ok := strings.Cut(f.Name, ".")
+		switch {
+		case !ok || typ == "" || field == "" || strings.Contains(field, "."):
+			report("field", "%q is not TYPE.FIELD", f.Name)
+		case named[f.Name]:
+			report("field", "%q stands there twice", f.Name)
+		case f.Key != "" && (typ != mutationType || f.Class == ""):
+			report("field", "%q: a key belongs to a mutation's root field with a class", f.Name)
+		case f.Class != "" && typ != queryType && typ != mutationType:
+			report("field", "%q: a class belongs to a root field, %s.NAME or %s.NAME", f.Name, queryType, mutationType)
+		case math.IsNaN(f.Weight) || f.Weight > 1e6:
+			report("field", "%q: %v is no usable weight", f.Name, f.Weight)
+		}
+		named[f.Name] = true
+	}
+	for _, n := range o.Named {
+		if n.Name == "" || n.Class == "" {
+			report("operation", "an operation needs its name and its class")
+		}
+	}
+}
+
+// The names of the root types in the operator's file.
+const (
+	queryType    = "Query"
+	mutationType = "Mutation"
+)
+
+// Bounds of the options themselves.
+const (
+	maxBatch  = 1000
+	maxTokens = 100_000
+)
+
+// Check is tomlfile.Checker's.
+func (l *Limits) Check(report func(key, format string, args ...any)) {
+	for _, x := range []struct {
+		key     string
+		n, most int
+	}{{"tokens", l.Tokens, maxTokens}, {"depth", l.Depth, 1000}, {"fields", l.Fields, 1e6}, {"root_fields", l.Roots, maxTokens},
+		{"aliases", l.Aliases, maxTokens}, {"directives", l.Directives, maxTokens}, {"batch", l.Batch, maxBatch}} {
+		least := 1
+		if x.key == "aliases" || x.key == "directives" {
+			least = 0
+		}
+		if x.n < least || x.n > x.most {
+			report(x.key, "%d is not from %d to %d", x.n, least, x.most)
+		}
+	}
+	if !(l.Cost >= 0) || math.IsInf(l.Cost, 0) {
+		report("cost", "%v is no usable bound", l.Cost)
+	}
+	if l.Variables < 0 || l.Answers <= 0 {
+		report("batch_answers", "answers need some room")
+	}
+}
--- /dev/null
+++ b/internal/graphql/reference_test.go
@@ -0,0 +1,66 @@
+package graphql
+
+import (
+	stdjson "encoding/json"
+	"errors"
+
+	"github.com/vektah/gqlparser/v2/ast"
+	"github.com/vektah/gqlparser/v2/parser"
+
+	"orchiddrift/balancer"
+)
+
+// reference is the least strict effect that a request may have by what a node reads with the standard library and executes as
+// the specification's GetOperation and CollectFields say.
+func reference(body []byte) (balancer.Effect, error) {
+	var r struct{ Query, OperationName string }
+	if err := stdjson.Unmarshal(body, &r); err != nil {
+		return 0, err
+	}
+	doc, err := parser.ParseQuery(&ast.Source{Input: r.Query})
+	if err != nil {
+		return 0, err
+	}
+	op := doc.Operations.ForName(r.OperationName)
+	if op == nil {
+		return 0, errors.New("no such operation")
+	}
+	if op.Operation == ast.Query {
+		for _, name := range rootNames(doc, op.SelectionSet, 0) {
+			if name == "audit" {
+				return balancer.Unsafe, nil
+			}
+		}
+		return balancer.Safe, nil
+	}
+	keyed := map[string]bool{}
+	for _, name := range rootNames(doc, op.SelectionSet, 0) {
+		if name != "record" && name != "refund" && name != "__typename" {
+			return balancer.Unsafe, nil
+		}
+		keyed[name] = true
+	}
+	if delete(keyed, "__typename"); len(keyed) != 1 {
+		return balancer.Unsafe, nil
+	}
+	return balancer.Keyed, nil
+}
+
+func rootNames(doc *ast.QueryDocument, set ast.SelectionSet, depth int) (names []string) {
+	if depth > 100 {
+		return nil
+	}
+	for _, s := range set {
+		switch s := s.(type) {
+		case *ast.Field:
+			names = append(names, s.Name)
+		case *ast.InlineFragment:
+			names = append(names, rootNames(doc, s.SelectionSet, depth+1)...)
+		case *ast.FragmentSpread:
+			if f := doc.Fragments.ForName(s.Name); f != nil {
+				names = append(names, rootNames(doc, f.SelectionSet, depth+1)...)
+			}
+		}
+	}
+	return names
+}
