--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -9,6 +9,7 @@
 	"orchiddrift/internal/directory"
 	"orchiddrift/internal/door"
 	"orchiddrift/internal/eureka"
+	"orchiddrift/internal/graphql"
 	"orchiddrift/internal/httphead"
 	"orchiddrift/internal/keys"
 	"orchiddrift/internal/listfile"
@@ -34,7 +35,8 @@
 	Platform PlatformPart         `toml:"platform" doc:"Added to the platform's service, beside its file."`
 	Doors    []door.Options       `toml:"door" doc:"A queue before a service, fair between those who ask."`
 	Services []Service            `toml:"service" doc:"A service: upstreams that answer the same requests. There are as many as there are such tables."`
-	Routes   []routes.Declaration `toml:"route" doc:"A route: which requests go to which service, and as what. Absent, with one service: all go there."`
+	GraphQL  []graphql.Options    `toml:"graphql" doc:"A GraphQL endpoint: its operations are told apart, classed and costed by what stands in them."`
+	Routes   []routes.Declaration `toml:"route" doc:"A route: which requests go to which service, and as what. Absent, with one service and no [[graphql]]: all go there."`
 }
 
 // Daemon is about the process.
--- a/internal/config/plan.go
+++ b/internal/config/plan.go
@@ -17,6 +17,7 @@
 	"orchiddrift/internal/directory"
 	"orchiddrift/internal/door"
 	"orchiddrift/internal/eureka"
+	"orchiddrift/internal/graphql"
 	"orchiddrift/internal/httphead"
 	"orchiddrift/internal/keys"
 	"orchiddrift/internal/listfile"
@@ -42,6 +43,7 @@
 	Guaranteed   float64       // the part of each limit that is set aside for services
 	Services     []ServicePlan
 	Table        *routes.Table
+	Endpoints    map[string]*graphql.Endpoint // of routes, by their Endpoint
 	TLS          keys.Listener
 	Log          logs.Declaration
 	Registers    []eureka.Declaration // where the process registers itself
@@ -241,7 +243,7 @@
 		p.Grace = cmp.Or(p.Grace, longest) + killMargin
 	}
 	declared := f.Routes
-	if len(declared) == 0 && len(p.Services) == 1 && beside == nil { // the platform's service has its own
+	if len(declared) == 0 && len(p.Services) == 1 && beside == nil && len(f.GraphQL) == 0 { // the platform's service has its own
 		declared = []routes.Declaration{{Match: "/", Key: routes.Header(httphead.Key), MaxBody: routes.MaxMaxBody}}
 	}
 	led := map[string]bool{}
@@ -261,7 +263,11 @@
 			led[r.Service] = true
 		}
 	}
-	if len(declared) == 0 && len(f.Services) > 0 {
+	for _, r := range f.endpoints(p, names, doc) {
+		all, places = append(all, r.route), append(places, r.at)
+		led[r.route.Service] = true
+	}
+	if len(declared) == 0 && len(f.Services) > 0 && len(f.GraphQL) == 0 {
 		doc.Report("route", "there is none, and more than one service: [[route]]")
 	}
 	for i := range p.Services {
--- /dev/null
+++ b/internal/daemon/graphql.go
@@ -0,0 +1,368 @@
+package daemon
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"orchiddrift/balancer"
+	"orchiddrift/internal/doorkeeper"
+	"orchiddrift/internal/engine"
+	"orchiddrift/internal/graphql"
+	"orchiddrift/internal/httphead"
+	"orchiddrift/internal/intake"
+	"orchiddrift/internal/upstream"
+)
+
+// graphqlCall is a request to a GraphQL endpoint: one operation, or a batch of them, each of which is a request of its own
+// to the door and the module.
+type graphqlCall struct {
+	*server
+	w        http.ResponseWriter
+	r        *http.Request
+	svc      *service
+	req      intake.Request
+	id       string
+	endpoint *graphql.Endpoint
+	lease    *lease
+	begun    time.Duration
+	media    string // of the answer
+}
+
+// serve answers the request, or tells that it is to be decided anew: its route ended before anything was sent.
+func (c *graphqlCall) serve(body []byte) (again bool) {
+	asked, bad := c.read(body)
+	if bad != nil {
+		c.turnDown(bad)
+		return false
+	}
+	entries := make([]*operation, len(asked.Params))
+	problems := asked.Problems
+	for i := range entries {
+		o := &operation{call: c, id: c.id}
+		if asked.Batch {
+			o.id += "." + strconv.Itoa(i)
+		}
+		if problems[i] == nil {
+			o.decision, problems[i] = c.endpoint.Decide(&asked.Params[i], c.r.Method == http.MethodGet)
+		}
+		entries[i] = o
+	}
+	defer func() {
+		for _, o := range entries {
+			o.end()
+		}
+	}()
+	if asked.Batch {
+		return c.batch(entries, problems)
+	}
+	if problems[0] != nil {
+		c.turnDown(problems[0])
+		return false
+	}
+	o := entries[0]
+	o.run()
+	if o.unsent {
+		return true
+	}
+	c.finish(o)
+	return false
+}
+
+// read takes the operations out of the request.
+func (c *graphqlCall) read(body []byte) (graphql.Asked, *graphql.Problem) {
+	var none graphql.Asked
+	bad := func(status int, text string) (graphql.Asked, *graphql.Problem) {
+		return none, &graphql.Problem{Status: status, Code: graphql.CodeRequest, Message: text}
+	}
+	media, ok := graphql.Media(c.r.Header.Values("Accept"))
+	if c.media = media; !ok {
+		c.media = graphql.MediaResponse
+		return bad(http.StatusNotAcceptable, "answers are "+graphql.MediaResponse+" or "+graphql.MediaJSON)
+	}
+	if encoding := c.r.Header.Get("Content-Encoding"); encoding != "" && !strings.EqualFold(encoding, "identity") {
+		return bad(http.StatusUnsupportedMediaType, "a packed body is not taken")
+	}
+	limits := c.endpoint.Limits()
+	switch c.r.Method {
+	case http.MethodGet:
+		return graphql.URLQuery(c.r.URL.RawQuery, limits)
+	case http.MethodPost:
+		if types := c.r.Header.Values("Content-Type"); len(types) != 1 || !graphql.IsJSON(types[0]) {
+			return bad(http.StatusUnsupportedMediaType, "a POST is "+graphql.MediaJSON)
+		}
+		if !graphql.Plain(c.r.URL.RawQuery) {
+			return bad(http.StatusBadRequest, "a POST has its parameters in the body alone")
+		}
+		return graphql.Body(body, limits)
+	}
+	return none, &graphql.Problem{Status: http.StatusMethodNotAllowed, Code: graphql.CodeRequest, Allow: graphql.Methods,
+		Message: "this is asked for with GET or POST"}
+}
+
+// turnDown answers a request that is not taken. Its body has been read, so that the connection goes on.
+func (c *graphqlCall) turnDown(p *graphql.Problem) {
+	if p.Allow != "" {
+		c.w.Header().Set("Allow", p.Allow)
+	}
+	c.say(p.StatusFor(c.media), p.Body())
+}
+
+func (c *graphqlCall) say(status int, body []byte) {
+	c.w.Header().Set("Content-Type", c.media+"; charset=utf-8")
+	c.write(c.w, status, body)
+}
+
+// operation is one operation in hand.
+type operation struct {
+	exchange
+	call     *graphqlCall
+	id       string
+	decision graphql.Decision
+	answer   engine.Answer
+	unsent   bool // its route ended, and nothing was sent
+
+	failedMu sync.Mutex
+	failed   *upstream.Reply // the latest attempt's, where that was a node's word of its failure
+}
+
+// run has the door and the module decide on the operation.
+func (o *operation) run() {
+	c, d := o.call, &o.decision
+	req := c.req
+	req.Class, req.Timeout = d.Class, min(req.Timeout, d.Class.Deadline)
+	if req.Hint == 0 {
+		req.Hint = d.Hint
+	}
+	req.Method, req.Header = http.MethodPost, maps.Clone(req.Header)
+	for _, name := range [...]string{"Accept", "Accept-Encoding", "Content-Encoding", "Content-Type"} {
+		delete(req.Header, name)
+	}
+	req.Header["Accept"] = []string{c.media}
+	req.Header["Content-Type"] = []string{graphql.MediaJSON}
+	if given := req.Header[httphead.ID]; len(given) == 0 || given[0] == c.id {
+		req.Header[httphead.ID] = []string{o.id}
+	}
+	if c.r.Method == http.MethodGet {
+		req.Target, _, _ = strings.Cut(req.Target, "?")
+	}
+	// Its answer's promise is remembered by it: all operations have one path.
+	req.Key = strconv.FormatUint(xxhash.Sum64(d.Body), 16)
+	o.pool = c.svc.pool
+	o.request = upstream.NewRequest(req.Method, req.Target, req.Host, req.Header, d.Body)
+	o.request.Gate = c.lease
+	if pass, refused := c.door(c.r, c.svc, &req, c.begun, len(d.Body)); refused != nil {
+		o.answer = *refused
+	} else {
+		o.answer = c.svc.engine.Do(c.r.Context(), engine.Call{ID: o.id, Class: req.Class.Name, Tenant: req.Tenant, Hint: req.Hint,
+			Expires: c.begun + req.Timeout}, o)
+		pass.Done(doorkeeper.Ended(o.answer))
+	}
+	switch o.answer.Kind {
+	case engine.Refused, engine.Failed, engine.Closed:
+		o.unsent = c.lease.ended.Load() && o.begun.Load() == 0 && c.r.Context().Err() == nil && !c.stopping.Load()
+	}
+}
+
+// Carry is engine.Carrier's: what a node answers is judged before the module hears of it.
+func (o *operation) Carry(ctx context.Context, a engine.Attempt) engine.Reply {
+	begun := time.Now()
+	rep := o.pool.Attempt(ctx, a.Upstream, o.request, a.Deadline)
+	if rep.Result != balancer.Moot && rep.Result != balancer.ConnectFailed {
+		o.begun.Add(1)
+	}
+	if rep.Result != balancer.OK {
+		o.fail(nil)
+		return engine.Reply{Result: rep.Result}
+	}
+	e := o.call.endpoint
+	switch e.Judge(rep.Status, rep.Body, rep.Header.Get("Content-Encoding") != "") {
+	case graphql.Served:
+		if rep.Status == http.StatusOK {
+			e.Took(&o.decision, time.Since(begun))
+		}
+		o.keep(rep)
+		return engine.Reply{Result: balancer.OK, Value: &rep}
+	case graphql.Unrun:
+		o.pool.Free(rep)
+		o.fail(nil)
+		return engine.Reply{Result: balancer.Overloaded}
+	case graphql.Failing:
+		o.keep(rep)
+		o.fail(&rep)
+		return engine.Reply{Result: balancer.ServerError}
+	}
+	o.pool.Free(rep)
+	o.fail(nil)
+	return engine.Reply{Result: balancer.Garbled}
+}
+
+func (o *operation) fail(rep *upstream.Reply) {
+	o.failedMu.Lock()
+	defer o.failedMu.Unlock()
+	o.failed = rep
+}
+
+// told is a node's own word of its failure, where that is what the operation ended with.
+func (o *operation) told() *upstream.Reply {
+	o.failedMu.Lock()
+	defer o.failedMu.Unlock()
+	if o.answer.Kind != engine.Failed {
+		return nil
+	}
+	return o.failed
+}
+
+// outcome words how an operation ended that no node's answer stands for.
+func (o *operation) outcome() (status int, end graphql.End, body []byte) {
+	say := func(status int, end graphql.End, code, message string) (int, graphql.End, []byte) {
+		return status, end, graphql.ErrorBody(message, code, &graphql.Known{MayHaveRun: end == graphql.Uncertain, RetryAfter: o.answer.RetryIn})
+	}
+	switch o.answer.Kind {
+	case engine.Refused:
+		return say(http.StatusServiceUnavailable, graphql.NotRun, graphql.CodeRefused, "refused: not done, trying again is harmless")
+	case engine.Duplicate:
+		return say(http.StatusConflict, graphql.NotRun, graphql.CodeDuplicate, "a request of this id is in hand")
+	case engine.Closed:
+		return say(http.StatusInternalServerError, graphql.NotRun, graphql.CodeFailed, "stopped")
+	case engine.Abandoned:
+		if o.begun.Load() == 0 {
+			return say(http.StatusBadGateway, graphql.NotRun, graphql.CodeFailed, "the client has left")
+		}
+	}
+	if rep := o.told(); rep != nil {
+		return http.StatusBadGateway, graphql.Uncertain, rep.Body
+	}
+	return say(http.StatusBadGateway, graphql.Uncertain, graphql.CodeFailed, "failed: it may have run")
+}
+
+// finish words the answer to a single operation.
+func (c *graphqlCall) finish(o *operation) {
+	if o.answer.Kind == engine.Served {
+		c.server.finish(c.w, o.answer)
+		return
+	}
+	status, _, body := o.outcome()
+	c.retryAfter(o.answer.Kind == engine.Refused, o.answer.RetryIn)
+	if o.answer.Kind == engine.Abandoned { // should the client be there after all, it is told
+		c.w.Header().Set("Connection", "close")
+	}
+	c.say(status, body)
+}
+
+func (c *graphqlCall) retryAfter(refused bool, in time.Duration) {
+	if refused && in > 0 {
+		c.w.Header().Set("Retry-After", strconv.FormatFloat(in.Seconds(), 'f', -1, 64))
+	}
+}
+
+// batch answers several operations in one array, in their order.
+func (c *graphqlCall) batch(entries []*operation, problems []*graphql.Problem) (again bool) {
+	kinds := make([]graphql.Kind, len(entries))
+	for i, o := range entries {
+		if kinds[i] = o.decision.Kind; problems[i] != nil && o.decision.Class == nil {
+			kinds[i] = graphql.Mutation // it might be one
+		}
+	}
+	parallel, release := c.places(len(entries))
+	defer release()
+	b := graphql.NewBatch(kinds, problems, parallel)
+	ended := make(chan int, len(entries))
+	ends, bodies := make([]graphql.End, len(entries)), make([][]byte, len(entries))
+	var unsent, begun int
+	var longest time.Duration
+	room := c.endpoint.Limits().Answers.Bytes()
+	for i, p := range problems {
+		if p != nil {
+			ends[i], bodies[i] = graphql.NotRun, p.Body()
+		}
+	}
+	for {
+		send, drop := b.Next(nil, nil)
+		for _, i := range send {
+			go func() {
+				entries[i].run()
+				ended <- i
+			}()
+		}
+		for _, i := range drop {
+			ends[i], bodies[i] = graphql.NotRun, graphql.ErrorBody("not sent: a mutation before it in the batch has no good end; trying again is harmless",
+				graphql.CodeNotSent, &graphql.Known{})
+		}
+		if b.Over() {
+			break
+		}
+		i := <-ended
+		o := entries[i]
+		if o.unsent {
+			unsent++
+		}
+		begun += int(o.begun.Load())
+		ends[i], bodies[i] = c.entry(o, &room)
+		if o.answer.Kind == engine.Refused {
+			longest = max(longest, o.answer.RetryIn)
+		}
+		b.Done(i, ends[i])
+	}
+	if unsent > 0 && begun == 0 {
+		return true
+	}
+	status := graphql.Status(ends, problems)
+	c.retryAfter(status == http.StatusServiceUnavailable, longest)
+	size := 2
+	for _, body := range bodies {
+		size += len(body) + 1
+	}
+	out := append(make([]byte, 0, size), '[')
+	for i, body := range bodies {
+		if i > 0 {
+			out = append(out, ',')
+		}
+		out = append(out, body...)
+	}
+	c.say(status, append(out, ']'))
+	return false
+}
+
+// entry is what stands in a batch's answer for an operation, as long as there is room.
+func (c *graphqlCall) entry(o *operation, room *int) (graphql.End, []byte) {
+	if o.answer.Kind != engine.Served {
+		_, end, body := o.outcome()
+		if *room -= len(body); *room < 0 {
+			return end, graphql.ErrorBody("the batch's answers are too large", graphql.CodeTooLarge, &graphql.Known{MayHaveRun: end == graphql.Uncertain})
+		}
+		return end, body
+	}
+	rep := o.answer.Value.(*upstream.Reply)
+	switch {
+	case !graphql.IsAnswer(rep.Body):
+		return graphql.Answered, graphql.ErrorBody("the upstream answered with status "+strconv.Itoa(rep.Status), graphql.CodeAnswer,
+			&graphql.Known{MayHaveRun: rep.Status/100 != 4})
+	case len(rep.Body) > *room:
+		return graphql.Answered, graphql.ErrorBody("it was answered, and the batch's answers are too large", graphql.CodeTooLarge, &graphql.Known{MayHaveRun: true})
+	}
+	*room -= len(rep.Body)
+	return graphql.Answered, rep.Body
+}
+
+// places is how many entries may be in hand at once: the request itself has one place in the bulkhead, further ones are
+// taken as far as they are free.
+func (c *graphqlCall) places(entries int) (int, func()) {
+	n, hand := 1, c.d.shared.inHand
+	for most := min(entries, c.endpoint.Parallel()); n < most; n++ {
+		if hand != nil && !hand.TryAcquire(c.svc.name, 1) {
+			break
+		}
+	}
+	return n, func() {
+		if hand != nil && n > 1 {
+			hand.Release(c.svc.name, int64(n-1))
+		}
+	}
+}
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -140,7 +140,7 @@
 	}
 
 	// From here on nothing fails.
-	next, ended := now.next(p.Table, services, p.BodyTimeout)
+	next, ended := now.next(p.Table, services, p.Endpoints, p.BodyTimeout)
 	for _, move := range moves {
 		move()
 	}
--- a/internal/daemon/routing.go
+++ b/internal/daemon/routing.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"orchiddrift/internal/engine"
+	"orchiddrift/internal/graphql"
 	"orchiddrift/internal/intake"
 	"orchiddrift/internal/routes"
 	"orchiddrift/internal/upstream"
@@ -21,7 +22,8 @@
 	table    *routes.Table
 	services map[string]*service
 	leases   map[*routes.Route]*lease
-	body     time.Duration // that a client may take for a request's body
+	graphql  map[string]*graphql.Endpoint // by Route.Endpoint
+	body     time.Duration                // that a client may take for a request's body
 }
 
 // lease is a route's right to send. A route that a reload takes away or changes loses it: nothing is sent by it once the
@@ -63,9 +65,15 @@
 
 // next makes the routing for a table and its services. Routes that stay as they are, to a service that stays, keep their
 // lease; ended are the leases of the others.
-func (r *routing) next(table *routes.Table, services map[string]*service, body time.Duration) (n *routing, ended []*lease) {
+func (r *routing) next(table *routes.Table, services map[string]*service, endpoints map[string]*graphql.Endpoint,
+	body time.Duration) (n *routing, ended []*lease) {
 	n = &routing{checker: intake.NewChecker(table), table: table, services: services,
-		leases: make(map[*routes.Route]*lease, len(table.Routes())), body: body}
+		leases: make(map[*routes.Route]*lease, len(table.Routes())), graphql: maps.Clone(endpoints), body: body}
+	for print := range n.graphql { // those that stay keep what they hold
+		if r != nil && r.graphql[print] != nil {
+			n.graphql[print] = r.graphql[print]
+		}
+	}
 	before := map[string]*routes.Route{}
 	if r != nil {
 		for _, old := range r.table.Routes() {
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -116,6 +116,10 @@
 		}
 	}
 	lease := routing.leases[req.Route]
+	if e := routing.graphql[req.Route.Endpoint]; e != nil {
+		c := &graphqlCall{server: s, w: w, r: r, svc: svc, req: req, id: id, endpoint: e, lease: lease, begun: begun}
+		return c.serve(*body)
+	}
 	out := upstream.NewRequest(req.Method, req.Target, req.Host, req.Header, *body)
 	out.Gate = lease
 	x := &exchange{pool: svc.pool, request: out}
--- a/internal/graphql/endpoint.go
+++ b/internal/graphql/endpoint.go
@@ -153,6 +153,24 @@
 	return [...]string{"safe", "keyed", "unsafe"}[e]
 }
 
+// String tells in a line how operations are told apart.
+func (e *Endpoint) String() string {
+	text := fmt.Sprintf("GraphQL: queries %s, mutations %s", e.classes[Query].Name, e.classes[Mutation].Name)
+	if n := len(e.fields); n > 0 {
+		text += fmt.Sprintf(", %d root fields of their own", n)
+	}
+	if e.schema != nil {
+		text += ", held against a schema"
+	}
+	switch e.o.Persist {
+	case "known":
+		text += fmt.Sprintf(", %d known operations alone", len(e.known))
+	case "automatic":
+		text += ", persisted queries"
+	}
+	return text
+}
+
 // Longest is the longest deadline of a class that the endpoint may decide on.
 func (e *Endpoint) Longest() time.Duration { return e.longest }
 
--- a/internal/graphql/options.go
+++ b/internal/graphql/options.go
@@ -3,7 +3,10 @@
 import (
 	"math"
 	"strings"
+	"time"
 
+	"orchiddrift/balancer"
+	"orchiddrift/internal/httphead"
 	"orchiddrift/internal/routes"
 	"orchiddrift/internal/units"
 )
@@ -27,10 +30,10 @@
 	Sizes    []string      `toml:"size_arguments" default:"first, last, limit" doc:"Arguments that say how long a list is, where the schema has no @listSize."`
 	Assumed  int           `toml:"assumed_size" default:"10" doc:"How long a list is that nothing tells the length of."`
 	Parallel int           `toml:"batch_parallel" default:"4" doc:"Entries of one batch that are sent at once. Its mutations go one at a time."`
-	Tenant   routes.Source `toml:"tenant" doc:"As of a route."`
-	Cost     routes.Source `toml:"cost" doc:"As of a route: it goes before the estimate made here."`
-	ID       routes.Source `toml:"id" doc:"As of a route."`
-	Deadline routes.Source `toml:"deadline" doc:"As of a route."`
+	Tenant   routes.Source `toml:"tenant" default:"header:X-Tenant-Id" doc:"As of a route."`
+	Cost     routes.Source `toml:"cost" default:"header:X-Cost" doc:"As of a route: it goes before the estimate made here."`
+	ID       routes.Source `toml:"id" default:"header:X-Request-ID" doc:"As of a route. An entry of a batch has it with a dot and its number behind."`
+	Deadline routes.Source `toml:"deadline" default:"header:X-Timeout" doc:"As of a route. The entries of a batch share it."`
 	MaxBody  units.Size    `toml:"max_body" default:"64KiB" doc:"What a body may have."`
 }
 
@@ -71,7 +74,21 @@
 // Default is what holds where nothing is said.
 func Default() Options {
 	return Options{Query: "read", Mutation: "write", Persist: "off", Stored: units.MiB, Cache: 2 * units.MiB, Limits: DefaultLimits(),
-		Sizes: []string{"first", "last", "limit"}, Assumed: 10, Parallel: 4, MaxBody: 64 * units.KiB}
+		Sizes: []string{"first", "last", "limit"}, Assumed: 10, Parallel: 4, MaxBody: 64 * units.KiB,
+		Tenant: routes.Header(httphead.Tenant), Cost: routes.Header(httphead.Cost), ID: routes.Header(httphead.ID),
+		Deadline: routes.Header(httphead.Timeout)}
+}
+
+// Route is the endpoint's: who takes its requests asks the Endpoint for their class, until which they count as unsafe. longest
+// bounds their deadline.
+func (o *Options) Route(service, fingerprint string, longest time.Duration) (*routes.Route, error) {
+	p, err := routes.ParsePattern(o.Match, nil)
+	if err != nil {
+		return nil, err
+	}
+	class := &Class{Name: "graphql", Effect: balancer.Unsafe, Deadline: longest}
+	return &routes.Route{Pattern: p, Service: service, Read: class, Write: class, Tenant: o.Tenant, Cost: o.Cost, ID: o.ID,
+		Deadline: o.Deadline, MaxBody: int64(o.MaxBody), Endpoint: fingerprint}, nil
 }
 
 // Check is tomlfile.Checker's.
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -40,6 +40,9 @@
 	Repeats []string
 	MaxBody int64 // bytes
 
+	// Endpoint names what decides on the requests' classes in place of the route, by their bodies; empty: the route does.
+	Endpoint string
+
 	// What the platform's header rules add, see Platform.
 	ClassHeader string // names the class again, where it is there
 	NeedID      bool   // a request without ID is turned down; else one is made
--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -19,6 +19,8 @@
 	Garble                        // runs, then answers what can't be read
 	Cut                           // runs, then breaks the connection within the answer
 	RefuseAtWire                  // gRPC: REFUSED_STREAM [HTTP: TurnAway]
+	ErrorUnrun                    // GraphQL: an error whose code says that it did not run [TurnAway]
+	ErrorRan                      // GraphQL: runs, then answers an error without data [Fail]
 	GoAway                        // gRPC: GOAWAY below the stream; the connection takes no more [HTTP: TurnAway, closes]
 )
 
--- a/internal/standin/grpc.go
+++ b/internal/standin/grpc.go
@@ -279,9 +279,9 @@
 		h.expire(s)
 	case abandoned:
 		h.expire(s)
-	case turnAway:
+	case turnAway, errorUnrun:
 		h.trailers(s, 14, "full", map[string]string{"x-not-processed": "1"}) // UNAVAILABLE
-	case serverError:
+	case serverError, errorRan:
 		h.trailers(s, 13, "broken", nil)
 	case garble:
 		h.message(s, []byte{0xff, 0xff, 0xff}, 0)
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -69,6 +69,8 @@
 	cut
 	refuseAtWire
 	goAway
+	errorUnrun
+	errorRan
 	abandoned // the client has left
 )
 
@@ -317,11 +319,11 @@
 	for _, f := range []struct {
 		kind FaultKind
 		then verdictKind
-	}{{RefuseAtWire, refuseAtWire}, {GoAway, goAway}, {TurnAway, turnAway}, {FailUnrun, serverError},
+	}{{RefuseAtWire, refuseAtWire}, {GoAway, goAway}, {TurnAway, turnAway}, {ErrorUnrun, errorUnrun}, {FailUnrun, serverError},
 		{ResetBefore, breakOff}, {Hang, silence}} {
 		if _, hit := n.strikes(f.kind, j.Class); hit {
 			n.o.Ledger.count(n.o.Name, func(c *NodeCount) { c.Faults++ })
-			if f.then == turnAway || f.then == refuseAtWire || f.then == goAway {
+			if f.then == turnAway || f.then == refuseAtWire || f.then == goAway || f.then == errorUnrun {
 				n.o.Ledger.count(n.o.Name, func(c *NodeCount) { c.TurnedAway++ })
 			}
 			if f.then == silence {
@@ -372,7 +374,7 @@
 	for _, f := range []struct {
 		kind FaultKind
 		then verdictKind
-	}{{Fail, serverError}, {ResetAfter, breakOff}, {LoseAnswer, silence}, {Garble, garble}, {Cut, cut}} {
+	}{{Fail, serverError}, {ErrorRan, errorRan}, {ResetAfter, breakOff}, {LoseAnswer, silence}, {Garble, garble}, {Cut, cut}} {
 		if _, hit := n.strikes(f.kind, j.Class); hit {
 			n.o.Ledger.count(n.o.Name, func(c *NodeCount) { c.Faults++ })
 			if f.then == silence {
