--- a/cmd/orchiddrift/check.go
+++ b/cmd/orchiddrift/check.go
@@ -122,11 +122,14 @@
 		fmt.Fprintln(w)
 	}
 	for _, r := range p.Table.Routes() {
-		class := "by method"
+		class := "class by method"
 		if r.Class != nil {
-			class = r.Class.Name
+			class = "class " + r.Class.Name
 		}
-		fmt.Fprintf(w, "route %s to %s, class %s\n", r.Pattern, r.Service, class)
+		if e := p.Endpoints[r.Endpoint]; e != nil {
+			class = e.String()
+		}
+		fmt.Fprintf(w, "route %s to %s, %s\n", r.Pattern, r.Service, class)
 	}
 	return nil
 }
--- a/internal/daemon/door_test.go
+++ b/internal/daemon/door_test.go
@@ -58,12 +58,16 @@
 	r := &doorRig{came: make(chan string, 100), answer: make(chan bool, 100), ends: map[string][]string{}}
 	done := make(chan struct{})
 	upstream := base.HTTP(t, nil, func(w http.ResponseWriter, q *http.Request) {
-		r.came <- q.URL.Path
+		at := q.URL.Path
+		if at == "/graphql" { // where all have one path
+			at = q.Header.Get("X-Tenant-Id")
+		}
+		r.came <- at
 		select {
 		case <-r.answer:
 		case <-done:
 		}
-		_, _ = w.Write([]byte(q.URL.Path))
+		_, _ = w.Write([]byte(`{"data":{}}`))
 	})
 	r.fileRig = startFile(t, fmt.Sprintf(doorFile, upstream)+table)
 	t.Cleanup(r.wg.Wait)
@@ -194,6 +198,38 @@
 	}
 }
 
+// A batch is charged by its entries: it does not get past the door as one.
+func TestDoorChargesBatches(t *testing.T) {
+	r := startDoor(t, doorTable+"[[graphql]]\nmatch = \"/graphql\"\n")
+	ask := func(tenant, body string) {
+		r.wg.Go(func() {
+			q, _ := http.NewRequest("POST", "http://"+r.address+"/graphql", strings.NewReader(body)) // the URL can be read
+			q.Header.Set("X-Tenant-Id", tenant)
+			q.Header.Set("Content-Type", "application/json")
+			if resp, err := r.client.Do(q); err != nil || resp.StatusCode != 200 {
+				t.Errorf("%s: %v %v", tenant, resp, err)
+			} else {
+				resp.Body.Close()
+			}
+		})
+	}
+	ask("flood", "["+strings.Repeat(op("{a}")+",", 5)+op("{b}")+"]")
+	r.next(t)
+	r.holding(t, 3) // batch_parallel is 4
+	ask("quiet", op("{a}"))
+	r.holding(t, 4)
+	r.answer <- true
+	if at := r.next(t); at != "quiet" {
+		t.Errorf("%s goes before the quiet one", at)
+	}
+	for i := range 6 {
+		r.answer <- true
+		if i < 5 {
+			r.next(t)
+		}
+	}
+}
+
 // At SIGTERM who waits goes on while there is time, and gets one answer when there is none.
 func TestDoorDrains(t *testing.T) {
 	r := startDoor(t, doorTable)
--- a/internal/daemon/graphql_test.go
+++ b/internal/daemon/graphql_test.go
@@ -350,6 +350,66 @@
 	}
 }
 
+// A node that goes between two mutations of a batch gets no more of it.
+func TestGraphQLNodeGoesMidBatch(t *testing.T) {
+	var r *graphqlRig
+	var addresses [2]string
+	var mu sync.Mutex
+	var got []int
+	for i := range addresses {
+		addresses[i] = base.HTTP(t, nil, func(w http.ResponseWriter, _ *http.Request) {
+			mu.Lock()
+			defer mu.Unlock()
+			if got = append(got, i); len(got) == 1 { // it goes while it has the first
+				if err := r.reload(t, fmt.Sprintf(graphqlFile, fmt.Sprintf("%q", addresses[1-i]), "5s")); err != nil {
+					t.Error(err)
+				}
+			}
+			_, _ = w.Write([]byte(`{"data":{"a":"x"}}`))
+		})
+	}
+	r = &graphqlRig{file: fmt.Sprintf(graphqlFile, fmt.Sprintf("%q, %q", addresses[0], addresses[1]), "5s")}
+	r.fileRig = startFile(t, r.file)
+	status, _, body := r.post(t.Context(), "["+strings.Repeat(op("mutation{a}")+",", 4)+op("mutation{a}")+"]")
+	if s := strings.Join(codes(t, body), " "); status != 200 || s != "ok ok ok ok ok" {
+		t.Errorf("%d %s", status, body)
+	}
+	if len(got) != 5 || slices.Contains(got[1:], got[0]) {
+		t.Errorf("the nodes that got them: %v", got)
+	}
+}
+
+// A query whose client leaves while its second copy runs leaves nothing behind.
+func TestGraphQLClientLeaves(t *testing.T) {
+	lost := standin.NodeOptions{Cores: 4, Work: time.Millisecond, Faults: []standin.Fault{{Kind: standin.LoseAnswer, Class: "query", From: 300 * time.Millisecond}}}
+	r := startGraphQL(t, "20s", lost, lost, lost)
+	leaves, leave := context.WithCancel(t.Context())
+	defer leave()
+	var wg sync.WaitGroup
+	const clients = 8
+	for range clients {
+		wg.Go(func() {
+			for leaves.Err() == nil {
+				r.post(leaves, op("{seats}"))
+			}
+		})
+	}
+	testkit.Eventually(t, "copies run beside hanging queries", func() bool { return copies(r) > clients })
+	leave()
+	wg.Wait()
+	if status, _, body := r.post(t.Context(), op(`mutation{confirm(id:"a")}`)); status != 200 {
+		t.Errorf("%d %s", status, body)
+	}
+}
+
+// copies is how many attempts are out.
+func copies(r *graphqlRig) (n int) {
+	for _, u := range r.d.routing.Load().services["seats"].engine.View() {
+		n += u.Pending
+	}
+	return n
+}
+
 // A reload that changes an endpoint's classes counts for what comes then, and a file that can't be used changes nothing; what
 // has been learnt stays where the endpoint does.
 func TestGraphQLReload(t *testing.T) {
