--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -10,6 +10,7 @@
 //	go run ./cmd/measure counters  # 20 counters beside a script that floods, through the daemon on sockets
 //	go run ./cmd/measure fleet     # 10 to 200 sidecars before 5,000 nodes, in virtual time
 //	go run ./cmd/measure probes    # whether probes would help sidecars that send little, in virtual time
+//	go run ./cmd/measure graphql   # operations beside plain requests, in the daemon
 //	go run ./cmd/measure grpc      # beside grpc-go's round_robin, weighted_round_robin and least_request
 package main
 
@@ -74,6 +75,10 @@
 
 func (c probesCmd) Run() error { return measure.Probe(c.options.options()) }
 
+type graphqlCmd struct{ options }
+
+func (c graphqlCmd) Run() error { return measure.GraphQL(c.options.options()) }
+
 type grpcCmd struct{ options }
 
 func (c grpcCmd) Run() error { return measure.GRPC(c.options.options()) }
@@ -97,6 +102,7 @@
 		Counters countersCmd `cmd:"" help:"Twenty counters beside a script that floods, through the daemon."`
 		Fleet    fleetCmd    `cmd:"" help:"Fleets of 10 to 200 sidecars before 5,000 nodes, in virtual time."`
 		Probes   probesCmd   `cmd:"" help:"Whether probes would help sidecars that send little."`
+		GraphQL  graphqlCmd  `cmd:"" name:"graphql" help:"GraphQL operations beside plain requests, and beside a random choice of nodes."`
 		GRPC     grpcCmd     `cmd:"" name:"grpc" help:"The plug-in beside grpc-go's balancers."`
 	}
 	ctx := kong.Parse(&cli, kong.Name("measure"), kong.UsageOnError())
--- a/internal/daemon/graphql.go
+++ b/internal/daemon/graphql.go
@@ -33,6 +33,7 @@
 	lease    *lease
 	begun    time.Duration
 	media    string // of the answer
+	entries  int
 }
 
 // serve answers the request, or tells that it is to be decided anew: its route ended before anything was sent.
@@ -42,7 +43,8 @@
 		c.turnDown(bad)
 		return false
 	}
-	entries := make([]*operation, len(asked.Params))
+	c.entries = len(asked.Params)
+	entries := make([]*operation, c.entries)
 	problems := asked.Problems
 	for i := range entries {
 		o := &operation{call: c, id: c.id}
@@ -140,7 +142,10 @@
 	if req.Hint == 0 {
 		req.Hint = d.Hint
 	}
-	req.Method, req.Header = http.MethodPost, maps.Clone(req.Header)
+	req.Method = http.MethodPost
+	if c.entries > 1 { // they differ in it
+		req.Header = maps.Clone(req.Header)
+	}
 	for _, name := range [...]string{"Accept", "Accept-Encoding", "Content-Encoding", "Content-Type"} {
 		delete(req.Header, name)
 	}
@@ -152,8 +157,9 @@
 	if c.r.Method == http.MethodGet {
 		req.Target, _, _ = strings.Cut(req.Target, "?")
 	}
-	// Its answer's promise is remembered by it: all operations have one path.
-	req.Key = strconv.FormatUint(xxhash.Sum64(d.Body), 16)
+	if c.svc.door.Load() != nil { // which remembers its promises by it: all operations have one path
+		req.Key = strconv.FormatUint(xxhash.Sum64(d.Body), 16)
+	}
 	o.pool = c.svc.pool
 	o.request = upstream.NewRequest(req.Method, req.Target, req.Host, req.Header, d.Body)
 	o.request.Gate = c.lease
--- a/internal/graphql/answer.go
+++ b/internal/graphql/answer.go
@@ -1,11 +1,6 @@
 package graphql
 
-import (
-	"bytes"
-	"slices"
-
-	"github.com/go-json-experiment/json/jsontext"
-)
+import "slices"
 
 // Verdict is what a node's answer is for the balancer.
 type Verdict int
@@ -68,39 +63,40 @@
 	codes  []string // of the errors that have one
 }
 
-// readAnswer reads an answer as the specification has it: an object with data, errors or both; errors are a list that is
-// not empty, of objects with a message. Every byte is read: one that is cut, has a key twice or more than one value is none.
+// readAnswer reads an answer as the specification has it: an object with data, errors or both, each once; errors are a list
+// that is not empty, of objects with a message. Every byte is read: one that is cut or has more than one value is none.
 func readAnswer(body []byte) (a given, ok bool) {
-	dec := jsontext.NewDecoder(bytes.NewBuffer(body))
-	if dec.PeekKind() != '{' {
+	r := read(body)
+	defer r.release()
+	if r.PeekKind() != '{' {
 		return a, false
 	}
-	_, _ = dec.ReadToken() // it has been seen
-	has := false
-	for dec.PeekKind() != '}' {
-		token, err := dec.ReadToken()
-		if err != nil {
-			return a, false
+	_, _ = r.ReadToken() // it has been seen
+	var scratch [16]byte
+	data, errors := false, false
+	for {
+		name, more := r.name(scratch[:])
+		if !more {
+			break
 		}
-		switch token.String() {
+		switch string(name) {
 		case "data":
-			has = true
-			switch dec.PeekKind() {
-			case '{':
-				a.data = true
-			case 'n':
-			default:
+			kind := r.PeekKind()
+			if data || kind != '{' && kind != 'n' {
+				return a, false
+			}
+			data, a.data = true, kind == '{'
+			if _, err := r.ReadValue(); err != nil {
 				return a, false
 			}
-			err = dec.SkipValue()
 		case "errors":
-			has = true
-			if dec.PeekKind() != '[' {
+			if errors || r.PeekKind() != '[' {
 				return a, false
 			}
-			_, _ = dec.ReadToken() // it has been seen
-			for dec.PeekKind() == '{' {
-				code, good := readError(dec)
+			errors = true
+			_, _ = r.ReadToken() // it has been seen
+			for r.PeekKind() == '{' {
+				code, good := readError(r)
 				if !good {
 					return a, false
 				}
@@ -108,51 +104,47 @@
 					a.codes = append(a.codes, code)
 				}
 			}
-			if _, err = dec.ReadToken(); err != nil || a.errors == 0 {
+			if _, err := r.ReadToken(); err != nil || a.errors == 0 {
 				return a, false
 			}
 		default:
-			err = dec.SkipValue()
-		}
-		if err != nil {
-			return a, false
+			if _, err := r.ReadValue(); err != nil {
+				return a, false
+			}
 		}
 	}
-	if _, err := dec.ReadToken(); err != nil {
+	if end, err := r.ReadToken(); err != nil || end.Kind() != '}' {
 		return a, false
 	}
-	if rest := body[dec.InputOffset():]; len(bytes.TrimLeft(rest, " \t\r\n")) > 0 {
-		return a, false
-	}
-	return a, has
+	return a, (data || errors) && r.alone(body)
 }
 
 // readError reads one error's code.
-func readError(dec *jsontext.Decoder) (code string, ok bool) {
-	_, _ = dec.ReadToken() // its brace has been seen
+func readError(r *reader) (code string, ok bool) {
+	_, _ = r.ReadToken() // its brace has been seen
 	has := false
-	for dec.PeekKind() != '}' {
-		token, err := dec.ReadToken()
-		if err != nil {
-			return "", false
+	var scratch [16]byte
+	for {
+		name, more := r.name(scratch[:])
+		if !more {
+			break
 		}
-		name := token.String()
-		kind := dec.PeekKind()
-		value, err := dec.ReadValue()
+		what := string(name)
+		value, err := r.ReadValue()
 		if err != nil {
 			return "", false
 		}
-		switch {
-		case name == "message":
+		switch kind := value.Kind(); {
+		case what == "message":
 			if has = kind == '"'; !has {
 				return "", false
 			}
-		case name == "extensions" && kind == '{':
+		case what == "extensions" && kind == '{':
 			if c, there := variables(value)["code"]; there {
 				code, _ = scalar(c, "")
 			}
 		}
 	}
-	_, err := dec.ReadToken()
-	return code, has && err == nil
+	end, err := r.ReadToken()
+	return code, has && err == nil && end.Kind() == '}'
 }
--- a/internal/graphql/cost.go
+++ b/internal/graphql/cost.go
@@ -4,7 +4,6 @@
 	"math"
 	"strconv"
 
-	"github.com/go-json-experiment/json"
 	"github.com/go-json-experiment/json/jsontext"
 	"github.com/vektah/gqlparser/v2/ast"
 )
@@ -108,15 +107,6 @@
 	return min(max(x, 0), maxCost), true
 }
 
-// variables are an operation's, by name.
-func variables(raw jsontext.Value) map[string]jsontext.Value {
-	var m map[string]jsontext.Value
-	if len(raw) > 0 {
-		_ = json.Unmarshal(raw, &m) // it has been read before, as an object
-	}
-	return m
-}
-
 // costing makes costNodes for one document.
 type costing struct {
 	o       *Options
--- a/internal/graphql/document.go
+++ b/internal/graphql/document.go
@@ -11,6 +11,7 @@
 	"github.com/vektah/gqlparser/v2/gqlerror"
 	"github.com/vektah/gqlparser/v2/parser"
 	"github.com/vektah/gqlparser/v2/validator"
+	"github.com/vektah/gqlparser/v2/validator/core"
 	"github.com/vektah/gqlparser/v2/validator/rules"
 )
 
@@ -128,9 +129,20 @@
 
 // validation is all of the specification's rules but one: whether fields of one name can be merged is a matter of the
 // answer's shape, costs most, and is the node's to say.
+//
+// Nor do mistakes come with suggestions: to look for words alike costs a document of wrong ones milliseconds.
 var validation = func() *rules.Rules {
 	r := rules.NewDefaultRules()
 	r.RemoveRule(rules.OverlappingFieldsCanBeMergedRule.Name)
+	for _, plain := range []struct{ was, is core.Rule }{
+		{rules.FieldsOnCorrectTypeRule, rules.FieldsOnCorrectTypeRuleWithoutSuggestions},
+		{rules.KnownArgumentNamesRule, rules.KnownArgumentNamesRuleWithoutSuggestions},
+		{rules.KnownTypeNamesRule, rules.KnownTypeNamesRuleWithoutSuggestions},
+		{rules.ScalarLeafsRule, rules.ScalarLeafsRuleWithoutSuggestions},
+		{rules.ValuesOfCorrectTypeRule, rules.ValuesOfCorrectTypeRuleWithoutSuggestions},
+	} {
+		r.ReplaceRule(plain.was.Name, plain.is.RuleFunc)
+	}
 	return r
 }()
 
--- a/internal/graphql/endpoint.go
+++ b/internal/graphql/endpoint.go
@@ -224,9 +224,7 @@
 	var vars valueOf
 	lazily := func() valueOf {
 		if vars == nil {
-			if vars = variables(p.Variables); vars == nil {
-				vars = valueOf{}
-			}
+			vars = variables(p.Variables)
 		}
 		return vars
 	}
--- a/internal/graphql/options.go
+++ b/internal/graphql/options.go
@@ -53,7 +53,7 @@
 
 // Limits bound documents and what they ask for. A document that is beyond one is refused before it is validated.
 type Limits struct {
-	Tokens     int        `toml:"tokens" default:"4000" doc:"Tokens of a document."`
+	Tokens     int        `toml:"tokens" default:"1500" doc:"Tokens of a document."`
 	Depth      int        `toml:"depth" default:"20" doc:"Fields within each other, fragments spread out."`
 	Fields     int        `toml:"fields" default:"5000" doc:"Fields, fragments spread out."`
 	Roots      int        `toml:"root_fields" default:"20" doc:"Root fields."`
@@ -67,7 +67,7 @@
 
 // DefaultLimits are those of a file that says nothing.
 func DefaultLimits() Limits {
-	return Limits{Tokens: 4000, Depth: 20, Fields: 5000, Roots: 20, Aliases: 50, Directives: 50, Batch: 10,
+	return Limits{Tokens: 1500, Depth: 20, Fields: 5000, Roots: 20, Aliases: 50, Directives: 50, Batch: 10,
 		Variables: 32 * units.KiB, Answers: units.MiB}
 }
 
--- /dev/null
+++ b/internal/graphql/reader.go
@@ -0,0 +1,95 @@
+package graphql
+
+import (
+	"bytes"
+	"sync"
+
+	"github.com/go-json-experiment/json/jsontext"
+)
+
+// reader reads one JSON text. Keys that stand twice are not looked for: that is done where it matters, since the decoder's
+// own way costs an answer more than all else.
+type reader struct {
+	*jsontext.Decoder
+	from bytes.Buffer
+}
+
+var readers = sync.Pool{New: func() any { return &reader{Decoder: new(jsontext.Decoder)} }}
+
+func read(text []byte) *reader {
+	r := readers.Get().(*reader)
+	r.from = *bytes.NewBuffer(text)
+	r.Reset(&r.from, jsontext.AllowDuplicateNames(true))
+	return r
+}
+
+// release gives it back; what it has read stays good, as part of its text.
+func (r *reader) release() {
+	r.from = bytes.Buffer{}
+	readers.Put(r)
+}
+
+// name reads an object's next key, or tells that there is none: the object ends, or is broken, which the next reading says.
+func (r *reader) name(scratch []byte) ([]byte, bool) {
+	if r.PeekKind() != '"' {
+		return nil, false
+	}
+	raw, err := r.ReadValue()
+	if err != nil {
+		return nil, false
+	}
+	name, err := jsontext.AppendUnquote(scratch[:0], raw)
+	return name, err == nil
+}
+
+// alone tells whether nothing but blanks is left of a text.
+func (r *reader) alone(text []byte) bool {
+	return len(bytes.TrimLeft(text[r.InputOffset():], " \t\r\n")) == 0
+}
+
+// maxNesting is how deep a request's JSON may nest.
+const maxNesting = 100
+
+// tooDeep tells whether a text nests deeper than maxNesting, whatever else may be wrong with it.
+func tooDeep(text []byte) bool {
+	depth, quoted := 0, false
+	for i := 0; i < len(text); i++ {
+		switch c := text[i]; {
+		case quoted && c == '\\':
+			i++
+		case c == '"':
+			quoted = !quoted
+		case quoted:
+		case c == '{' || c == '[':
+			if depth++; depth > maxNesting {
+				return true
+			}
+		case c == '}' || c == ']':
+			depth--
+		}
+	}
+	return false
+}
+
+// variables are an object's values, by name.
+func variables(raw jsontext.Value) map[string]jsontext.Value {
+	m := map[string]jsontext.Value{}
+	if raw.Kind() != '{' {
+		return m
+	}
+	r := read(raw)
+	defer r.release()
+	_, _ = r.ReadToken() // it is an object
+	var scratch [64]byte
+	for {
+		name, ok := r.name(scratch[:])
+		if !ok {
+			return m
+		}
+		value, err := r.ReadValue()
+		if err != nil {
+			return m
+		}
+		m[string(name)] = value
+	}
+}
--- a/internal/graphql/request.go
+++ b/internal/graphql/request.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 
 	"github.com/go-json-experiment/json/jsontext"
@@ -36,10 +37,14 @@
 	if bytes.HasPrefix(body, []byte("\xef\xbb\xbf")) {
 		return a, malformed("the body begins with a byte order mark")
 	}
-	dec := jsontext.NewDecoder(bytes.NewBuffer(body))
-	switch dec.PeekKind() {
+	if tooDeep(body) {
+		return a, malformed("the body nests deeper than %d", maxNesting)
+	}
+	r := read(body)
+	defer r.release()
+	switch r.PeekKind() {
 	case '{':
-		p, bad := entry(dec, l)
+		p, bad := entry(r, l)
 		if bad != nil {
 			return a, bad
 		}
@@ -49,31 +54,33 @@
 			return a, malformed("there are no batches here")
 		}
 		a.Batch = true
-		_, _ = dec.ReadToken() // it has been seen
-		for dec.PeekKind() != ']' {
+		_, _ = r.ReadToken() // it has been seen
+		for r.PeekKind() != ']' {
 			if len(a.Params) == l.Batch {
 				return a, malformed("a batch has %d entries at most", l.Batch)
 			}
-			value, err := dec.ReadValue()
+			value, err := r.ReadValue()
 			if err != nil {
 				return a, notJSON(err)
 			}
-			p, bad := entry(jsontext.NewDecoder(bytes.NewBuffer(value)), l)
+			of := read(value)
+			p, bad := entry(of, l)
+			of.release()
 			a.Params, a.Problems = append(a.Params, p), append(a.Problems, bad)
 		}
-		if _, err := dec.ReadToken(); err != nil {
+		if _, err := r.ReadToken(); err != nil {
 			return a, notJSON(err)
 		}
 		if len(a.Params) == 0 {
 			return a, malformed("the batch is empty")
 		}
 	default:
-		if _, err := dec.ReadValue(); err != nil {
+		if _, err := r.ReadValue(); err != nil {
 			return a, notJSON(err)
 		}
 		return a, malformed("the body is neither an object nor an array of them")
 	}
-	if len(bytes.TrimLeft(body[dec.InputOffset():], " \t\r\n")) > 0 {
+	if !r.alone(body) {
 		return a, malformed("something stands behind the body's JSON")
 	}
 	return a, nil
@@ -85,26 +92,34 @@
 var params = [...]string{"query", "operationName", "variables", "extensions"}
 
 // entry reads one object.
-func entry(dec *jsontext.Decoder, l *Limits) (p Params, bad *Problem) {
-	if dec.PeekKind() != '{' {
+func entry(r *reader, l *Limits) (p Params, bad *Problem) {
+	if r.PeekKind() != '{' {
 		return p, malformed("an entry is no object")
 	}
-	_, _ = dec.ReadToken() // it has been seen
-	for dec.PeekKind() != '}' {
-		token, err := dec.ReadToken()
-		if err != nil {
-			return p, notJSON(err)
+	_, _ = r.ReadToken() // it has been seen
+	var scratch [16]byte
+	seen := 0
+	for {
+		name, more := r.name(scratch[:])
+		if !more {
+			break
 		}
-		name := token.String()
-		value, err := dec.ReadValue()
+		what := string(name)
+		if i := slices.Index(params[:], what); i >= 0 {
+			if seen&(1<<i) != 0 {
+				return p, malformed("%q stands there twice", what)
+			}
+			seen |= 1 << i
+		}
+		value, err := r.ReadValue()
 		if err != nil {
 			return p, notJSON(err)
 		}
-		if bad := p.set(name, value, l); bad != nil {
+		if bad := p.set(what, value, l); bad != nil {
 			return p, bad
 		}
 	}
-	if _, err := dec.ReadToken(); err != nil {
+	if _, err := r.ReadToken(); err != nil {
 		return p, notJSON(err)
 	}
 	return p, nil
@@ -134,6 +149,9 @@
 		if kind != '{' {
 			return malformed("%s is no object", name)
 		}
+		if !value.IsValid() { // by the library's own rule: no key stands twice in any object of it
+			return malformed("%s has a key twice", name)
+		}
 		*into = value.Clone()
 		return nil
 	}
@@ -163,20 +181,21 @@
 
 // persisted takes persistedQuery out of the extensions: it is resolved here, and the node gets the text.
 func (p *Params) persisted() *Problem {
-	dec := jsontext.NewDecoder(bytes.NewBuffer(p.Extensions))
+	r := read(p.Extensions)
+	defer r.release()
 	rest := []byte{'{'}
-	_, _ = dec.ReadToken() // it is an object
-	for dec.PeekKind() == '"' {
-		name, err := dec.ReadValue()
+	_, _ = r.ReadToken() // it is an object
+	for r.PeekKind() == '"' {
+		name, err := r.ReadValue()
 		if err != nil {
 			return notJSON(err)
 		}
-		name = name.Clone()
-		value, err := dec.ReadValue()
+		plain, err := jsontext.AppendUnquote(nil, name)
 		if err != nil {
 			return notJSON(err)
 		}
-		plain, err := jsontext.AppendUnquote(nil, name)
+		name = name.Clone()
+		value, err := r.ReadValue()
 		if err != nil {
 			return notJSON(err)
 		}
@@ -202,30 +221,10 @@
 	if value.Kind() != '{' {
 		return malformed("persistedQuery is no object")
 	}
-	version, hash := "", ""
-	dec := jsontext.NewDecoder(bytes.NewBuffer(value))
-	_, _ = dec.ReadToken() // it is an object
-	for dec.PeekKind() == '"' {
-		token, err := dec.ReadToken()
-		if err != nil {
-			return notJSON(err)
-		}
-		name := token.String()
-		v, err := dec.ReadValue()
-		if err != nil {
-			return notJSON(err)
-		}
-		switch {
-		case name == "version":
-			version = string(v)
-		case name == "sha256Hash" && v.Kind() == '"':
-			b, err := jsontext.AppendUnquote(nil, v)
-			if err != nil {
-				return notJSON(err)
-			}
-			hash = strings.ToLower(string(b))
-		}
-	}
+	of := variables(value)
+	hash, _ := scalar(of["sha256Hash"], "")
+	hash = strings.ToLower(hash)
+	version := string(of["version"])
 	if version != "1" || hash == "" {
 		p.BadHash = true
 	}
@@ -292,7 +291,8 @@
 
 // encode is the one form in which operations go on: whatever the client's was, it has one reading.
 func (p *Params) encode(query string) ([]byte, error) {
-	out, err := jsontext.AppendQuote([]byte(`{"query":`), query)
+	out := make([]byte, 0, len(query)+len(query)/8+len(p.Operation)+len(p.Variables)+len(p.Extensions)+64)
+	out, err := jsontext.AppendQuote(append(out, `{"query":`...), query)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/measure/roles.go
+++ b/internal/measure/roles.go
@@ -52,6 +52,7 @@
 	Calls     int           `json:",omitempty"`
 	Warm      int           `json:",omitempty"`
 	Dir       string        `json:",omitempty"` // of the keys, where connections are encrypted
+	Answer    string        `json:",omitempty"` // of nodes
 	Routes    int           `json:",omitempty"` // of a daemon by an operator's file
 }
 
@@ -91,6 +92,8 @@
 		return true, r.serveFloorDaemon()
 	case "eurekadaemon":
 		return true, r.serveEurekaDaemon()
+	case "graphqldaemon":
+		return true, r.serveGraphQLDaemon()
 	case "client":
 		return true, r.call()
 	}
@@ -158,6 +161,9 @@
 		if r.GRPC {
 			o.Answer = func(standin.Job) []byte { return []byte{10, 2, 'o', 'k'} } // a StringValue
 		}
+		if r.Answer != "" {
+			o.Answer = func(standin.Job) []byte { return []byte(r.Answer) }
+		}
 		n := standin.NewNode(o)
 		defer n.Close()
 		listen := n.ListenHTTP
