--- a/internal/config/file_test.go
+++ b/internal/config/file_test.go
@@ -94,6 +94,10 @@
 		{web + "[[route]]\nmatch = \"POST /a\"\nclass = \"read\"\n", []string{`6: route[0].class: class read may be repeated, and POST is not safe`}},
 		{web + "[[route]]\nmatch = \"/-/ready\"\n", []string{"5: route[0].match: /-/ is the daemon's own"}},
 		{web + "[[route]]\nset = \"platform\"\nmatch = \"/\"\nmax_body = \"1GiB\"\n", []string{"5: route[0].set", "7: route[0].max_body"}},
+		{web + "[[graphql]]\nmatch = \"POST /g\"\nquery = \"gone\"\n[graphql.limits]\ntokens = 0\n[[graphql]]\nmatch = \"/g\"\nservice = \"b\"\n[[graphql]]\nmatch = \"/-/g\"\nschema = \"/no/where\"\n",
+			[]string{"5: graphql[0].match: an endpoint is one path", `4: graphql[0]: query: the service has no class "gone"`, "8: graphql[0].limits.tokens",
+				`11: graphql[1].service: there is no service "b"`, "13: graphql[2].match: /-/ is the daemon's own", "14: graphql[2].schema: open /no/where"}},
+		{web + "[[graphql]]\nmatch = \"/g\"\n[[graphql]]\nmatch = \"/g\"\n", []string{"7: graphql[1].match: conflicts with line 5"}},
 		{"[daemon]\nname = \"x\"\n", []string{"service: there is none"}},
 		{web + "[[service]]\nname = \"b\"\naddresses = [\"127.0.0.1:2\"]\n", []string{"route: there is none, and more than one"}},
 	} {
@@ -144,12 +148,15 @@
 [[route]]
 match = "/web/"
 service = "web"
+[[graphql]]
+match = "/graphql"
+service = "web"
 `))
 	if err != nil {
 		t.Fatal(err)
 	}
 	if p.Listen != c.Listen || p.Seed != 0x2a || p.Name != "n1" || p.Limits != c.Limits || p.HeadTimeout != 2*time.Second ||
-		p.Guaranteed != 0.25 || len(p.Services) != 2 || p.Services[0].Name != Platform || len(p.Table.Routes()) != 3 {
+		p.Guaranteed != 0.25 || len(p.Services) != 2 || p.Services[0].Name != Platform || len(p.Table.Routes()) != 4 || len(p.Endpoints) != 1 {
 		t.Errorf("%+v", p)
 	}
 	if _, err := ParseBeside(c, []byte("[[service]]\nname = \"web\"\naddresses = [\"127.0.0.1:1\"]\n[[route]]\nmatch = \"GET /search\"\nservice = \"web\"\n")); err == nil ||
--- a/internal/graphql/options.go
+++ b/internal/graphql/options.go
@@ -97,6 +97,8 @@
 		report("match", "%v", err)
 	} else if p.Method != "" || len(p.Wildcards()) > 0 || strings.HasSuffix(o.Match, "/") {
 		report("match", "an endpoint is one path, without a method")
+	} else if strings.HasPrefix(strings.TrimPrefix(o.Match, p.Host), "/-/") {
+		report("match", "/-/ is the daemon's own")
 	}
 	if o.MaxBody > routes.MaxMaxBody {
 		report("max_body", "%v is over %v", o.MaxBody, routes.MaxMaxBody)
--- a/internal/measure/graphql.go
+++ b/internal/measure/graphql.go
@@ -71,7 +71,7 @@
 }
 
 // GraphQL prints what an operation costs the daemon beside the same work asked for by a plain GET and by a plain POST of the
-// same body, and how queries fare where one node in ten is eight times slower, beside a random choice of nodes.
+// same class and body, and how queries fare where one node in ten is eight times slower, beside a random choice of nodes.
 func GraphQL(o Options) error {
 	dir, err := os.MkdirTemp("", "orchiddrift-measure-")
 	if err != nil {
@@ -165,7 +165,7 @@
 	for _, a := range r.Addresses {
 		text += strconv.Quote(a) + ","
 	}
-	text += "]\n[[route]]\nmatch = \"/search/\"\nid = \"header:X-Request-ID\"\n[[graphql]]\nmatch = \"/graphql\"\n"
+	text += "]\n[[route]]\nmatch = \"/search/\"\nclass = \"read\"\nrepeats = [\"POST\"]\nid = \"header:X-Request-ID\"\n[[graphql]]\nmatch = \"/graphql\"\n"
 	if r.Dir != "" {
 		text += fmt.Sprintf("schema = %q\n", filepath.Join(r.Dir, "s.graphql"))
 	}
