graphql: keys out of a header, for one field of a request that is no batch

Need: clients of the platform bring Idempotency-Key. Change: a field's key may be header:NAME; with two such fields, two values or in a batch there is no key, and the mutation is unsafe. Result: TestHeaderKey.

--- a/internal/daemon/graphql.go
+++ b/internal/daemon/graphql.go
@@ -44,6 +44,10 @@
 		return false
 	}
 	c.entries = len(asked.Params)
+	header := c.r.Header
+	if asked.Batch {
+		header = nil
+	}
 	entries := make([]*operation, c.entries)
 	problems := asked.Problems
 	for i := range entries {
@@ -52,7 +56,7 @@
 			o.id += "." + strconv.Itoa(i)
 		}
 		if problems[i] == nil {
-			o.decision, problems[i] = c.endpoint.Decide(&asked.Params[i], c.r.Method == http.MethodGet)
+			o.decision, problems[i] = c.endpoint.Decide(&asked.Params[i], c.r.Method == http.MethodGet, header)
 		}
 		entries[i] = o
 	}
--- a/internal/graphql/endpoint.go
+++ b/internal/graphql/endpoint.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"net/http"
 	"strconv"
 	"strings"
 	"sync"
@@ -195,8 +196,9 @@
 
 type valueOf = map[string]jsontext.Value
 
-// Decide says what an operation is, or why it is not taken. get: it was asked for by GET, which is for queries.
-func (e *Endpoint) Decide(p *Params, get bool) (Decision, *Problem) {
+// Decide says what an operation is, or why it is not taken. get: it was asked for by GET, which is for queries. header is the
+// request's, for keys that stand there; nil: an entry of a batch, whose header says nothing of it alone.
+func (e *Endpoint) Decide(p *Params, get bool, header http.Header) (Decision, *Problem) {
 	text, trusted, bad := e.text(p)
 	if bad != nil {
 		return Decision{}, bad
@@ -228,7 +230,7 @@
 		}
 		return vars
 	}
-	d.Class, d.Key = e.class(op, d.Kind, lazily)
+	d.Class, d.Key = e.class(op, d.Kind, lazily, header)
 	if named := e.named[op.name]; named != nil && op.name != "" && (trusted || named.Effect >= d.Class.Effect) &&
 		(d.Kind == Query || named.Effect == balancer.Unsafe) {
 		d.Class, d.Key = named, ""
@@ -250,11 +252,11 @@
 }
 
 // class is an operation's, by its kind and its root fields.
-func (e *Endpoint) class(op *operation, kind Kind, vars func() valueOf) (*Class, string) {
+func (e *Endpoint) class(op *operation, kind Kind, vars func() valueOf, header http.Header) (*Class, string) {
 	typ := rootType(op.kind)
 	all := make([]*Class, 0, 4)
 	var keyed *Class
-	key := ""
+	key, byHeader := "", 0
 	for i := range op.roots {
 		r := &op.roots[i]
 		rule := e.fields[typ+"."+r.name]
@@ -265,7 +267,15 @@
 		case rule.key == "":
 			all = append(all, rule.class)
 		default:
-			k, ok := r.key(rule.key, vars, op.defs)
+			k, ok := "", false
+			if name, is := strings.CutPrefix(rule.key, headerKey); is {
+				byHeader++ // one key can't be that of two fields: a node would drop the second as the first one's repeat
+				if v := header.Values(name); len(v) == 1 && byHeader == 1 {
+					k, ok = v[0], v[0] != "" && len(v[0]) <= maxKey
+				}
+			} else {
+				k, ok = r.key(rule.key, vars, op.defs)
+			}
 			if !ok || keyed != nil && keyed != rule.class { // of two classes no group of nodes drops the repeats of both
 				all = append(all, e.classes[kind])
 				break
--- a/internal/graphql/graphql_test.go
+++ b/internal/graphql/graphql_test.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"net/http"
 	"slices"
 	"strings"
 	"testing"
@@ -80,7 +81,7 @@
 	if bad != nil {
 		return Decision{}, bad.Code
 	}
-	d, bad := e.Decide(&a.Params[0], false)
+	d, bad := e.Decide(&a.Params[0], false, nil)
 	if bad != nil {
 		return d, bad.Code
 	}
@@ -156,6 +157,24 @@
 	}
 }
 
+// A key that a header brings is one field's: of two, of a batch, or of two values there is none.
+func TestHeaderKey(t *testing.T) {
+	e := endpoint(t, "", func(o *Options) { o.Fields[4].Key = "header:Idempotency-Key" })
+	one, two := http.Header{"Idempotency-Key": {"k"}}, http.Header{"Idempotency-Key": {"k", "l"}}
+	for _, c := range []struct {
+		query  string
+		header http.Header
+		want   string
+	}{{`mutation{record}`, one, "record k"}, {`mutation{record}`, two, "write "}, {`mutation{record}`, nil, "write "},
+		{`mutation{a:record b:record}`, one, "write "}, {`mutation{record refund(input:{requestId:"x"})}`, one, "write "},
+		{`mutation{record confirm}`, one, "confirm "}, {`{seats}`, one, "search "}} {
+		d, bad := e.Decide(&Params{Query: c.query}, false, c.header)
+		if bad != nil || d.Class.Name+" "+d.Key != c.want {
+			t.Errorf("%s %v: %v %q %v, want %s", c.query, c.header, d.Class, d.Key, bad, c.want)
+		}
+	}
+}
+
 // Guards against a body that a node reads otherwise than the one who decides, and an answer 429 for any.
 func TestBody(t *testing.T) {
 	e := endpoint(t, "", nil)
@@ -221,7 +240,7 @@
 		got := ""
 		if bad == nil {
 			var d Decision
-			if d, bad = e.Decide(&a.Params[0], true); bad == nil {
+			if d, bad = e.Decide(&a.Params[0], true, nil); bad == nil {
 				got = d.Class.Name
 			}
 		}
@@ -262,7 +281,7 @@
 	} {
 		for i, schema := range []string{schemaText, ""} {
 			p := Params{Query: c.query, Variables: []byte(c.vars)}
-			d, bad := endpoint(t, schema, nil).Decide(&p, false)
+			d, bad := endpoint(t, schema, nil).Decide(&p, false, nil)
 			if want := []float64{c.want, c.without}[i]; bad != nil || d.Cost != want {
 				t.Errorf("schema %v: %s costs %v (%v), want %v", i == 0, c.query, d.Cost, bad, want)
 			}
@@ -529,7 +548,7 @@
 				if a.Problems[i] != nil {
 					continue
 				}
-				d, bad := e.Decide(&a.Params[i], false)
+				d, bad := e.Decide(&a.Params[i], false, nil)
 				if bad != nil {
 					continue
 				}
--- a/internal/graphql/options.go
+++ b/internal/graphql/options.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
+
 	"orchiddrift/balancer"
 	"orchiddrift/internal/httphead"
 	"orchiddrift/internal/routes"
@@ -41,7 +43,7 @@
 type Field struct {
 	Name   string  `toml:"name" sample:"\"Mutation.confirm\"" doc:"TYPE.FIELD; of root fields Query.FIELD and Mutation.FIELD, whatever the schema calls these types. Without a schema only root fields are known."`
 	Class  string  `toml:"class" doc:"Of a root field: its class. Of several the strictest counts."`
-	Key    string  `toml:"key" sample:"\"input.requestId\"" doc:"Of a mutation's root field with a keyed class: the argument that is the key, parts of an input after dots. Without a value there it is of the class of mutations."`
+	Key    string  `toml:"key" sample:"\"input.requestId\"" doc:"Of a mutation's root field with a keyed class: the argument that is the key, parts of an input after dots; or \"header:NAME\", of a request that is no batch and has one such field. Without a value there it is of the class of mutations."`
 	Weight float64 `toml:"weight" default:"-1" doc:"Its cost beside a field of weight 1. Below 0: by @cost in the schema, else 1 with a selection and 0 without."`
 }
 
@@ -124,6 +126,8 @@
 			report("field", "%q is not TYPE.FIELD", f.Name)
 		case named[f.Name]:
 			report("field", "%q stands there twice", f.Name)
+		case strings.HasPrefix(f.Key, headerKey) && !httpguts.ValidHeaderFieldName(f.Key[len(headerKey):]):
+			report("field", "%q: %q is no header's name", f.Name, f.Key[len(headerKey):])
 		case f.Key != "" && (typ != mutationType || f.Class == ""):
 			report("field", "%q: a key belongs to a mutation's root field with a class", f.Name)
 		case f.Class != "" && typ != queryType && typ != mutationType:
@@ -146,6 +150,9 @@
 	mutationType = "Mutation"
 )
 
+// headerKey is how a key that a header brings is written.
+const headerKey = "header:"
+
 // Bounds of the options themselves.
 const (
 	maxBatch  = 1000
