orchidgrpc: sub-connections open ahead of calls, by [service.warm]

Need: the plug-in connected with an upstream's first call, which waited for it; the daemon has had warming. Change: a driver of package warm over the policy's sub-connections; a place tells its process. Result: six upstreams connected after one call, a new process again, one connection each (go test -run TestWarm ./orchidgrpc, five times under the race detector).

--- a/internal/config/plan.go
+++ b/internal/config/plan.go
@@ -353,7 +353,8 @@
 type PluginFile struct {
 	Registries []eureka.Declaration
 	Members    membership.Options
-	Door       *door.Options  // nil: there is none
+	Door       *door.Options // nil: there is none
+	Warm       warm.Options
 	Subset     subset.Options // of the [[service]] of that name, which needs no upstreams there
 }
 
@@ -381,11 +382,11 @@
 	}
 	for i := range f.Services {
 		if f.Services[i].Name == service {
-			p.Subset = f.Services[i].Subset
+			p.Subset, p.Warm = f.Services[i].Subset, f.Services[i].Warm
 		}
 	}
-	if !doc.Broken() && len(p.Registries) == 0 && p.Door == nil && !p.Subset.On {
-		doc.Report("eureka", "nothing in it is for service %q: no [[eureka]], no [[door]], no [service.subset]", service)
+	if !doc.Broken() && len(p.Registries) == 0 && p.Door == nil && !p.Subset.On && !p.Warm.On {
+		doc.Report("eureka", "nothing in it is for service %q: no [[eureka]], no [[door]], no [service.subset], no [service.warm]", service)
 	}
 	return p, problems(doc)
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -6,6 +6,8 @@
 	"maps"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
+
 	"orchiddrift/balancer"
 	"orchiddrift/internal/clock"
 )
@@ -98,6 +100,11 @@
 	return len(d.places)
 }
 
+// Process is a number that tells the processes of one upstream apart.
+func (p Place) Process() uint64 {
+	return xxhash.Sum64String(p.Address+"\x00"+p.Identity) ^ uint64(p.SinceMs)
+}
+
 // Places is a copy of where all upstreams take requests, by name.
 func (d *Directory) Places() map[string]Place {
 	d.mu.RLock()
--- a/internal/upstream/warming.go
+++ b/internal/upstream/warming.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"orchiddrift/internal/clock"
 	"orchiddrift/internal/directory"
 	"orchiddrift/internal/warm"
@@ -85,7 +83,7 @@
 		places := u.dir.Places()
 		ready := make(map[string]uint64, len(places))
 		for name, at := range places {
-			ready[name] = process(at)
+			ready[name] = at.Process()
 		}
 		now := c.Now()
 		w.Members(now, ready)
@@ -105,11 +103,6 @@
 	}
 }
 
-// process tells the processes of an upstream apart, as a number.
-func process(at directory.Place) uint64 {
-	return xxhash.Sum64String(at.Address+"\x00"+at.Identity) ^ uint64(at.SinceMs)
-}
-
 // openAhead opens one connection, if there is a free slot, and tells whether it did.
 func (u *Pool) openAhead(ctx context.Context, name string, at directory.Place) bool {
 	if u.slots.Waiting(u.service) > 0 || !u.slots.TryAcquire(u.service, 1) {
--- a/orchidgrpc/attempt.go
+++ b/orchidgrpc/attempt.go
@@ -79,6 +79,7 @@
 		return false
 	}
 	a.picked = true
+	a.plugin.warming.use(a.upstream)
 	if a.patience != nil {
 		a.patience.Stop()
 		a.patience = nil
--- a/orchidgrpc/door_test.go
+++ b/orchidgrpc/door_test.go
@@ -4,7 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
+	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -172,3 +175,67 @@
 		t.Errorf("%d nodes were asked of another list", len(second))
 	}
 }
+
+// With [service.warm] the upstreams that no call has gone to are connected to as well, and one that starts anew again.
+func TestWarm(t *testing.T) {
+	f := newFleet(t, make([]standin.NodeOptions, 6)...)
+	counted := make([]*counter, len(f.endpoints))
+	for i, e := range f.endpoints {
+		counted[i] = count(t, e.Address)
+		f.endpoints[i].Address = counted[i].address
+	}
+	file := base.File(t, "o.toml", []byte("[[service]]\nname = \"service\"\n[service.warm]\non = true\nspread = \"100ms\"\n"))
+	conn, p := f.dial(t, func(o *orchidgrpc.Options) { o.File = file })
+	if _, err := ask(t.Context(), conn, search); err != nil {
+		t.Fatal(err)
+	}
+	for i, c := range counted {
+		base.Eventually(t, fmt.Sprint("a connection to ", i), func() bool { return c.open.Load() == 1 })
+	}
+	f.endpoints[0].Since = time.Now()
+	if err := p.SetEndpoints(f.endpoints); err != nil {
+		t.Fatal(err)
+	}
+	base.Eventually(t, "one to the new process", func() bool { return counted[0].made.Load() == 2 && counted[0].open.Load() == 1 })
+	for i, c := range counted[1:] {
+		if n := c.made.Load(); n != 1 {
+			t.Errorf("%d connections were made to %d", n, i+1)
+		}
+	}
+}
+
+// counter passes connections on, and counts them.
+type counter struct {
+	address    string
+	made, open atomic.Int32
+}
+
+func count(t *testing.T, to string) *counter {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &counter{address: l.Addr().String()}
+	var wg sync.WaitGroup
+	t.Cleanup(func() { l.Close(); wg.Wait() })
+	wg.Go(func() {
+		for {
+			in, err := l.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", to)
+			if err != nil {
+				in.Close()
+				continue
+			}
+			c.made.Add(1)
+			c.open.Add(1)
+			end := sync.OnceFunc(func() { in.Close(); out.Close(); c.open.Add(-1) })
+			wg.Go(func() { _, _ = io.Copy(in, out); end() }) // both end with either
+			wg.Go(func() { _, _ = io.Copy(out, in); end() })
+		}
+	})
+	return c
+}
--- a/orchidgrpc/plugin.go
+++ b/orchidgrpc/plugin.go
@@ -46,6 +46,7 @@
 	"orchiddrift/internal/eureka"
 	"orchiddrift/internal/logs"
 	"orchiddrift/internal/subset"
+	"orchiddrift/internal/warm"
 )
 
 // Options are a Plugin's parameters. One of Discovery, Endpoints and a File with registries is needed.
@@ -69,7 +70,7 @@
 	// File names an operator's file, as the daemon's. Of this service the registries ([[eureka]]) in it list upstreams beside
 	// Discovery or Endpoints, or alone, merged as its [membership] says; the door ([[door]]) has calls wait in an order that is
 	// fair between those on whose behalf they are made, by the metadata; [service.subset] has the process know a part of many
-	// upstreams as its own.
+	// upstreams as its own; [service.warm] has connections open before calls need them, once a ClientConn has been used.
 	File string
 	// TLS encrypts connections; absent: credentials are the caller's to add. With it, DialOptions bring them.
 	TLS *TLS
@@ -100,6 +101,7 @@
 	reconnectBase     = 100 * time.Millisecond
 	reconnectMost     = 2 * time.Second
 	reconnectMultiple = 1.6
+	maxSubs           = 4096 // connections of one ClientConn, of which [service.warm] counts its part
 )
 
 // Plugin is safe for concurrent use.
@@ -118,6 +120,7 @@
 	tick           time.Duration
 	guard          *guard             // nil: connections are not encrypted by the plug-in
 	door           *doorkeeper.Keeper // nil: there is none
+	warming        *warming           // nil: connections are made as calls need them
 	stop           context.CancelFunc
 	watching       sync.WaitGroup
 
@@ -180,6 +183,10 @@
 			return nil, fmt.Errorf("orchidgrpc: %w", err)
 		}
 	}
+	if file.Warm.On {
+		p.warming = &warming{used: map[string]bool{}, w: warm.New(file.Warm, maxSubs,
+			rand.New(rand.NewPCG(o.Seed, xxhash.Sum64String("warm"))))}
+	}
 	source, known, err := p.openSource(o, file, known, set.MustSubscribe, log)
 	if err != nil {
 		return nil, fmt.Errorf("orchidgrpc: %w", err)
@@ -219,6 +226,9 @@
 	if source != nil {
 		p.watching.Go(func() { source.Run(ctx, p.sink) })
 	}
+	if p.warming != nil {
+		p.watching.Go(func() { p.keepWarm(ctx, clk) })
+	}
 	return p, nil
 }
 
