Probes under the module's eyes: a sidecar that sends little asks a few upstreams first

Need: a module that hears an upstream once in seconds learns too late that it is slow. Change: package probe decides whom to ask within a budget; the module sends a first attempt to the lowest load of those that have answered just now; [service.probe], off without.

--- a/balancer/api.go
+++ b/balancer/api.go
@@ -158,11 +158,14 @@
 // Wake is the timer set by the last SetTimer.
 type Wake struct{}
 
-// ProbeResult ends a probe. The module sends none, and ignores it.
+// ProbeResult ends a probe that somebody beside the module has sent: a request that follows is sent, of several upstreams that
+// answered just now, to the one of lowest load. The module itself sends none.
 type ProbeResult struct {
 	Upstream string
 	Result   Result
 	Elapsed  time.Duration
+	InHand   int           // of OK: requests that it has, waiting ones included
+	Latency  time.Duration // of OK: what its requests take of late; 0: not told
 }
 
 // Peer is a message from another sidecar. The module sends none, and ignores it.
--- a/balancer/attempts.go
+++ b/balancer/attempts.go
@@ -143,6 +143,7 @@
 	r.attempts = append(r.attempts, a)
 	r.out++
 	u.out = append(u.out, a)
+	u.said.inHand++
 	u.tokens -= r.cost
 	b.act(Action{Kind: Send, ID: r.id, Upstream: u.id, Timeout: max(r.end-b.now, b.set.Tick)})
 	if r.class.Effect != Unsafe {
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -35,29 +35,31 @@
 	rateMemory   = 20 * time.Second // offered load is averaged over this
 	ejectBase    = time.Second      // first ejection; doubles with each failed trial
 	ejectMax     = 8 * time.Second
-	ejectErrors  = 3                // error answers in a row: two happen by chance
-	silentAims   = 3.0              // no answer for this many mean aims, with failures: silent
-	limitMax     = 0.65             // requests in hand may wait this share of their aim
-	limitMin     = 0.33             // or down to this where upstreams are crowded
-	limitStep    = 0.06             // down for one that a crowded upstream made late
-	lateAllowed  = 0.05             // and up this part of a step for one in time: so many may be late
-	limitAge     = 0.25             // below a mean age of this share of their aim the limit is wider
-	copyPressure = 0.7              // no copies above: they take room in hand, and first attempts come first
-	copyPays     = 0.3              // share of copies that must answer first and in time for them to pay
-	copyTrial    = 0.02             // part of late attempts copied all the same, to learn whether they do
-	pressureMax  = 2.0              // after a lull what is served tells too little
-	servedMemory = 2 * time.Second  // what is served is averaged over this
-	tryVotes     = 20               // requests that settle what time left is usual
-	rankOver     = 64               // requests that a new one's worth is ranked among
-	coldPart     = 0.45             // share used of what pushes a cold upstream over: it may be a small one
-	subsetEvery  = 2 * time.Second  // each upstream of the subset is heard about this often
-	subsetMin    = 4                // two to compare, and spares while some are out
-	fewInHand    = 5.0              // below, what is served tells too little
-	crowdWeight  = 0.12             // weight of an attempt in the crowding seen: about the last eight
-	crowdFrom    = 0.62             // shed from this share on, early as it is late by some attempts
-	crowdMost    = 1.5              // aims: a hung upstream is not a crowd
-	crowdMemory  = 10 * time.Second // crowding unheard of fades over this: all refused must not be for ever
-	askBase      = time.Second      // first wait before asking for the list again; doubles
+	ejectErrors  = 3                     // error answers in a row: two happen by chance
+	silentAims   = 3.0                   // no answer for this many mean aims, with failures: silent
+	limitMax     = 0.65                  // requests in hand may wait this share of their aim
+	limitMin     = 0.33                  // or down to this where upstreams are crowded
+	limitStep    = 0.06                  // down for one that a crowded upstream made late
+	lateAllowed  = 0.05                  // and up this part of a step for one in time: so many may be late
+	limitAge     = 0.25                  // below a mean age of this share of their aim the limit is wider
+	copyPressure = 0.7                   // no copies above: they take room, and first attempts come first
+	copyPays     = 0.3                   // share of copies that must answer first and in time for them to pay
+	copyTrial    = 0.02                  // part of late attempts copied all the same, to learn whether they do
+	pressureMax  = 2.0                   // after a lull what is served tells too little
+	servedMemory = 2 * time.Second       // what is served is averaged over this
+	tryVotes     = 20                    // requests that settle what time left is usual
+	rankOver     = 64                    // requests that a new one's worth is ranked among
+	coldPart     = 0.45                  // share used of what pushes a cold upstream over: it may be a small one
+	subsetEvery  = 2 * time.Second       // each upstream of the subset is heard about this often
+	toldFor      = 60 * time.Millisecond // what an upstream says of its load holds for so long
+	toldMost     = 16                    // of so many it is remembered
+	subsetMin    = 4                     // two to compare, and spares while some are out
+	fewInHand    = 5.0                   // below, what is served tells too little
+	crowdWeight  = 0.12                  // weight of an attempt in the crowding seen: about the last eight
+	crowdFrom    = 0.62                  // shed from this share on, early as it is late by some attempts
+	crowdMost    = 1.5                   // aims: a hung upstream is not a crowd
+	crowdMemory  = 10 * time.Second      // crowding unheard of fades over this: all refused must not be for ever
+	askBase      = time.Second           // first wait before asking for the list again; doubles
 	askMax       = 8 * time.Second
 )
 
@@ -107,6 +109,7 @@
 	tenants  []rate        // arriving requests by tenant
 	scratchA []*upstream
 	scratchB []*upstream
+	told     []*upstream // probed of late, the latest last
 }
 
 // New returns the decisions of one sidecar, or an error that names the setting that cannot be used.
@@ -146,6 +149,8 @@
 		if r := b.reqs[e.ID]; r != nil {
 			b.close(r)
 		}
+	case ProbeResult:
+		b.probed(e)
 	case Wake:
 		b.wake()
 	}
--- a/balancer/members.go
+++ b/balancer/members.go
@@ -17,6 +17,8 @@
 	out      []*attempt // attempts without answer, oldest first
 	streams  int        // attempts whose streamed answer goes on
 
+	said said // to the latest probe
+
 	heard       time.Duration // when it last answered
 	fails       int           // attempts sent since then that failed
 	silentSince time.Duration // when the first of them was sent
--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -12,6 +12,9 @@
 // pick returns the upstream for r's next attempt, or nil. The ordinary case is the lower load of two
 // random ready upstreams. Upstreams already tried are left out while another is ready.
 func (b *Balancer) pick(r *request) *upstream {
+	if u := b.pickTold(r); u != nil {
+		return u
+	}
 	home, away, size := b.scratchA[:0], b.scratchB[:0], b.subset()
 	collect := func(ok func(*upstream) bool) {
 		for _, u := range b.list {
@@ -41,6 +44,58 @@
 	return b.zonePick(r, home, away)
 }
 
+// said is what an upstream answered to a probe.
+type said struct {
+	at      time.Duration
+	inHand  int           // and what was sent to it since
+	latency time.Duration // 0: not told
+}
+
+// probed notes an answer, or that there was none. Guards against estimates that are old where little is sent.
+func (b *Balancer) probed(e ProbeResult) {
+	u := b.ups[e.Upstream]
+	if u == nil {
+		return
+	}
+	b.told = slices.DeleteFunc(b.told, func(x *upstream) bool { return x == u })
+	if u.said = (said{}); e.Result != OK || e.InHand < 0 || e.Latency < 0 {
+		return
+	}
+	u.said = said{b.now, e.InHand, e.Latency}
+	if b.told = append(b.told, u); len(b.told) > toldMost {
+		b.told = slices.Delete(b.told, 0, 1)
+	}
+}
+
+// pickTold is the design's choice where the random ones were drawn by who probed them: the lowest load of
+// those that have answered just now, for a first attempt. It is nil unless two of them are ready.
+func (b *Balancer) pickTold(r *request) (best *upstream) {
+	if len(b.told) == 0 || len(r.attempts) > 0 {
+		return nil
+	}
+	n, least := 0, 0.0
+	cross := b.set.PriceCrossZone * crossAims * b.meanAim
+	for _, u := range b.told {
+		if !b.saidNow(u) || !b.ready(u, r) || !b.mayTry(r, u) {
+			continue
+		}
+		x := b.load(u)
+		if u.zone != b.set.Zone && cross >= b.fleet/4 {
+			x += cross
+		}
+		if n++; best == nil || x < least {
+			best, least = u, x
+		}
+	}
+	if n < 2 {
+		return nil
+	}
+	return best
+}
+
+// saidNow tells whether what an upstream said still holds.
+func (b *Balancer) saidNow(u *upstream) bool { return u.said.at > 0 && b.now-u.said.at < toldFor }
+
 // subset is how many upstreams this sidecar chooses among: the first ready ones of its list, drawn by chance,
 // so many that each is heard every subsetEvery; a busy sidecar uses all. Guards against stale estimates, and
 // against connections that grow as sidecars times upstreams.
@@ -81,8 +136,9 @@
 	return from[i]
 }
 
-// load is the design's: latency x (pending+1). Two exceptions: an idle estimate decays to the mean of its
-// kind of machine, not to nothing (idleness is not speed), and an attempt out takes its age at least.
+// load is the design's: latency x (pending+1). Exceptions: an idle estimate decays to the mean of its kind
+// of machine, not to nothing (idleness is not speed), an attempt out takes its age at least, and what the
+// upstream itself has just said counts where it is more.
 func (b *Balancer) load(u *upstream) float64 {
 	w := u.est.weight(b.now, b.decay())
 	latency := u.est.value*w + *u.mean*(1-w)
@@ -90,7 +146,12 @@
 		a := u.out[0]
 		latency = max(latency, (b.now-a.sent).Seconds()/a.r.cost)
 	}
-	return latency * float64(len(u.out)+u.streams+1)
+	pending := len(u.out) + u.streams
+	if b.saidNow(u) { // it knows what others have sent
+		pending = max(pending, u.said.inHand)
+		latency = max(latency, u.said.latency.Seconds())
+	}
+	return latency * float64(pending+1)
 }
 
 // estimate is a peak-EWMA in seconds.
--- /dev/null
+++ b/balancer/probe_test.go
@@ -0,0 +1,72 @@
+package balancer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// Guards against answers to probes that are taken when they are old, by one upstream alone, of one that drains or was not there,
+// or that take all requests to one upstream until the next probe.
+func TestProbedUpstreams(t *testing.T) {
+	said := func(name string, inHand int, latency time.Duration) ProbeResult {
+		return ProbeResult{Upstream: name, InHand: inHand, Latency: latency}
+	}
+	for _, c := range []struct {
+		name  string
+		said  []ProbeResult
+		after time.Duration
+		then  func(*rig)
+		want  string // "": as without
+	}{
+		{"the emptier", []ProbeResult{said("u7", 3, 0), said("u8", 0, 0)}, 0, nil, "u8"},
+		{"the faster", []ProbeResult{said("u7", 0, 900*ms), said("u8", 0, 0)}, 0, nil, "u8"},
+		{"of four", []ProbeResult{said("u6", 2, 0), said("u7", 3, 0), said("u8", 1, 0), said("u9", 4, 0)}, 0, nil, "u8"},
+		{"the latest word", []ProbeResult{said("u8", 9, 0), said("u7", 1, 0), said("u8", 0, 0)}, 0, nil, "u8"},
+		{"the other says nothing", []ProbeResult{said("u7", 0, 0), said("u8", 0, 0), {Upstream: "u7", Result: Timeout}}, 0, nil, ""},
+		{"old", []ProbeResult{said("u7", 3, 0), said("u8", 0, 0)}, toldFor, nil, ""},
+		{"one", []ProbeResult{said("u8", 0, 0)}, 0, nil, ""},
+		{"nonsense", []ProbeResult{said("u7", -1, 0), said("u8", 0, -1), said("nobody", 0, 0)}, 0, nil, ""},
+		{"drains", []ProbeResult{said("u7", 3, 0), said("u6", 2, 0), said("u8", 0, 0)}, 0,
+			func(r *rig) { r.list(Change, Member{Upstream: "u8", Zone: "a", State: Leaving}) }, "u6"},
+		{"gone", []ProbeResult{said("u7", 3, 0), said("u6", 2, 0), said("u8", 0, 0)}, 0,
+			func(r *rig) { r.list(Change, Member{Upstream: "u8", Zone: "a", State: Left}) }, "u6"},
+	} {
+		r, plain := newRig(t, testSettings()), newRig(t, testSettings())
+		r.fleet(40)
+		plain.fleet(40)
+		for _, e := range c.said {
+			r.do(e)
+		}
+		if c.then != nil {
+			c.then(r)
+		}
+		r.now += c.after
+		plain.now += c.after
+		want := c.want
+		if want == "" {
+			want = plain.wantSend(plain.request("a", "c", time.Second))
+		}
+		if got := r.wantSend(r.request("a", "c", time.Second)); got != want {
+			t.Errorf("%s: sent to %s, want %s", c.name, got, want)
+		}
+	}
+	r := newRig(t, testSettings())
+	r.fleet(40)
+	for _, n := range []string{"u1", "u2", "u3"} {
+		r.do(said(n, 0, 0))
+	}
+	got := map[string]int{}
+	for i := range 30 {
+		got[r.wantSend(r.request(fmt.Sprint(i), "c", time.Second))]++
+	}
+	if got["u1"] != 10 || got["u2"] != 10 || got["u3"] != 10 {
+		t.Errorf("sent as %v", got)
+	}
+	for i := range 40 { // what is remembered is bounded
+		r.do(said(fmt.Sprint("u", i), 0, 0))
+	}
+	if len(r.b.told) != toldMost {
+		t.Errorf("%d are remembered", len(r.b.told))
+	}
+}
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -15,6 +15,7 @@
 	"orchiddrift/internal/listfile"
 	"orchiddrift/internal/logs"
 	"orchiddrift/internal/membership"
+	"orchiddrift/internal/probe"
 	"orchiddrift/internal/routes"
 	"orchiddrift/internal/settings"
 	"orchiddrift/internal/subset"
@@ -73,6 +74,7 @@
 	Share     float64          `toml:"share" default:"1" doc:"Its weight in what is set aside for services."`
 	TLS       keys.Upstream    `toml:"tls" doc:"Encryption towards its upstreams."`
 	Warm      warm.Options     `toml:"warm" doc:"Connections that are open before requests need them."`
+	Probe     probe.Options    `toml:"probe" doc:"Asking upstreams for their load, where a process sends little."`
 	Subset    subset.Options   `toml:"subset" doc:"For many upstreams: a part of them is this process's own."`
 	settings.Declaration
 }
@@ -80,6 +82,7 @@
 // PlatformPart is what the operator's file says of the platform's service.
 type PlatformPart struct {
 	Warm   warm.Options   `toml:"warm" doc:"Connections that are open before requests need them."`
+	Probe  probe.Options  `toml:"probe" doc:"Asking upstreams for their load, where its settings allow probes."`
 	Subset subset.Options `toml:"subset" doc:"For many upstreams: a part of them is this process's own."`
 }
 
--- a/internal/config/plan.go
+++ b/internal/config/plan.go
@@ -23,6 +23,7 @@
 	"orchiddrift/internal/listfile"
 	"orchiddrift/internal/logs"
 	"orchiddrift/internal/membership"
+	"orchiddrift/internal/probe"
 	"orchiddrift/internal/routes"
 	"orchiddrift/internal/settings"
 	"orchiddrift/internal/subset"
@@ -59,6 +60,7 @@
 	TLS      keys.Upstream
 	Subset   subset.Options
 	Warm     warm.Options
+	Probe    probe.Options
 
 	// Where its upstreams come from: Discovery, ListFile or else Known alone.
 	Discovery string
@@ -202,7 +204,10 @@
 		p.Name, p.Listen, p.Seed, p.Limits = of.Name, of.Listen, of.Seed, of.Limits
 		p.HeadTimeout, p.BodyTimeout, p.Grace = of.HeadTimeout, of.BodyTimeout, of.Grace
 		p.Services = of.Services
-		p.Services[0].Subset, p.Services[0].Warm = f.Platform.Subset, f.Platform.Warm
+		p.Services[0].Subset, p.Services[0].Warm, p.Services[0].Probe = f.Platform.Subset, f.Platform.Warm, f.Platform.Probe
+		if f.Platform.Probe.On && !p.Services[0].Settings.Probes {
+			doc.Report("platform.probe", "the platform's settings allow no probes")
+		}
 		names[Platform] = 0
 		for _, r := range of.Table.Routes() {
 			all, places = append(all, r), append(places, "")
@@ -214,8 +219,8 @@
 		_, _ = rand.Read(b[:]) // never fails
 		p.Seed, p.SeedDrawn = binary.LittleEndian.Uint64(b[:]), true
 	}
-	if beside == nil && (f.Platform.Subset.On || f.Platform.Warm.On) {
-		doc.Report("platform", "there is no platform's file: a service has its own [service.subset] and [service.warm]")
+	if beside == nil && (f.Platform.Subset.On || f.Platform.Warm.On || f.Platform.Probe.On) {
+		doc.Report("platform", "there is no platform's file: a service has its own [service.subset], [service.warm] and [service.probe]")
 	}
 	f.registries(p, beside, doc)
 	longest := time.Duration(0)
@@ -454,7 +459,7 @@
 	if err != nil { // reported by Check
 		answers = httphead.Only200()
 	}
-	p := ServicePlan{Name: s.Name, Settings: s.Settings(), Answers: answers, Share: s.Share, TLS: s.TLS, Subset: s.Subset, Warm: s.Warm,
+	p := ServicePlan{Name: s.Name, Settings: s.Settings(), Answers: answers, Share: s.Share, TLS: s.TLS, Subset: s.Subset, Warm: s.Warm, Probe: s.Probe,
 		Discovery: s.Discovery, ListFile: s.ListFile}
 	p.Settings.MustSubscribe = s.Discovery != "" && !s.Push
 	if entries := s.entries(); len(entries) > 0 {
@@ -466,5 +471,5 @@
 // Same tells whether two plans of a service differ in nothing but where its upstreams come from, and its door.
 func (s *ServicePlan) Same(o *ServicePlan) bool {
 	return s.Name == o.Name && reflect.DeepEqual(s.Settings, o.Settings) && *s.Answers == *o.Answers &&
-		reflect.DeepEqual(s.TLS, o.TLS) && s.Subset == o.Subset && s.Warm == o.Warm
+		reflect.DeepEqual(s.TLS, o.TLS) && s.Subset == o.Subset && s.Warm == o.Warm && s.Probe == o.Probe
 }
--- a/internal/daemon/graphql.go
+++ b/internal/daemon/graphql.go
@@ -170,6 +170,7 @@
 	if pass, refused := c.door(c.r, c.svc, &req, c.begun, len(d.Body)); refused != nil {
 		o.answer = *refused
 	} else {
+		c.svc.probes.before(c.r.Context())
 		o.answer = c.svc.engine.Do(c.r.Context(), engine.Call{ID: o.id, Class: req.Class.Name, Tenant: req.Tenant, Hint: req.Hint,
 			Expires: c.begun + req.Timeout}, o)
 		pass.Done(doorkeeper.Ended(o.answer))
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -132,6 +132,7 @@
 		s.finish(w, *refused)
 		return false
 	}
+	svc.probes.before(r.Context())
 	a := svc.engine.Do(r.Context(), engine.Call{ID: id, Class: req.Class.Name, Tenant: req.Tenant, Hint: req.Hint,
 		Expires: begun + req.Timeout}, x)
 	pass.Done(doorkeeper.Ended(a))
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -55,6 +55,7 @@
 	feed   *discovery.Feed
 	narrow *discovery.Narrowed               // before the feed; nil: every upstream is its own
 	asked  atomic.Int64                      // requests so far
+	probes *probing                          // nil: nobody is probed
 	keys   *keys.Store                       // nil: connections are not encrypted
 	door   atomic.Pointer[doorkeeper.Keeper] // nil: there is none
 
@@ -121,6 +122,9 @@
 		s.pool.Close()
 		return nil, fmt.Errorf("service %s: %w", plan.Name, err)
 	}
+	if plan.Probe.On {
+		s.probes = newProbing(s, plan.Probe, rand.New(rand.NewPCG(sh.seed, xxhash.Sum64String("probe/"+plan.Name))))
+	}
 	if err := s.setDoor(plan); err != nil {
 		s.engine.Close()
 		s.pool.Close()
@@ -428,6 +432,7 @@
 	if k := s.door.Load(); k != nil {
 		k.Close()
 	}
+	s.probes.close()
 	s.engine.Close()
 	s.pool.Close()
 	s.running.Wait()
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -197,6 +197,15 @@
 	e.unlock()
 }
 
+// Probed tells the module what an upstream said of its load, or that it said nothing.
+func (e *Engine) Probed(r balancer.ProbeResult) {
+	e.lock()
+	defer e.unlock()
+	if !e.closed {
+		e.handle(r)
+	}
+}
+
 // Do gives a call its final answer, before Call.Expires. When ctx ends the caller has left: the module hears of it,
 // and no further attempt is made.
 func (e *Engine) Do(ctx context.Context, c Call, carrier Carrier) Answer {
--- a/internal/fleetsim/fleetsim.go
+++ b/internal/fleetsim/fleetsim.go
@@ -16,6 +16,7 @@
 
 	"orchiddrift/balancer"
 	"orchiddrift/internal/directory"
+	"orchiddrift/internal/probe"
 	"orchiddrift/internal/subset"
 	"orchiddrift/internal/virtual"
 	"orchiddrift/internal/warm"
@@ -40,6 +41,8 @@
 
 	Blind  bool                // modules are not told what cold nodes can take, nor which are cold
 	Speed  func(i int) float64 // of a node; nil: 1
+	Ask    probe.Options       // probes beside the module, which decides
+	Latent bool                // answers to those tell no latency
 	Probes *Probes             // in place of the module; nil: the module chooses
 
 	RestartAt   time.Duration // so that a part of the nodes restarts, spread over RestartOver; 0: none
@@ -112,6 +115,7 @@
 	rate  float64
 	rng   *rand.Rand
 	warm  *warm.Warmer         // nil: there is none
+	probe *probe.Prober        // nil: there is none
 	ready map[string]uint64    // what the warmer is told of
 	own   []string             // active ones, where probes choose
 	seen  []int                // requests in hand, by the last probes
@@ -164,6 +168,7 @@
 	rateBlend = 0.1
 	nodeQueue = 1000
 	warmEvery = 100 * time.Millisecond
+	probeWork = 200 * time.Microsecond // of a node's core
 )
 
 // Play plays a run.
@@ -240,6 +245,9 @@
 		c.warm, c.ready = warm.New(s.r.Warm, s.r.Descriptors, rand.New(rand.NewPCG(s.r.Seed, uint64(i)+1<<32))), map[string]uint64{}
 		s.After(time.Duration(s.rng.Int64N(int64(warmEvery))), func() { s.keepWarm(c) })
 	}
+	if s.r.Ask.On {
+		c.probe = probe.New(s.r.Ask, rand.New(rand.NewPCG(s.r.Seed, uint64(i)+2<<32)))
+	}
 	s.sidecars = append(s.sidecars, c)
 	list := &directory.Listing{Snapshot: true}
 	for _, n := range s.nodes {
@@ -294,6 +302,11 @@
 				c.ready[e.Name] = uint64(e.SinceMs) + 1
 			}
 		}
+		if c.probe != nil {
+			if c.probe.Remove(e.Name); member.State == balancer.Active {
+				c.probe.Add(e.Name)
+			}
+		}
 		if s.r.Probes != nil {
 			c.own = slices.DeleteFunc(c.own, func(name string) bool { return name == e.Name })
 			if member.State == balancer.Active {
@@ -403,7 +416,43 @@
 		s.probed(c, q)
 		return
 	}
-	s.module(c, balancer.Request{ID: q.id, Class: class.Name, Expires: q.expires})
+	decide := func() { s.module(c, balancer.Request{ID: q.id, Class: class.Name, Expires: q.expires}) }
+	if c.probe != nil {
+		if names := c.probe.Ask(s.Now()); len(names) > 0 {
+			s.probe(c, names, decide)
+			return
+		}
+	}
+	decide()
+}
+
+// probe asks nodes, and goes on once all have answered or patience has ended.
+func (s *sim) probe(c *sidecar, names []string, then func()) {
+	wait := wire
+	for _, name := range names {
+		n := s.byName[name]
+		s.out.Probes++
+		if !n.up {
+			wait = s.r.Ask.Patience.D()
+			continue
+		}
+		n.owed += probeWork
+	}
+	s.After(wait, func() {
+		for _, name := range names {
+			n := s.byName[name]
+			c.probe.Answered(s.Now(), name, n.up)
+			answer := balancer.ProbeResult{Upstream: name, Result: balancer.Timeout}
+			if n.up {
+				answer.Result, answer.InHand = balancer.OK, n.inHand()
+				if !s.r.Latent {
+					answer.Latency = time.Duration(n.took * float64(time.Second))
+				}
+			}
+			s.module(c, answer)
+		}
+		then()
+	})
 }
 
 // module tells a sidecar's balancer, and does what it says.
--- a/internal/standin/http1.go
+++ b/internal/standin/http1.go
@@ -82,6 +82,12 @@
 // answerHTTP tells whether the connection goes on.
 func (n *Node) answerHTTP(ctx context.Context, c net.Conn, req *http.Request, read func(*http.Request, []byte) spoken) bool {
 	payload, _ := io.ReadAll(req.Body) // it is in memory
+	if req.URL.Path == "/-/load" {
+		if n.thaw(ctx) != nil {
+			return false
+		}
+		return say(c, "200 OK", "", n.load())
+	}
 	s := read(req, payload)
 	if s.refusal != "" {
 		return say(c, s.refusal, s.headers, s.failed)
--- a/internal/standin/ledger.go
+++ b/internal/standin/ledger.go
@@ -44,6 +44,7 @@
 	Fell       bool          // pushed over while cold
 	AfterDrain int           // arrived after Node.Drain
 	LastAfter  time.Duration // the longest after it
+	Probes     int           // requests for its load
 	Refused    int           // of them gRPC streams that were refused by the wire: REFUSED_STREAM, GOAWAY
 }
 
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -174,6 +174,14 @@
 	return n.inHand
 }
 
+// load is the node's report of it, and counts that it was asked for.
+func (n *Node) load() []byte {
+	n.o.Ledger.count(n.o.Name, func(c *NodeCount) { c.Probes++ })
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return fmt.Appendf(nil, "TEXT inflight=%d, queue=%d", n.inHand, max(0, n.inHand-n.o.Cores))
+}
+
 // Warmth is the share of its capacity that it has now.
 func (n *Node) Warmth() float64 {
 	n.mu.Lock()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -375,3 +376,18 @@
 		t.Errorf("result %d after the wait", rep.Result)
 	}
 }
+
+// Guards against a report that is believed in nonsense.
+func TestReadLoad(t *testing.T) {
+	for report, want := range map[string]string{"TEXT inflight=7, queue=2, util=0.61": "7 0s", "queue=3": "3 0s", "TEXT queue=4, latency_ms=2.5\n": "4 2.5ms",
+		"inflight=1e99": "1048576 0s", "inflight=-1": "", "inflight=NaN": "", "util=1": "", "": "", "inflight=x, queue=1": "1 0s", "queue=1, latency_ms=1e30": "1 1h0m0s"} {
+		var r balancer.ProbeResult
+		got := ""
+		if readLoad(&r, []byte(report)) {
+			got = fmt.Sprint(r.InHand, " ", r.Latency)
+		}
+		if got != want {
+			t.Errorf("%q is %q, want %q", report, got, want)
+		}
+	}
+}
