Module: sends of a client's earlier tries count for its keyed repeat

Need: a client's second try of a payment is a new request to the module, which may send it to a zone that does not know the first one, or after the window. Change: Request.Prior, Send tells zone and cell.

--- a/balancer/api.go
+++ b/balancer/api.go
@@ -119,6 +119,14 @@
 	ID, Class, Tenant string
 	Expires           time.Duration // clock time
 	Hint              time.Duration // expected work; 0: unknown
+	Prior             []Prior       // keyed: sends of its client's earlier tries that may have run
+}
+
+// Prior is a send of an earlier request of the same key: it counts as if it were this one's.
+type Prior struct {
+	Zone string
+	Cell int
+	Sent time.Duration // clock time
 }
 
 // FirstByte says that a streamed answer has begun.
@@ -202,6 +210,8 @@
 	Kind     ActionKind
 	ID       string
 	Upstream string
+	Zone     string // of Upstream, with Send
+	Cell     int    // the same
 	Attempt  int
 	Timeout  time.Duration
 	RetryIn  time.Duration
--- a/balancer/attempts.go
+++ b/balancer/attempts.go
@@ -30,6 +30,7 @@
 	end      time.Duration // clock time at which we give up
 	cost     float64       // expected work, relative to the mean request
 	attempts []*attempt
+	prior    []Prior
 	out      int
 	stale    bool // a repeat whose aim has passed
 	done     bool
@@ -47,6 +48,7 @@
 		return
 	}
 	r := &request{id: e.ID, class: c, arrived: b.now, expires: e.Expires, cost: b.cost(c, e.Hint)}
+	r.prior = e.Prior
 	r.tenant = slices.IndexFunc(b.set.Tenants, func(t Tenant) bool { return t.Name == e.Tenant })
 	aim := c.Aim + time.Duration(c.AimStretch*float64(e.Hint))
 	r.aim = b.now + min(aim, c.Deadline)
@@ -116,16 +118,31 @@
 		return false
 	}
 	for _, a := range r.attempts {
-		if a.mayRun && r.class.Effect == Keyed && (r.class.Group == GroupZone && a.zone != u.zone ||
-			r.class.Group == GroupCell && a.cell != u.cell) {
+		if a.mayRun && r.class.leavesGroup(a.zone, a.cell, u) {
+			return false
+		}
+	}
+	for _, p := range r.prior {
+		if r.class.leavesGroup(p.Zone, p.Cell, u) {
 			return false
 		}
 	}
 	return b.coldAllows(u)
 }
 
+// leavesGroup: what was sent to zone and cell is not known at u, where a repeat of it would run again.
+func (c *class) leavesGroup(zone string, cell int, u *upstream) bool {
+	return c.Effect == Keyed &&
+		(c.Group == GroupZone && zone != u.zone || c.Group == GroupCell && cell != u.cell)
+}
+
 // stuck: an attempt may have run, and nothing may follow it any more.
 func (b *Balancer) stuck(r *request) bool {
+	for _, p := range r.prior {
+		if r.class.Effect == Unsafe || r.class.Effect == Keyed && b.now-p.Sent > r.class.Window-2*b.set.Tick {
+			return true
+		}
+	}
 	return r.class.Effect != Safe && slices.ContainsFunc(r.attempts, func(a *attempt) bool {
 		return a.mayRun && (r.class.Effect == Unsafe || b.now-a.sent > r.class.Window-2*b.set.Tick)
 	})
@@ -145,7 +162,8 @@
 	u.out = append(u.out, a)
 	u.said.inHand++
 	u.tokens -= r.cost
-	b.act(Action{Kind: Send, ID: r.id, Upstream: u.id, Timeout: max(r.end-b.now, b.set.Tick)})
+	b.act(Action{Kind: Send, ID: r.id, Upstream: u.id, Zone: u.zone, Cell: u.cell,
+		Timeout: max(r.end-b.now, b.set.Tick)})
 	if r.class.Effect != Unsafe {
 		r.lateAt = b.now + b.patience(r)
 		b.after(r.lateAt, timerLate, r)
--- a/balancer/refusals.go
+++ b/balancer/refusals.go
@@ -13,7 +13,7 @@
 	if r.class.Effect == Safe || r.class.Effect == Keyed && r.class.Group == GroupAll {
 		return true
 	}
-	return !slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.mayRun })
+	return len(r.prior) == 0 && !slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.mayRun })
 }
 
 // giveUp ends a request without an answer. A refused client is told to stay away for good or, where it will
--- a/balancer/rules_test.go
+++ b/balancer/rules_test.go
@@ -392,3 +392,33 @@
 		}
 	}
 }
+
+// Guards against a client's repeat that runs where its first try's memory is not: what was sent for that counts as sent for this.
+func TestPriorSends(t *testing.T) {
+	s := testSettings()
+	s.Classes = []Class{{Name: "c", Aim: 200 * ms, Deadline: 10 * time.Second, Worth: 1, Effect: Keyed, Group: GroupZone, Window: 6 * time.Second}}
+	for _, c := range []struct {
+		name  string
+		prior []Prior
+		want  string // zones that it may go to; "": none
+	}{
+		{"none", nil, "ab"}, {"in b", []Prior{{Zone: "b", Sent: 50 * time.Second}}, ""}, {"in b, within the window", []Prior{{Zone: "b", Sent: 58 * time.Second}}, "b"},
+		{"in both", []Prior{{Zone: "a", Sent: 59 * time.Second}, {Zone: "b", Sent: 59 * time.Second}}, ""}, {"elsewhere", []Prior{{Zone: "z", Sent: 59 * time.Second}}, ""},
+	} {
+		got := map[string]bool{}
+		for i := range 30 {
+			r := newRig(t, s)
+			r.b.rng = rand.New(rand.NewPCG(uint64(i), 1))
+			r.list(Full, Member{Upstream: "x", Zone: "a"}, Member{Upstream: "y", Zone: "b"})
+			acts := r.do(Request{ID: "1", Class: "c", Expires: r.now + 5*time.Second, Prior: c.prior})
+			if sends := kinds(acts, Send); len(sends) == 1 {
+				got[sends[0].Zone] = true
+			} else if len(kinds(acts, Refuse)) > 0 || c.want == "" && c.name == "in b" && len(kinds(acts, Fail)) != 1 {
+				t.Errorf("%s: %+v", c.name, acts)
+			}
+		}
+		if want := map[string]bool{"ab": c.want == "ab"}; len(got) != len(c.want) && !want["ab"] || c.want == "b" && !got["b"] {
+			t.Errorf("%s: sent to %v, want %q", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -29,6 +29,7 @@
 	Tenant  string
 	Expires time.Duration // on the engine's clock: when the caller stops waiting
 	Hint    time.Duration // expected work; 0: unknown
+	Prior   []balancer.Prior
 }
 
 // Attempt is one send that the module has decided on.
@@ -36,6 +37,8 @@
 	ID       string
 	Number   int // from 0, in the order of the decisions
 	Upstream string
+	Zone     string // the upstream's
+	Cell     int
 	Deadline time.Time // when its context ends
 	Inline   bool      // the caller of Do carries it out: Do does not return before it has ended
 	Cancel   context.CancelCauseFunc
@@ -224,7 +227,8 @@
 		return Answer{Kind: Duplicate}
 	}
 	e.flights[c.ID] = f
-	e.handle(balancer.Request{ID: c.ID, Class: c.Class, Tenant: c.Tenant, Expires: c.Expires, Hint: c.Hint})
+	e.handle(balancer.Request{ID: c.ID, Class: c.Class, Tenant: c.Tenant, Expires: c.Expires, Hint: c.Hint,
+		Prior: c.Prior})
 	// Attempts that end with their caller bring the news themselves.
 	if !f.done && !e.cancelAll && ctx.Done() != nil {
 		defer context.AfterFunc(ctx, func() { e.leave(f) })()
@@ -434,7 +438,7 @@
 		parent = f.ctx
 	}
 	a.Context, a.cancel = context.WithCancelCause(parent)
-	a.at = Attempt{ID: f.call.ID, Number: len(f.attempts), Upstream: s.Upstream, Deadline: time.Now().Add(limit),
+	a.at = Attempt{ID: f.call.ID, Number: len(f.attempts), Upstream: s.Upstream, Zone: s.Zone, Cell: s.Cell, Deadline: time.Now().Add(limit),
 		Cancel: a.cancel}
 	a.sent = now
 	a.timer = time.AfterFunc(limit, a.expire)
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"os"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -99,7 +100,7 @@
 		{event{Verb: "Heard", By: 2, Contents: "hi"}, balancer.Peer{From: 2, Message: "hi"}},
 		{event{Verb: "Wakeup"}, balancer.Wake{}},
 	} {
-		if got := h.translate(&c.e); got != c.want {
+		if got := h.translate(&c.e); !reflect.DeepEqual(got, c.want) {
 			t.Errorf("%s: %+v, want %+v", c.e.Verb, got, c.want)
 		}
 	}
