Repeats at the edge in the daemon: a keyed request's repeat gets the first one's end

Need: a payment sent again while the first runs, at another node, or after the nodes' window, is recorded twice. Change: [[repeats]] puts a store before a service's keyed requests, GraphQL's too; requests run apart from their clients; records last in a bbolt file where the operator names one.

--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -16,6 +16,7 @@
 	"orchiddrift/internal/logs"
 	"orchiddrift/internal/membership"
 	"orchiddrift/internal/probe"
+	"orchiddrift/internal/repeats"
 	"orchiddrift/internal/routes"
 	"orchiddrift/internal/settings"
 	"orchiddrift/internal/subset"
@@ -36,6 +37,7 @@
 	Platform PlatformPart         `toml:"platform" doc:"Added to the platform's service, beside its file."`
 	Doors    []door.Options       `toml:"door" doc:"A queue before a service, fair between those who ask."`
 	Services []Service            `toml:"service" doc:"A service: upstreams that answer the same requests. There are as many as there are such tables."`
+	Repeats  []repeats.Options    `toml:"repeats" doc:"A store of idempotency keys: a client's repeat of a keyed request gets the first one's end."`
 	GraphQL  []graphql.Options    `toml:"graphql" doc:"A GraphQL endpoint: its operations are told apart, classed and costed by what stands in them."`
 	Routes   []routes.Declaration `toml:"route" doc:"A route: which requests go to which service, and as what. Absent, with one service and no [[graphql]]: all go there."`
 }
--- a/internal/config/plan.go
+++ b/internal/config/plan.go
@@ -24,6 +24,7 @@
 	"orchiddrift/internal/logs"
 	"orchiddrift/internal/membership"
 	"orchiddrift/internal/probe"
+	"orchiddrift/internal/repeats"
 	"orchiddrift/internal/routes"
 	"orchiddrift/internal/settings"
 	"orchiddrift/internal/subset"
@@ -69,6 +70,8 @@
 
 	Door *door.Options // before it; nil: there is none
 
+	Repeats *repeats.Options // the store of its keys; nil: there is none
+
 	Registries []eureka.Declaration // beside that list, or without one
 	Members    membership.Options
 
@@ -289,9 +292,37 @@
 	}
 	p.Table = table
 	f.doors(p, names, all, doc)
+	f.repeats(p, names, doc)
 	return p
 }
 
+// repeats gives services their stores of keys.
+func (f *File) repeats(p *Plan, names map[string]int, doc *tomlfile.Document) {
+	files := map[string]bool{}
+	for i := range f.Repeats {
+		at, o := fmt.Sprintf("repeats[%d]", i), f.Repeats[i]
+		n, known := names[o.Service]
+		if !known {
+			if o.Service != "" {
+				doc.Report(at+".service", "there is no service %q", o.Service)
+			}
+			continue
+		}
+		s := &p.Services[n]
+		if s.Repeats != nil {
+			doc.Report(at+".service", "%q has two stores of keys", o.Service)
+		}
+		if !slices.ContainsFunc(s.Settings.Classes, func(c balancer.Class) bool { return c.Effect == balancer.Keyed }) {
+			doc.Report(at+".service", "service %s has no keyed class", s.Name)
+		}
+		if o.File != "" && files[o.File] {
+			doc.Report(at+".file", "%q is another store's", o.File)
+		}
+		files[o.File] = true
+		s.Repeats = &o
+	}
+}
+
 // doors gives services their doors, and checks that principals can be told apart there.
 func (f *File) doors(p *Plan, names map[string]int, all []*routes.Route, doc *tomlfile.Document) {
 	for i := range f.Doors {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -261,6 +261,7 @@
 		d.stopKeys()
 	}
 	d.retiring.Wait()
+	d.shared.closeRepeats()
 }
 
 // drain goes on accepting while clients still come, answers everything that was taken, and ends before the
--- a/internal/daemon/graphql.go
+++ b/internal/daemon/graphql.go
@@ -132,6 +132,7 @@
 	id       string
 	decision graphql.Decision
 	answer   engine.Answer
+	conflict int  // the status of its key's conflict; 0: there is none
 	unsent   bool // its route ended, and nothing was sent
 
 	failedMu sync.Mutex
@@ -167,12 +168,21 @@
 	o.pool = c.svc.pool
 	o.request = upstream.NewRequest(req.Method, req.Target, req.Host, req.Header, d.Body)
 	o.request.Gate = c.lease
-	if pass, refused := c.door(c.r, c.svc, &req, c.begun, len(d.Body)); refused != nil {
+	pass, refused := c.door(c.r, c.svc, &req, c.begun, len(d.Body))
+	if refused != nil {
 		o.answer = *refused
 	} else {
+		call := engine.Call{ID: o.id, Class: req.Class.Name, Tenant: req.Tenant, Hint: req.Hint, Expires: c.begun + req.Timeout}
+		if k := c.svc.keyed(d.Class, d.Key); k != nil {
+			o.answer, o.conflict = answerOf(c.svc.once(c.r.Context(), k, call, d.Key, req.Method, req.Target, d.Body, func() (engine.Carrier, func()) {
+				x := &operation{exchange: exchange{pool: o.pool, request: o.request}, call: c, decision: *d}
+				return x, x.end
+			}))
+			pass.Done(doorkeeper.Ended(o.answer))
+			return
+		}
 		c.svc.probes.before(c.r.Context())
-		o.answer = c.svc.engine.Do(c.r.Context(), engine.Call{ID: o.id, Class: req.Class.Name, Tenant: req.Tenant, Hint: req.Hint,
-			Expires: c.begun + req.Timeout}, o)
+		o.answer = c.svc.engine.Do(c.r.Context(), call, o)
 		pass.Done(doorkeeper.Ended(o.answer))
 	}
 	switch o.answer.Kind {
@@ -239,6 +249,9 @@
 	case engine.Refused:
 		return say(http.StatusServiceUnavailable, graphql.NotRun, graphql.CodeRefused, "refused: not done, trying again is harmless")
 	case engine.Duplicate:
+		if o.conflict != 0 {
+			return say(o.conflict, graphql.NotRun, graphql.CodeKey, conflictText(o.conflict))
+		}
 		return say(http.StatusConflict, graphql.NotRun, graphql.CodeDuplicate, "a request of this id is in hand")
 	case engine.Closed:
 		return say(http.StatusInternalServerError, graphql.NotRun, graphql.CodeFailed, "stopped")
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -90,7 +90,10 @@
 						if err := s.setDoor(plan); err != nil { // the file's check has tried it
 							d.log.Error("reload", "service", plan.Name, "reason", err)
 						}
-						s.plan.Door = plan.Door
+						if err := s.setRepeats(plan); err != nil {
+							d.log.Error("reload", "service", plan.Name, "reason", err)
+						}
+						s.plan.Door, s.plan.Repeats = plan.Door, plan.Repeats
 					})
 					continue
 				}
--- /dev/null
+++ b/internal/daemon/repeats.go
@@ -0,0 +1,164 @@
+package daemon
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"maps"
+	"net/http"
+	"time"
+
+	"orchiddrift/balancer"
+	"orchiddrift/internal/config"
+	"orchiddrift/internal/engine"
+	"orchiddrift/internal/repeatkeeper"
+	"orchiddrift/internal/repeatlog"
+	"orchiddrift/internal/repeats"
+	"orchiddrift/internal/upstream"
+)
+
+// openRepeats finds or makes the keeper of a service's keys. It outlives the service: one that a reload starts anew, or takes
+// away for a while, knows its keys again.
+func (sh *shared) openRepeats(plan config.ServicePlan) (*repeatkeeper.Keeper, error) {
+	if plan.Repeats == nil {
+		return nil, nil
+	}
+	windows := map[string]time.Duration{}
+	for _, c := range plan.Settings.Classes {
+		windows[c.Name] = c.Window - 2*plan.Settings.Tick
+	}
+	window := func(class string) time.Duration { return windows[class] }
+	sh.repeatsMu.Lock()
+	defer sh.repeatsMu.Unlock()
+	if k := sh.repeats[plan.Name]; k != nil {
+		k.Configure(*plan.Repeats, window)
+		return k, nil
+	}
+	o := repeatkeeper.Options{Repeats: *plan.Repeats, Window: window, Clock: sh.clock, Log: sh.log.With("service", plan.Name)}
+	if file := plan.Repeats.File; file != "" {
+		log, err := repeatlog.Open(file)
+		if err != nil {
+			return nil, fmt.Errorf("repeats: %w", err)
+		}
+		o.Journal = log
+	}
+	k, err := repeatkeeper.New(o)
+	if err != nil {
+		return nil, fmt.Errorf("repeats: %w", err)
+	}
+	if sh.repeats == nil {
+		sh.repeats = map[string]*repeatkeeper.Keeper{}
+	}
+	sh.repeats[plan.Name] = k
+	return k, nil
+}
+
+// closeRepeats ends all keepers; their engines are closed.
+func (sh *shared) closeRepeats() {
+	sh.repeatsMu.Lock()
+	defer sh.repeatsMu.Unlock()
+	for _, k := range sh.repeats {
+		k.Close()
+	}
+}
+
+// setRepeats takes over what a plan says of repeats.
+func (s *service) setRepeats(plan config.ServicePlan) error {
+	k, err := s.shared.openRepeats(plan)
+	if err != nil {
+		return fmt.Errorf("service %s: %w", plan.Name, err)
+	}
+	s.repeats.Store(k)
+	return nil
+}
+
+// keyed tells whether a request's repeats are looked for.
+func (s *service) keyed(class *balancer.Class, key string) *repeatkeeper.Keeper {
+	if class.Effect != balancer.Keyed || key == "" {
+		return nil
+	}
+	return s.repeats.Load()
+}
+
+// attempts are a keyed request's: what may have run is noted before it is sent.
+type attempts struct {
+	engine.Carrier
+	s     *service
+	sends repeatkeeper.Sends
+}
+
+// Carry is engine.Carrier's.
+func (c attempts) Carry(ctx context.Context, a engine.Attempt) engine.Reply {
+	x := repeats.Send{Zone: a.Zone, Cell: a.Cell, Sent: c.s.shared.clock.Now()}
+	c.sends.Sent(x)
+	r := c.Carrier.Carry(ctx, a)
+	switch r.Result {
+	case balancer.Overloaded, balancer.ConnectFailed, balancer.Moot:
+		c.sends.Unsent(x)
+	}
+	return r
+}
+
+// once gives a keyed request the end of the first one of its key. It runs apart from its clients where it is the first: carrier makes
+// what carries out its attempts, and end gives back what those held.
+func (s *service) once(ctx context.Context, k *repeatkeeper.Keeper, call engine.Call, key, method, target string, body []byte,
+	carrier func() (c engine.Carrier, end func())) repeatkeeper.Result {
+	h := sha256.New()
+	fmt.Fprintf(h, "%s\x00%s\x00", method, target) // a hash takes everything
+	h.Write(body)
+	ctx, cancel := context.WithTimeout(ctx, call.Expires-s.shared.clock.Now())
+	defer cancel()
+	return k.Do(ctx, repeats.ID{Tenant: call.Tenant, Class: call.Class, Key: key}, repeats.Print(h.Sum(nil)[:16]),
+		func(prior []repeats.Send, sends repeatkeeper.Sends) repeatkeeper.Ended {
+			c, end := carrier()
+			defer end()
+			for _, x := range prior {
+				call.Prior = append(call.Prior, balancer.Prior{Zone: x.Zone, Cell: x.Cell, Sent: x.Sent})
+			}
+			a := s.engine.Do(context.Background(), call, attempts{c, s, sends})
+			switch a.Kind {
+			case engine.Served:
+				rep := a.Value.(*upstream.Reply)
+				return repeatkeeper.Ended{Verdict: repeats.Replay, Answer: &repeats.Answer{Status: rep.Status, Header: rep.Header, Body: rep.Body}}
+			case engine.Refused, engine.Duplicate, engine.Closed:
+				return repeatkeeper.Ended{Verdict: repeats.Refuse, RetryIn: a.RetryIn}
+			}
+			return repeatkeeper.Ended{Verdict: repeats.Fail}
+		})
+}
+
+// replayed marks an answer that an earlier request of its key has had.
+const replayed = "Idempotent-Replayed"
+
+// answerOf is a Result as the engine would have told it; conflict is not 0 where it has no word for it.
+func answerOf(r repeatkeeper.Result) (a engine.Answer, conflict int) {
+	switch {
+	case r.Left:
+		return engine.Answer{Kind: engine.Abandoned}, 0
+	case r.Verdict == repeats.Replay:
+		rep := &upstream.Reply{Status: r.Answer.Status, Header: r.Answer.Header, Body: r.Answer.Body}
+		if !r.First {
+			rep.Header = maps.Clone(http.Header(r.Answer.Header))
+			if rep.Header == nil {
+				rep.Header = http.Header{}
+			}
+			rep.Header.Set(replayed, "true")
+		}
+		return engine.Answer{Kind: engine.Served, Value: rep}, 0
+	case r.Verdict == repeats.Refuse:
+		return engine.Answer{Kind: engine.Refused, RetryIn: r.RetryIn}, 0
+	case r.Verdict == repeats.Conflict:
+		return engine.Answer{Kind: engine.Duplicate}, http.StatusUnprocessableEntity
+	case r.Verdict == repeats.Answered:
+		return engine.Answer{Kind: engine.Duplicate}, http.StatusConflict
+	}
+	return engine.Answer{Kind: engine.Failed}, 0
+}
+
+// conflictText words why a key stands against a request.
+func conflictText(status int) string {
+	if status == http.StatusUnprocessableEntity {
+		return "the key was used for another request"
+	}
+	return "a request of this key was answered; its answer was too large to be kept"
+}
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -132,9 +132,25 @@
 		s.finish(w, *refused)
 		return false
 	}
+	call := engine.Call{ID: id, Class: req.Class.Name, Tenant: req.Tenant, Hint: req.Hint, Expires: begun + req.Timeout}
+	if k := svc.keyed(req.Class, req.Key); k != nil {
+		a, conflict := answerOf(svc.once(r.Context(), k, call, req.Key, req.Method, req.Target, *body, func() (engine.Carrier, func()) {
+			x := &exchange{pool: svc.pool, request: out}
+			return x, x.end
+		}))
+		pass.Done(doorkeeper.Ended(a))
+		switch {
+		case conflict != 0:
+			s.say(w, conflict, conflictText(conflict))
+			return false
+		case a.Kind == engine.Abandoned:
+			w.Header().Set("Connection", "close")
+		}
+		s.finish(w, a)
+		return false
+	}
 	svc.probes.before(r.Context())
-	a := svc.engine.Do(r.Context(), engine.Call{ID: id, Class: req.Class.Name, Tenant: req.Tenant, Hint: req.Hint,
-		Expires: begun + req.Timeout}, x)
+	a := svc.engine.Do(r.Context(), call, x)
 	pass.Done(doorkeeper.Ended(a))
 	if (a.Kind == engine.Refused || a.Kind == engine.Failed || a.Kind == engine.Closed) && lease.ended.Load() &&
 		x.begun.Load() == 0 && r.Context().Err() == nil && !s.stopping.Load() {
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -25,6 +25,7 @@
 	"orchiddrift/internal/eureka"
 	"orchiddrift/internal/filewatch"
 	"orchiddrift/internal/keys"
+	"orchiddrift/internal/repeatkeeper"
 	"orchiddrift/internal/subset"
 	"orchiddrift/internal/upstream"
 	"orchiddrift/internal/warm"
@@ -41,23 +42,27 @@
 	seed        uint64
 	name        string // the process's
 	connections int    // to upstreams, at most
+
+	repeatsMu sync.Mutex
+	repeats   map[string]*repeatkeeper.Keeper // by service
 }
 
 // service is one service's module, list and connections. It is used by requests that hold it (enter) and ended by
 // retire, once none does.
 type service struct {
-	plan   config.ServicePlan
-	shared *shared
-	name   string // of it in the semaphores, and of the one that it replaced
-	engine *engine.Engine
-	pool   *upstream.Pool
-	dir    *directory.Directory
-	feed   *discovery.Feed
-	narrow *discovery.Narrowed               // before the feed; nil: every upstream is its own
-	asked  atomic.Int64                      // requests so far
-	probes *probing                          // nil: nobody is probed
-	keys   *keys.Store                       // nil: connections are not encrypted
-	door   atomic.Pointer[doorkeeper.Keeper] // nil: there is none
+	plan    config.ServicePlan
+	shared  *shared
+	name    string // of it in the semaphores, and of the one that it replaced
+	engine  *engine.Engine
+	pool    *upstream.Pool
+	dir     *directory.Directory
+	feed    *discovery.Feed
+	narrow  *discovery.Narrowed                 // before the feed; nil: every upstream is its own
+	asked   atomic.Int64                        // requests so far
+	repeats atomic.Pointer[repeatkeeper.Keeper] // nil: repeats are not looked for
+	probes  *probing                            // nil: nobody is probed
+	keys    *keys.Store                         // nil: connections are not encrypted
+	door    atomic.Pointer[doorkeeper.Keeper]   // nil: there is none
 
 	stop    context.CancelFunc // of what runs beside requests
 	running sync.WaitGroup
@@ -125,7 +130,7 @@
 	if plan.Probe.On {
 		s.probes = newProbing(s, plan.Probe, rand.New(rand.NewPCG(sh.seed, xxhash.Sum64String("probe/"+plan.Name))))
 	}
-	if err := s.setDoor(plan); err != nil {
+	if err := errors.Join(s.setDoor(plan), s.setRepeats(plan)); err != nil {
 		s.engine.Close()
 		s.pool.Close()
 		return nil, fmt.Errorf("service %s: %w", plan.Name, err)
--- a/internal/graphql/problem.go
+++ b/internal/graphql/problem.go
@@ -30,6 +30,7 @@
 	CodeFailed       = "UPSTREAM_FAILED" // no promise: it may have run
 	CodeNotSent      = "NOT_SENT"        // an earlier mutation of the batch has no good end: not run
 	CodeDuplicate    = "REQUEST_IN_HAND" // another request of this id is in hand; this one was not run
+	CodeKey          = "IDEMPOTENCY_KEY_CONFLICT"
 	CodeTooLarge     = "ANSWER_TOO_LARGE"
 	CodeAnswer       = "UPSTREAM_ANSWER" // what came is no answer that can stand in a batch
 )
--- a/internal/repeatkeeper/keeper.go
+++ b/internal/repeatkeeper/keeper.go
@@ -40,6 +40,14 @@
 	Window  func(class string) time.Duration
 	Clock   clock.Clock
 	Log     *slog.Logger
+	Journal Journal // nil: nothing lasts longer than the process
+}
+
+// Journal is where records last. Put returns when they are on the disk.
+type Journal interface {
+	Load(do func(repeats.Record) error) (at time.Duration, err error)
+	Put(r *repeats.Record, gone []repeats.ID, at time.Duration) error
+	Close() error
 }
 
 // Keeper holds a Store, and an entry for each request that runs.
@@ -52,6 +60,8 @@
 	closed  bool
 	refused int
 	said    time.Duration
+	offset  time.Duration // what this process's time began at, beyond the clock's: an earlier process's went on up to there
+	gone    []repeats.ID  // forgotten, and still in the journal
 	running sync.WaitGroup
 }
 
@@ -60,11 +70,32 @@
 	end  Ended
 }
 
-// New returns a Keeper. Close ends it.
-func New(o Options) *Keeper {
-	return &Keeper{o: o, store: repeats.New(o.Repeats, o.Window), flights: map[repeats.ID]*flight{}}
+// New returns a Keeper, with what its journal holds. Close ends it, and the journal.
+func New(o Options) (*Keeper, error) {
+	k := &Keeper{o: o, store: repeats.New(o.Repeats, o.Window), flights: map[repeats.ID]*flight{}}
+	if o.Journal == nil {
+		return k, nil
+	}
+	var records []repeats.Record
+	at, err := o.Journal.Load(func(r repeats.Record) error { records = append(records, r); return nil })
+	if err == nil {
+		k.offset = at - o.Clock.Now()
+		for _, r := range records {
+			if err = k.store.Load(k.now(), r); err != nil {
+				break
+			}
+		}
+	}
+	if err != nil {
+		_ = o.Journal.Close() // the error at hand says more
+		return nil, err
+	}
+	return k, nil
 }
 
+// now is the time of all processes that wrote the journal, one after another.
+func (k *Keeper) now() time.Duration { return k.offset + k.o.Clock.Now() }
+
 // Configure takes other bounds over. What is held stays, also where it is more than they allow.
 func (k *Keeper) Configure(o repeats.Options, window func(class string) time.Duration) {
 	k.mu.Lock()
@@ -78,13 +109,15 @@
 // Do gives a client of a key its end, at the latest when ctx ends: at a deadline it is told Fail, else it has left. run is called
 // where the request is to be sent, on a goroutine of its own, and must end by itself.
 func (k *Keeper) Do(ctx context.Context, id repeats.ID, print repeats.Print, run func(prior []repeats.Send, s Sends) Ended) Result {
-	now := k.o.Clock.Now()
+	now := k.now()
 	k.mu.Lock()
 	if k.closed {
 		k.mu.Unlock()
 		return Result{Ended: Ended{Verdict: repeats.Refuse}}
 	}
-	k.store.Expire(now)
+	if gone := k.store.Expire(now); k.o.Journal != nil {
+		k.gone = append(k.gone, gone...) // with the next record
+	}
 	d := k.store.Arrive(now, id, print)
 	var f *flight
 	switch d.Verdict {
@@ -128,8 +161,46 @@
 	k.refused, k.said = 1, now
 }
 
+// write puts a key's record into the journal, as it is now.
+func (k *Keeper) write(id repeats.ID) error {
+	if k.o.Journal == nil {
+		return nil
+	}
+	now := k.now()
+	k.mu.Lock()
+	r, ok := k.store.Record(now, id)
+	gone := k.gone
+	k.gone = nil
+	if !ok {
+		gone = append(gone, id)
+	}
+	k.mu.Unlock()
+	var record *repeats.Record
+	if ok {
+		record = &r
+	}
+	err := k.o.Journal.Put(record, gone, now)
+	if err != nil {
+		k.o.Log.Error("repeats: the journal can't be written", "reason", err)
+		k.mu.Lock()
+		k.gone = append(k.gone, gone...)
+		k.mu.Unlock()
+	}
+	return err
+}
+
+// run sends a request, once it is on record. Its end is told before it is on record: should the process end between the two, the
+// record says that it ran, and a repeat is not sent.
 func (k *Keeper) run(id repeats.ID, prior []repeats.Send, f *flight, run func([]repeats.Send, Sends) Ended) {
-	end := run(prior, sends{k, id})
+	var end Ended
+	if err := k.write(id); err != nil && k.o.Repeats.DiskError != GoOn {
+		end = Ended{Verdict: repeats.Refuse, RetryIn: diskAgain}
+	} else {
+		for i := range prior {
+			prior[i].Sent -= k.offset
+		}
+		end = run(prior, sends{k, id})
+	}
 	kind := repeats.Uncertain
 	switch end.Verdict {
 	case repeats.Replay:
@@ -138,13 +209,20 @@
 		kind = repeats.NeverRan
 	}
 	k.mu.Lock()
-	k.store.End(k.o.Clock.Now(), id, kind, end.Answer)
+	k.store.End(k.now(), id, kind, end.Answer)
 	delete(k.flights, id)
 	k.mu.Unlock()
 	f.end = end
 	close(f.done)
+	_ = k.write(id) // it has been logged; the record that stands is the stricter one
 }
 
+// GoOn is Options.DiskError where keyed requests go on without a record.
+const GoOn = "go on"
+
+// diskAgain is when to come back where the journal can't be written.
+const diskAgain = time.Second
+
 type sends struct {
 	k  *Keeper
 	id repeats.ID
@@ -153,12 +231,14 @@
 func (s sends) Sent(x repeats.Send) {
 	s.k.mu.Lock()
 	defer s.k.mu.Unlock()
+	x.Sent += s.k.offset
 	s.k.store.Sent(s.id, x)
 }
 
 func (s sends) Unsent(x repeats.Send) {
 	s.k.mu.Lock()
 	defer s.k.mu.Unlock()
+	x.Sent += s.k.offset
 	s.k.store.Unsent(s.id, x)
 }
 
@@ -175,4 +255,9 @@
 	k.closed = true
 	k.mu.Unlock()
 	k.running.Wait()
+	if k.o.Journal != nil {
+		if err := k.o.Journal.Close(); err != nil {
+			k.o.Log.Error("repeats: closing the journal", "reason", err)
+		}
+	}
 }
--- a/internal/repeats/repeats.go
+++ b/internal/repeats/repeats.go
@@ -25,19 +25,21 @@
 
 // Options are a Store's parameters, and its part of the operator's file.
 type Options struct {
-	Service string         `toml:"service" doc:"Whose keyed requests: a service's name, or \"platform\" beside the platform's file."`
-	Keep    units.Duration `toml:"keep" default:"10m" doc:"How long a key is known after its last event. A client must not send it again later."`
-	Entries int            `toml:"entries" default:"100000" doc:"Keys known at once, at most. New ones are refused beyond."`
-	Bytes   units.Size     `toml:"bytes" default:"16MiB" doc:"What keys and kept answers may take, at most. New ones are refused beyond."`
-	Part    float64        `toml:"tenant_part" default:"0.5" doc:"The part of both that one tenant's keys may take."`
-	Answer  units.Size     `toml:"answer" default:"16KiB" doc:"An answer that is larger is not kept: its repeats are told that it was answered."`
-	Running int            `toml:"running" default:"256" doc:"Keyed requests that run at once, at most, whether or not their clients are still there."`
-	Waiting int            `toml:"waiting" default:"16" doc:"Repeats of one key that wait for its answer, at most."`
+	Service   string         `toml:"service" doc:"Whose keyed requests: a service's name, or \"platform\" beside the platform's file."`
+	Keep      units.Duration `toml:"keep" default:"10m" doc:"How long a key is known after its last event. A client must not send it again later."`
+	Entries   int            `toml:"entries" default:"100000" doc:"Keys known at once, at most. New ones are refused beyond."`
+	Bytes     units.Size     `toml:"bytes" default:"16MiB" doc:"What keys and kept answers may take, at most. New ones are refused beyond."`
+	Part      float64        `toml:"tenant_part" default:"0.5" doc:"The part of both that one tenant's keys may take."`
+	Answer    units.Size     `toml:"answer" default:"16KiB" doc:"An answer that is larger is not kept: its repeats are told that it was answered."`
+	Running   int            `toml:"running" default:"256" doc:"Keyed requests that run at once, at most, whether or not their clients are still there."`
+	File      string         `toml:"file" reload:"start" sample:"\"/var/lib/orchiddrift/payments.db\"" doc:"Where keys last longer than the process, on a disk that does: a keyed request is sent once its record is synced. Absent: a new process knows no keys."`
+	DiskError string         `toml:"disk_error" default:"refuse" oneof:"refuse|go on" doc:"What becomes of keyed requests while the file can't be written."`
+	Waiting   int            `toml:"waiting" default:"16" doc:"Repeats of one key that wait for its answer, at most."`
 }
 
 // Default is what holds where nothing is said.
 func Default() Options {
-	return Options{Keep: units.Duration(10 * time.Minute), Entries: 100_000, Bytes: 16 * units.MiB, Part: 0.5, Answer: 16 * units.KiB, Running: 256, Waiting: 16}
+	return Options{Keep: units.Duration(10 * time.Minute), Entries: 100_000, Bytes: 16 * units.MiB, Part: 0.5, Answer: 16 * units.KiB, Running: 256, Waiting: 16, DiskError: "refuse"}
 }
 
 // Check is tomlfile.Checker's.
@@ -396,7 +398,7 @@
 	}
 	e := &entry{id: r.ID, print: r.Print, at: -1, sends: r.Sends, state: uncertain}
 	switch {
-	case r.Running:
+	case r.Running || r.Kind == Uncertain: // the nodes' windows went on while no process ran
 		e.lost = true
 	case r.Kind == WasAnswered:
 		e.state, e.answer, e.sends = answered, r.Answer, nil
