Repeats: killed at each point of a payment's way, it is recorded once at most

Need: the issue's kill -9 at every step. Change: a keeper's steps can end the process in a test; a child of the test binary is killed at each of six and replaced. Result: go test -run RepeatsKilled ./internal/daemon; one run at most, true answers after.

--- a/internal/daemon/repeats.go
+++ b/internal/daemon/repeats.go
@@ -17,6 +17,9 @@
 	"orchiddrift/internal/upstream"
 )
 
+// repeatStep is a test's: see repeatkeeper.Options.Step.
+var repeatStep func(step string)
+
 // openRepeats finds or makes the keeper of a service's keys. It outlives the service: one that a reload starts anew, or takes
 // away for a while, knows its keys again.
 func (sh *shared) openRepeats(plan config.ServicePlan) (*repeatkeeper.Keeper, error) {
@@ -34,7 +37,8 @@
 		k.Configure(*plan.Repeats, window)
 		return k, nil
 	}
-	o := repeatkeeper.Options{Repeats: *plan.Repeats, Window: window, Clock: sh.clock, Log: sh.log.With("service", plan.Name)}
+	o := repeatkeeper.Options{Repeats: *plan.Repeats, Window: window, Clock: sh.clock, Log: sh.log.With("service", plan.Name),
+		Step: repeatStep}
 	if file := plan.Repeats.File; file != "" {
 		log, err := repeatlog.Open(file)
 		if err != nil {
--- a/internal/daemon/repeats_test.go
+++ b/internal/daemon/repeats_test.go
@@ -7,14 +7,17 @@
 	"net"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"orchiddrift/internal/config"
+	"orchiddrift/internal/repeatkeeper"
 	"orchiddrift/internal/standin"
 	"orchiddrift/internal/testkit"
 	"orchiddrift/internal/testkit/base"
@@ -340,3 +343,82 @@
 	keys, bytes, _ := k.Held()
 	t.Logf("%d tries, %d payments recorded, %d served; %d keys of %d bytes", tries.Load(), ledger.Operations("record"), served.Load(), keys, bytes)
 }
+
+// childFile names the operator's file of a daemon that this binary runs in place of its tests, and childStep where it kills itself.
+const childFile, childStep = "ORCHIDDRIFT_CHILD_FILE", "ORCHIDDRIFT_CHILD_STEP"
+
+// TestRepeatsChild is a process of TestRepeatsKilled's, and else nothing.
+func TestRepeatsChild(t *testing.T) {
+	path := os.Getenv(childFile)
+	if path == "" {
+		t.Skip("it is run by TestRepeatsKilled")
+	}
+	repeatStep = func(step string) {
+		if step == os.Getenv(childStep) {
+			_ = syscall.Kill(os.Getpid(), syscall.SIGKILL) // nothing comes after it
+			select {}
+		}
+	}
+	if err := Run(t.Context(), config.Sources{Config: path}, nil); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// A process that is killed at any point of a payment's way, and one that takes its place: the payment is recorded once at most, and
+// who comes again gets an end that is true: the one answer, or that it may have run.
+func TestRepeatsKilled(t *testing.T) {
+	for _, step := range repeatkeeper.Steps {
+		t.Run(step, func(t *testing.T) {
+			t.Parallel()
+			var runs atomic.Int64
+			upstream := base.HTTP(t, nil, func(w http.ResponseWriter, q *http.Request) {
+				_, _ = io.Copy(io.Discard, q.Body)
+				_, _ = fmt.Fprintf(w, "paid %d", runs.Add(1))
+			})
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			address := l.Addr().String()
+			l.Close()
+			file := base.File(t, "o.toml", fmt.Appendf(nil, "[daemon]\nlisten = %q\n"+strings.TrimPrefix(repeatsFile, "\n")+"file = %q\n", address,
+				fmt.Sprintf("addresses = [%q]", upstream), "6s", "5s", filepath.Join(t.TempDir(), "keys.db")))
+			r := &fileRig{running: &running{address: address, client: &http.Client{Timeout: testkit.Patience, Transport: &http.Transport{DisableKeepAlives: true}}}}
+			start := func(step string) *exec.Cmd {
+				c := exec.Command(os.Args[0], "-test.run=^TestRepeatsChild$")
+				c.Env = append(os.Environ(), childFile+"="+file, childStep+"="+step)
+				if err := c.Start(); err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(func() { _ = c.Process.Kill(); _ = c.Wait() }) // it may have ended
+				testkit.Eventually(t, "ready", func() bool {
+					resp, err := r.client.Get("http://" + address + "/-/ready")
+					if err != nil {
+						return false
+					}
+					resp.Body.Close()
+					return resp.StatusCode == 200
+				})
+				return c
+			}
+			first := start(step)
+			status, told, _ := pay(t.Context(), r, "/record/1", "k", "5")
+			if err := first.Wait(); err == nil || first.ProcessState.Sys().(syscall.WaitStatus).Signal() != syscall.SIGKILL {
+				t.Fatalf("it was not killed: %v", err)
+			}
+			start("")
+			for range 3 {
+				again, body, _ := pay(t.Context(), r, "/record/1", "k", "5")
+				if again != 200 && again != 502 || again == 200 && body != "paid 1" || status == 200 && again == 200 && body != told {
+					t.Errorf("first %d %q, then %d %q", status, told, again, body)
+				}
+				if step == "arrived" && again != 200 {
+					t.Errorf("it was never on record, and gets %d", again)
+				}
+			}
+			if n := runs.Load(); n > 1 {
+				t.Errorf("recorded %d times", n)
+			}
+		})
+	}
+}
--- a/internal/repeatkeeper/keeper.go
+++ b/internal/repeatkeeper/keeper.go
@@ -41,8 +41,13 @@
 	Clock   clock.Clock
 	Log     *slog.Logger
 	Journal Journal // nil: nothing lasts longer than the process
+	// Step is called as a request gets to each of Steps, for tests that end the process there. Absent: nothing is.
+	Step func(step string)
 }
 
+// Steps are the points of a request's way between which what is on record changes.
+var Steps = []string{"arrived", "recorded", "sent", "answered", "told", "kept"}
+
 // Journal is where records last. Put returns when they are on the disk.
 type Journal interface {
 	Load(do func(repeats.Record) error) (at time.Duration, err error)
@@ -193,14 +198,17 @@
 // record says that it ran, and a repeat is not sent.
 func (k *Keeper) run(id repeats.ID, prior []repeats.Send, f *flight, run func([]repeats.Send, Sends) Ended) {
 	var end Ended
+	k.step(0)
 	if err := k.write(id); err != nil && k.o.Repeats.DiskError != GoOn {
 		end = Ended{Verdict: repeats.Refuse, RetryIn: diskAgain}
 	} else {
+		k.step(1)
 		for i := range prior {
 			prior[i].Sent -= k.offset
 		}
 		end = run(prior, sends{k, id})
 	}
+	k.step(3)
 	kind := repeats.Uncertain
 	switch end.Verdict {
 	case repeats.Replay:
@@ -214,7 +222,15 @@
 	k.mu.Unlock()
 	f.end = end
 	close(f.done)
+	k.step(4)
 	_ = k.write(id) // it has been logged; the record that stands is the stricter one
+	k.step(5)
+}
+
+func (k *Keeper) step(i int) {
+	if k.o.Step != nil {
+		k.o.Step(Steps[i])
+	}
 }
 
 // GoOn is Options.DiskError where keyed requests go on without a record.
@@ -233,6 +249,7 @@
 	defer s.k.mu.Unlock()
 	x.Sent += s.k.offset
 	s.k.store.Sent(s.id, x)
+	s.k.step(2)
 }
 
 func (s sends) Unsent(x repeats.Send) {
