--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -11,6 +11,7 @@
 //	go run ./cmd/measure fleet     # 10 to 200 sidecars before 5,000 nodes, in virtual time
 //	go run ./cmd/measure probes    # whether probes would help sidecars that send little, in virtual time
 //	go run ./cmd/measure graphql   # operations beside plain requests, in the daemon
+//	go run ./cmd/measure repeats   # keyed requests without a store of keys, in memory, on the disk
 //	go run ./cmd/measure grpc      # beside grpc-go's round_robin, weighted_round_robin and least_request
 package main
 
@@ -79,6 +80,10 @@
 
 func (c graphqlCmd) Run() error { return measure.GraphQL(c.options.options()) }
 
+type repeatsCmd struct{ options }
+
+func (c repeatsCmd) Run() error { return measure.Repeats(c.options.options()) }
+
 type grpcCmd struct{ options }
 
 func (c grpcCmd) Run() error { return measure.GRPC(c.options.options()) }
@@ -103,6 +108,7 @@
 		Fleet    fleetCmd    `cmd:"" help:"Fleets of 10 to 200 sidecars before 5,000 nodes, in virtual time."`
 		Probes   probesCmd   `cmd:"" help:"Whether probes would help sidecars that send little."`
 		GraphQL  graphqlCmd  `cmd:"" name:"graphql" help:"GraphQL operations beside plain requests, and beside a random choice of nodes."`
+		Repeats  repeatsCmd  `cmd:"" help:"Keyed requests without a store of keys, with one in memory and with one on the disk."`
 		GRPC     grpcCmd     `cmd:"" name:"grpc" help:"The plug-in beside grpc-go's balancers."`
 	}
 	ctx := kong.Parse(&cli, kong.Name("measure"), kong.UsageOnError())
--- /dev/null
+++ b/internal/measure/repeats.go
@@ -0,0 +1,171 @@
+package measure
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"orchiddrift/internal/clock"
+	"orchiddrift/internal/repeatkeeper"
+	"orchiddrift/internal/repeatlog"
+	"orchiddrift/internal/repeats"
+	"orchiddrift/internal/units"
+)
+
+// Repeats prints what a keyed request costs the daemon without a store of keys, with one in memory and with one on the disk, then
+// what such a file holds: bytes a key, and how soon it is read back.
+func Repeats(o Options) error {
+	var addresses []string
+	nodes, err := start(role{Part: "nodes", Nodes: 12}, &addresses)
+	if err != nil {
+		return err
+	}
+	dir, err := os.MkdirTemp(".", "measure-repeats-") // on the disk of the work tree: a temporary folder may be in memory
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	kinds := []struct{ name, policy string }{{"no store", ""}, {"in memory", "memory"}, {"on the disk", "disk"}}
+	w := tabwriter.NewWriter(o.Out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "connections\tstore\tCPU a request\tallocations\trequests a second\tp50\tp99\tCPU ratio\t")
+	for _, connections := range []int{16, 256} {
+		all := make([][]Figures, len(kinds))
+		rates := make([][]float64, len(kinds))
+		for round := range o.Rounds {
+			for i, k := range kinds {
+				f, rate, err := repeatsRound(addresses, k.policy, filepath.Join(dir, fmt.Sprint(connections, "-", round, ".db")), connections, o.Calls)
+				if err != nil {
+					return errors.Join(err, nodes.stop())
+				}
+				all[i], rates[i] = append(all[i], f), append(rates[i], rate)
+			}
+		}
+		base := median(all[0])
+		for i, k := range kinds {
+			f := median(all[i])
+			rate := medianBy(rates[i], func(x float64) float64 { return x })
+			fmt.Fprintf(w, "%d\t%s\t%v\t%.0f\t%.0f\t%v\t%v\t%.2f\t\n", connections, k.name, f.CPU.Round(100*time.Nanosecond), f.Mallocs, rate,
+				f.P50.Round(10*time.Microsecond), f.P99.Round(10*time.Microsecond), float64(f.CPU)/float64(base.CPU))
+		}
+	}
+	if err := errors.Join(w.Flush(), nodes.stop()); err != nil {
+		return err
+	}
+	return repeatsFull(o.Out, filepath.Join(dir, "full.db"))
+}
+
+func repeatsRound(addresses []string, policy, file string, connections, calls int) (f Figures, rate float64, err error) {
+	var address string
+	proxy, err := start(role{Part: "repeatsdaemon", Addresses: addresses, Policy: policy, Dir: file}, &address)
+	if err != nil {
+		return f, 0, err
+	}
+	client := &http.Client{Timeout: 20 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: connections}}
+	defer client.CloseIdleConnections()
+	var before usage
+	var begun time.Time
+	var mu sync.Mutex
+	n := 0
+	ask := func(worker, _ int) error {
+		mu.Lock()
+		n++
+		key := strconv.Itoa(n)
+		mu.Unlock()
+		req, err := http.NewRequest(http.MethodPost, "http://"+address+"/record/1", strings.NewReader(`{"amount":500,"currency":"KES"}`))
+		if err != nil {
+			return err
+		}
+		req.Header.Set("Idempotency-Key", key)
+		resp, err := client.Do(req)
+		if err != nil {
+			return err
+		}
+		defer resp.Body.Close()
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			return err
+		}
+		if resp.StatusCode != http.StatusOK {
+			return fmt.Errorf("%s answered %s", policy, resp.Status)
+		}
+		return nil
+	}
+	took, err := closedLoop(connections, calls/5, calls, ask, func() (err error) {
+		before, err = proxy.used()
+		begun = time.Now()
+		return err
+	})
+	rate = float64(len(took)) / time.Since(begun).Seconds()
+	after, usedErr := proxy.used()
+	return figures(before, after, took), rate, errors.Join(err, usedErr, proxy.stop())
+}
+
+// serveRepeatsDaemon is a daemon before a keyed class, with the store that Policy names.
+func (r role) serveRepeatsDaemon() error {
+	text := "[log]\nlevel = \"error\"\n[limits]\nmemory = \"192MiB\"\ndescriptors = 1024\n[[service]]\nname = \"s\"\naddresses = ["
+	for _, a := range r.Addresses {
+		text += strconv.Quote(a) + ","
+	}
+	text += "]\n[[service.class]]\nname = \"record\"\neffect = \"keyed\"\nwindow = \"6s\"\ndeadline = \"10s\"\n[[route]]\nmatch = \"POST /record/{id}\"\nclass = \"record\"\n"
+	switch r.Policy {
+	case "memory":
+		text += "[[repeats]]\nservice = \"s\"\ntenant_part = 1.0\nbytes = \"64MiB\"\n"
+	case "disk":
+		text += fmt.Sprintf("[[repeats]]\nservice = \"s\"\ntenant_part = 1.0\nbytes = \"64MiB\"\nfile = %q\n", r.Dir)
+	}
+	return attendFile([]byte(text))
+}
+
+// repeatsFull fills a file with a million keys, and reads it back.
+func repeatsFull(out io.Writer, path string) error {
+	const n = 1_000_000
+	log, err := repeatlog.Open(path)
+	if err != nil {
+		return err
+	}
+	answer := &repeats.Answer{Status: 200, Header: map[string][]string{"Content-Type": {"application/json"}}, Body: []byte(`{"data":"recorded"}`)}
+	records := make([]repeats.Record, 0, n)
+	for i := range n {
+		records = append(records, repeats.Record{ID: repeats.ID{Tenant: "shop", Class: "record", Key: fmt.Sprintf("%032x", i*7919)}, Answer: answer, At: time.Hour})
+	}
+	begun := time.Now()
+	err = errors.Join(log.PutAll(records, time.Hour), log.Close())
+	records = nil
+	if err != nil {
+		return err
+	}
+	filled := time.Since(begun)
+	info, err := os.Stat(path)
+	if err != nil {
+		return err
+	}
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	begun = time.Now()
+	if log, err = repeatlog.Open(path); err != nil {
+		return err
+	}
+	options := repeats.Default()
+	options.Entries, options.Bytes, options.Part = 2*n, 2*units.GiB, 1
+	k, err := repeatkeeper.New(repeatkeeper.Options{Repeats: options, Window: func(string) time.Duration { return 6 * time.Second }, Clock: clock.New(), Journal: log})
+	if err != nil {
+		return err
+	}
+	took := time.Since(begun)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	keys, bytes, _ := k.Held()
+	k.Close()
+	fmt.Fprintf(out, "\n%d keys: written in %v, %.0f bytes of the file a key, read back in %v; %.0f bytes of memory a key, %.0f counted\n", keys, filled.Round(time.Millisecond),
+		float64(info.Size())/n, took.Round(time.Millisecond), float64(after.HeapAlloc-before.HeapAlloc)/n, float64(bytes)/n)
+	return nil
+}
--- a/internal/measure/roles.go
+++ b/internal/measure/roles.go
@@ -94,6 +94,8 @@
 		return true, r.serveEurekaDaemon()
 	case "graphqldaemon":
 		return true, r.serveGraphQLDaemon()
+	case "repeatsdaemon":
+		return true, r.serveRepeatsDaemon()
 	case "client":
 		return true, r.call()
 	}
--- a/internal/repeatkeeper/keeper.go
+++ b/internal/repeatkeeper/keeper.go
@@ -1,6 +1,6 @@
 // Package repeatkeeper drives a repeats.Store: it runs what is to be sent, has repeats wait for it, and hands out ends. It is safe
-// for concurrent use. A request runs apart from its clients: that the first of them leaves does not end what others wait for,
-// and what it brought is kept for those who come again.
+// for concurrent use. A request runs on the goroutine of the client that came first, and goes on when that one leaves: others may
+// wait for its end, and what it brought is kept for those who come again.
 package repeatkeeper
 
 import (
@@ -50,7 +50,8 @@
 
 // Journal is where records last. Put returns when they are on the disk.
 type Journal interface {
-	Load(do func(repeats.Record) error) (at time.Duration, err error)
+	// Load calls do for each record, with the time up to which the last process's went on.
+	Load(do func(at time.Duration, r repeats.Record) error) error
 	Put(r *repeats.Record, gone []repeats.ID, at time.Duration) error
 	Close() error
 }
@@ -81,16 +82,11 @@
 	if o.Journal == nil {
 		return k, nil
 	}
-	var records []repeats.Record
-	at, err := o.Journal.Load(func(r repeats.Record) error { records = append(records, r); return nil })
-	if err == nil {
-		k.offset = at - o.Clock.Now()
-		for _, r := range records {
-			if err = k.store.Load(k.now(), r); err != nil {
-				break
-			}
-		}
-	}
+	begun := o.Clock.Now()
+	err := o.Journal.Load(func(at time.Duration, r repeats.Record) error {
+		k.offset = at - begun
+		return k.store.Load(at, r)
+	})
 	if err != nil {
 		_ = o.Journal.Close() // the error at hand says more
 		return nil, err
@@ -111,8 +107,8 @@
 // saidEvery is how often the log speaks of refusals.
 const saidEvery = 10 * time.Second
 
-// Do gives a client of a key its end, at the latest when ctx ends: at a deadline it is told Fail, else it has left. run is called
-// where the request is to be sent, on a goroutine of its own, and must end by itself.
+// Do gives a client of a key its end. Where the request is to be sent, run is called, which must end by itself and not with this
+// client: others may wait for it. One that waits is told Fail at ctx's deadline, and else has left when ctx ends.
 func (k *Keeper) Do(ctx context.Context, id repeats.ID, print repeats.Print, run func(prior []repeats.Send, s Sends) Ended) Result {
 	now := k.now()
 	k.mu.Lock()
@@ -129,28 +125,31 @@
 	case repeats.Run:
 		f = &flight{done: make(chan struct{})}
 		k.flights[id] = f
-		k.running.Go(func() { k.run(id, d.Prior, f, run) })
+		k.running.Add(1)
 	case repeats.Wait:
 		f = k.flights[id]
 	case repeats.Refuse:
 		k.refusal(now)
 	}
 	k.mu.Unlock()
-	if f == nil {
+	switch {
+	case f == nil:
 		return Result{Ended: Ended{Verdict: d.Verdict, Answer: d.Answer, RetryIn: d.RetryIn}}
+	case d.Verdict == repeats.Run:
+		defer k.running.Done()
+		k.run(id, d.Prior, f, run)
+		return Result{Ended: f.end, First: true}
 	}
 	select {
 	case <-f.done:
-		return Result{Ended: f.end, First: d.Verdict == repeats.Run}
+		return Result{Ended: f.end}
 	case <-ctx.Done():
 	}
-	if d.Verdict == repeats.Wait {
-		k.mu.Lock()
-		if k.flights[id] == f { // it still runs
-			k.store.Leave(id)
-		}
-		k.mu.Unlock()
+	k.mu.Lock()
+	if k.flights[id] == f { // it still runs
+		k.store.Leave(id)
 	}
+	k.mu.Unlock()
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return Result{Ended: Ended{Verdict: repeats.Fail}}
 	}
@@ -223,8 +222,15 @@
 	f.end = end
 	close(f.done)
 	k.step(4)
-	_ = k.write(id) // it has been logged; the record that stands is the stricter one
-	k.step(5)
+	if k.o.Journal == nil {
+		return
+	}
+	k.running.Add(1)
+	go func() { // its client need not wait for it
+		defer k.running.Done()
+		_ = k.write(id) // it has been logged; the record that stands is the stricter one
+		k.step(5)
+	}()
 }
 
 func (k *Keeper) step(i int) {
--- a/internal/repeats/repeats.go
+++ b/internal/repeats/repeats.go
@@ -171,7 +171,7 @@
 
 // What an entry takes beside its texts and answer, and how many sends of it are remembered, about.
 const (
-	perEntry  = 400
+	perEntry  = 700
 	mostSends = 16
 	perSend   = 40
 )
