--- a/test.sh
+++ b/test.sh
@@ -31,4 +31,5 @@
 bin/orchiddrift check deploy/eureka.example.toml
 bin/orchiddrift check deploy/door.example.toml
 bin/orchiddrift check deploy/graphql.example.toml
+bin/orchiddrift check deploy/repeats.example.toml
 go test -count=1 -timeout 4m $race ./...
