--- a/cmd/orchiddrift/check.go
+++ b/cmd/orchiddrift/check.go
@@ -112,6 +112,9 @@
 		if s.Door != nil {
 			fmt.Fprintf(w, ", a door fair by %s", strings.Join(s.Door.By, ", then by "))
 		}
+		if s.Repeats != nil {
+			fmt.Fprintf(w, ", keys known for %v", s.Repeats.Keep)
+		}
 		fmt.Fprint(w, "; classes")
 		for _, c := range s.Settings.Classes {
 			fmt.Fprintf(w, " %s (%s)", c.Name, []string{"safe", "keyed", "unsafe"}[c.Effect])
--- /dev/null
+++ b/internal/repeatkeeper/keeper_test.go
@@ -0,0 +1,185 @@
+package repeatkeeper
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"orchiddrift/internal/clock"
+	"orchiddrift/internal/repeats"
+	"orchiddrift/internal/units"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// disk is a Journal that can be full.
+type disk struct {
+	mu   sync.Mutex
+	full bool
+	kept map[repeats.ID]repeats.Record
+}
+
+func (d *disk) Load(do func(time.Duration, repeats.Record) error) error {
+	for _, r := range d.kept {
+		if err := do(time.Hour, r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *disk) Put(r *repeats.Record, gone []repeats.ID, _ time.Duration) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.full {
+		return errors.New("no space left on device")
+	}
+	if r != nil {
+		d.kept[r.ID] = *r
+	}
+	for _, id := range gone {
+		delete(d.kept, id)
+	}
+	return nil
+}
+
+func (d *disk) Close() error { return nil }
+
+func keeper(t *testing.T, j Journal, change func(*repeats.Options)) *Keeper {
+	t.Helper()
+	o := repeats.Default()
+	o.Part = 1
+	if change != nil {
+		change(&o)
+	}
+	k, err := New(Options{Repeats: o, Window: func(string) time.Duration { return 6 * time.Second }, Clock: clock.New(), Log: slog.New(slog.DiscardHandler), Journal: j})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return k
+}
+
+func paid([]repeats.Send, Sends) Ended {
+	return Ended{Verdict: repeats.Replay, Answer: &repeats.Answer{Status: 200, Body: []byte("paid")}}
+}
+
+func id(n int) repeats.ID { return repeats.ID{Tenant: "t", Class: "c", Key: fmt.Sprint(n)} }
+
+// While the disk is full keyed requests are refused and nothing is sent, or go on, as the file says; what was kept is known, and once
+// there is room again all is as before, with what was forgotten meanwhile taken off the disk.
+func TestFullDisk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, on := range []string{"refuse", GoOn} {
+			d := &disk{kept: map[repeats.ID]repeats.Record{}}
+			k := keeper(t, d, func(o *repeats.Options) { o.DiskError, o.Keep = on, units.Duration(time.Minute) })
+			do := func(n int) repeats.Verdict { return k.Do(t.Context(), id(n), repeats.Print{}, paid).Verdict }
+			do(1)
+			synctest.Wait()
+			d.full = true
+			want := repeats.Refuse
+			if on == GoOn {
+				want = repeats.Replay
+			}
+			for range 3 {
+				if got := do(2); got != want {
+					t.Errorf("%s: %v", on, got)
+				}
+			}
+			if got := do(1); got != repeats.Replay {
+				t.Errorf("%s: what was kept: %v", on, got)
+			}
+			time.Sleep(2 * time.Minute)
+			do(3) // the first ones are forgotten with this
+			synctest.Wait()
+			d.full = false
+			do(4)
+			synctest.Wait()
+			if _, is := d.kept[id(1)]; is || len(d.kept) == 0 {
+				t.Errorf("%s: on the disk are %v", on, d.kept)
+			}
+			k.Close()
+			again := keeper(t, d, nil)
+			if r := again.Do(t.Context(), id(4), repeats.Print{}, nil); r.Verdict != repeats.Replay || string(r.Answer.Body) != "paid" {
+				t.Errorf("%s: after a restart: %+v", on, r)
+			}
+			again.Close()
+		}
+	})
+}
+
+// Each of many that wait gets the one end, or leaves by itself: at its deadline with a failure, else without an answer; nothing is
+// left of them, and after Close nothing is begun.
+func TestWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := keeper(t, nil, nil)
+		end := make(chan Ended)
+		results := make(chan Result, 20)
+		ask := func(ctx context.Context) {
+			go func() {
+				results <- k.Do(ctx, id(1), repeats.Print{}, func([]repeats.Send, Sends) Ended { return <-end })
+			}()
+			synctest.Wait()
+		}
+		ask(t.Context())
+		late, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		ask(late)
+		leaves, leave := context.WithCancel(t.Context())
+		ask(leaves)
+		for range 3 {
+			ask(t.Context())
+		}
+		leave()
+		if r := <-results; !r.Left {
+			t.Errorf("who left: %+v", r)
+		}
+		if r := <-results; r.Verdict != repeats.Fail || r.Left {
+			t.Errorf("at its deadline: %+v", r)
+		}
+		end <- Ended{Verdict: repeats.Refuse, RetryIn: time.Second}
+		for range 4 {
+			if r := <-results; r.Verdict != repeats.Refuse || r.RetryIn != time.Second {
+				t.Errorf("%+v", r)
+			}
+		}
+		if keys, bytes, running := k.Held(); keys+bytes+running != 0 {
+			t.Errorf("%d keys of %d bytes are left, %d run", keys, bytes, running)
+		}
+		k.Close()
+		if r := k.Do(t.Context(), id(2), repeats.Print{}, nil); r.Verdict != repeats.Refuse {
+			t.Errorf("after its end: %+v", r)
+		}
+	})
+}
+
+// 100,000 distinct keys a minute: what is held follows keep, within the bounds, and none is refused while there is room.
+func TestManyKeys(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := keeper(t, nil, func(o *repeats.Options) { o.Keep = units.Duration(5 * time.Second) })
+		defer k.Close()
+		most, refused := 0, 0
+		for n := range 200_000 {
+			time.Sleep(600 * time.Microsecond)
+			if k.Do(t.Context(), id(n), repeats.Print{}, paid).Verdict != repeats.Replay {
+				refused++
+			}
+			if n%1000 == 0 {
+				keys, bytes, _ := k.Held()
+				most = max(most, keys)
+				if bytes > 16<<20 {
+					t.Fatalf("%d bytes", bytes)
+				}
+			}
+		}
+		if refused > 0 || most > 8400 || most < 8000 { // 5 s of 1,667 a second
+			t.Errorf("%d refused, %d keys at most", refused, most)
+		}
+	})
+}
