orchidgrpc: a keyed call's repeat gets the first one's end, by [[repeats]]

Need: both fronts keep the same rules. Change: unary calls of keyed methods with their caller's key go through a keeper of their own; attempts run apart from callers, answers are kept as bytes.

--- a/internal/config/plan.go
+++ b/internal/config/plan.go
@@ -389,7 +389,8 @@
 type PluginFile struct {
 	Registries []eureka.Declaration
 	Members    membership.Options
-	Door       *door.Options // nil: there is none
+	Door       *door.Options    // nil: there is none
+	Repeats    *repeats.Options // nil: there is no store
 	Warm       warm.Options
 	Subset     subset.Options // of the [[service]] of that name, which needs no upstreams there
 }
@@ -416,13 +417,18 @@
 			}
 		}
 	}
+	for i := range f.Repeats {
+		if f.Repeats[i].Service == service {
+			p.Repeats = &f.Repeats[i]
+		}
+	}
 	for i := range f.Services {
 		if f.Services[i].Name == service {
 			p.Subset, p.Warm = f.Services[i].Subset, f.Services[i].Warm
 		}
 	}
-	if !doc.Broken() && len(p.Registries) == 0 && p.Door == nil && !p.Subset.On && !p.Warm.On {
-		doc.Report("eureka", "nothing in it is for service %q: no [[eureka]], no [[door]], no [service.subset], no [service.warm]", service)
+	if !doc.Broken() && len(p.Registries) == 0 && p.Door == nil && p.Repeats == nil && !p.Subset.On && !p.Warm.On {
+		doc.Report("eureka", "nothing in it is for service %q: no [[eureka]], no [[door]], no [service.subset], no [service.warm], no [[repeats]]", service)
 	}
 	return p, problems(doc)
 }
--- a/internal/repeatkeeper/keeper.go
+++ b/internal/repeatkeeper/keeper.go
@@ -40,6 +40,7 @@
 	Window  func(class string) time.Duration
 	Clock   clock.Clock
 	Log     *slog.Logger
+	Apart   bool    // what runs has a goroutine of its own, for clients that may leave at any time
 	Journal Journal // nil: nothing lasts longer than the process
 	// Step is called as a request gets to each of Steps, for tests that end the process there. Absent: nothing is.
 	Step func(step string)
@@ -135,6 +136,11 @@
 	switch {
 	case f == nil:
 		return Result{Ended: Ended{Verdict: d.Verdict, Answer: d.Answer, RetryIn: d.RetryIn}}
+	case d.Verdict == repeats.Run && k.o.Apart:
+		go func() {
+			defer k.running.Done()
+			k.run(id, d.Prior, f, run)
+		}()
 	case d.Verdict == repeats.Run:
 		defer k.running.Done()
 		k.run(id, d.Prior, f, run)
@@ -142,14 +148,16 @@
 	}
 	select {
 	case <-f.done:
-		return Result{Ended: f.end}
+		return Result{Ended: f.end, First: d.Verdict == repeats.Run}
 	case <-ctx.Done():
 	}
-	k.mu.Lock()
-	if k.flights[id] == f { // it still runs
-		k.store.Leave(id)
+	if d.Verdict == repeats.Wait {
+		k.mu.Lock()
+		if k.flights[id] == f { // it still runs
+			k.store.Leave(id)
+		}
+		k.mu.Unlock()
 	}
-	k.mu.Unlock()
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return Result{Ended: Ended{Verdict: repeats.Fail}}
 	}
--- a/orchidgrpc/call.go
+++ b/orchidgrpc/call.go
@@ -28,8 +28,13 @@
 	engine.Call
 	print uint64 // tells calls apart at the door: a repeat's is the same
 
+	*lastStatus
+}
+
+// lastStatus is of the attempt that ended last without an answer.
+type lastStatus struct {
 	mu   sync.Mutex
-	last *status.Status // of the attempt that ended last without an answer
+	last *status.Status
 }
 
 // newCall reads what the module is to know from the context, and puts the id and the key into it.
@@ -37,7 +42,7 @@
 	p.asked.Add(1)
 	class := p.methods.class(method)
 	md, _ := metadata.FromOutgoingContext(ctx)
-	c := &call{p: p, method: method, Call: engine.Call{Class: class.Name, ID: first(md, RequestIDKey),
+	c := &call{p: p, method: method, lastStatus: &lastStatus{}, Call: engine.Call{Class: class.Name, ID: first(md, RequestIDKey),
 		Tenant: first(md, TenantKey), Expires: p.engine.Clock().Now() + class.Deadline}}
 	if p.door != nil { // before a key is made: another would be with the repeat
 		c.print = xxhash.Sum64String(method + "\x00" + first(md, IdempotencyKey))
--- a/orchidgrpc/door_test.go
+++ b/orchidgrpc/door_test.go
@@ -15,6 +15,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/types/known/wrapperspb"
 
 	"orchiddrift/internal/standin"
 	"orchiddrift/internal/testkit/base"
@@ -239,3 +240,66 @@
 	})
 	return c
 }
+
+// A keyed call that comes again with its key gets the first one's end: while it runs, after it, whoever has left; another call under
+// the key is told so, and one without a key of its own is sent.
+func TestRepeats(t *testing.T) {
+	came, answer := make(chan string, 100), make(chan bool, 100)
+	f := newFleet(t, standin.NodeOptions{Answer: func(j standin.Job) []byte { came <- j.ID; <-answer; return nil }}, standin.NodeOptions{
+		Answer: func(j standin.Job) []byte { came <- j.ID; <-answer; return nil }})
+	file := base.File(t, "o.toml", []byte("[[repeats]]\nservice = \"service\"\ntenant_part = 1.0\n"))
+	conn, _ := f.dial(t, func(o *orchidgrpc.Options) {
+		o.File = file
+		o.Settings.SecondCopies = false
+		for i := range o.Settings.Classes {
+			o.Settings.Classes[i].Deadline, o.Settings.Classes[i].Aim = time.Minute, time.Minute
+		}
+	})
+	type end struct {
+		name string
+		err  error
+	}
+	ends := make(chan end, 10)
+	call := func(ctx context.Context, key string) {
+		go func() {
+			if key != "" {
+				ctx = metadata.AppendToOutgoingContext(ctx, orchidgrpc.IdempotencyKey, key)
+			}
+			name, err := ask(ctx, conn, record)
+			ends <- end{name, err}
+		}()
+	}
+	leaves, leave := context.WithCancel(t.Context())
+	call(leaves, "k")
+	<-came
+	leave()
+	if e := <-ends; status.Code(e.err) != codes.Canceled {
+		t.Errorf("who left: %v", e)
+	}
+	call(t.Context(), "k")
+	call(t.Context(), "k")
+	answer <- true
+	first := <-ends
+	call(t.Context(), "k")
+	for range 2 {
+		if e := <-ends; e != first || e.err != nil || e.name == "" {
+			t.Errorf("%v, and then %v", first, e)
+		}
+	}
+	other := metadata.AppendToOutgoingContext(t.Context(), orchidgrpc.IdempotencyKey, "k")
+	if err := conn.Invoke(other, record, wrapperspb.String("another seat"), &wrapperspb.StringValue{}); status.Code(err) != codes.InvalidArgument {
+		t.Errorf("another call: %v", err)
+	}
+	if len(came) > 0 {
+		t.Error("a repeat was sent")
+	}
+	call(t.Context(), "")
+	call(t.Context(), "")
+	for range 2 {
+		<-came
+		answer <- true
+		if e := <-ends; e.err != nil {
+			t.Error(e.err)
+		}
+	}
+}
--- a/orchidgrpc/plugin.go
+++ b/orchidgrpc/plugin.go
@@ -45,6 +45,7 @@
 	"orchiddrift/internal/engine"
 	"orchiddrift/internal/eureka"
 	"orchiddrift/internal/logs"
+	"orchiddrift/internal/repeatkeeper"
 	"orchiddrift/internal/subset"
 	"orchiddrift/internal/warm"
 )
@@ -70,7 +71,8 @@
 	// File names an operator's file, as the daemon's. Of this service the registries ([[eureka]]) in it list upstreams beside
 	// Discovery or Endpoints, or alone, merged as its [membership] says; the door ([[door]]) has calls wait in an order that is
 	// fair between those on whose behalf they are made, by the metadata; [service.subset] has the process know a part of many
-	// upstreams as its own; [service.warm] has connections open before calls need them, once a ClientConn has been used.
+	// upstreams as its own; [service.warm] has connections open before calls need them, once a ClientConn has been used;
+	// a keyed unary call that comes again with its caller's idempotency-key gets the first one's end ([[repeats]]).
 	File string
 	// TLS encrypts connections; absent: credentials are the caller's to add. With it, DialOptions bring them.
 	TLS *TLS
@@ -118,9 +120,10 @@
 	answers        map[codes.Code]bool
 	connectTimeout time.Duration
 	tick           time.Duration
-	guard          *guard             // nil: connections are not encrypted by the plug-in
-	door           *doorkeeper.Keeper // nil: there is none
-	warming        *warming           // nil: connections are made as calls need them
+	guard          *guard               // nil: connections are not encrypted by the plug-in
+	door           *doorkeeper.Keeper   // nil: there is none
+	repeats        *repeatkeeper.Keeper // nil: repeats of keyed calls are not looked for
+	warming        *warming             // nil: connections are made as calls need them
 	stop           context.CancelFunc
 	watching       sync.WaitGroup
 
@@ -183,6 +186,11 @@
 			return nil, fmt.Errorf("orchidgrpc: %w", err)
 		}
 	}
+	if file.Repeats != nil {
+		if p.repeats, err = openRepeats(&set, *file.Repeats, clk, log); err != nil {
+			return nil, fmt.Errorf("orchidgrpc: repeats: %w", err)
+		}
+	}
 	if file.Warm.On {
 		p.warming = &warming{used: map[string]bool{}, w: warm.New(file.Warm, maxSubs,
 			rand.New(rand.NewPCG(o.Seed, xxhash.Sum64String("warm"))))}
@@ -334,6 +342,9 @@
 		p.door.Close()
 	}
 	p.engine.Close()
+	if p.repeats != nil {
+		p.repeats.Close()
+	}
 }
 
 // InHand is how many calls and streams the plug-in has in hand.
--- /dev/null
+++ b/orchidgrpc/repeats.go
@@ -0,0 +1,140 @@
+package orchidgrpc
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+
+	"orchiddrift/balancer"
+	"orchiddrift/internal/clock"
+	"orchiddrift/internal/engine"
+	"orchiddrift/internal/repeatkeeper"
+	"orchiddrift/internal/repeatlog"
+	"orchiddrift/internal/repeats"
+)
+
+// openRepeats makes the store of keys that the operator's file tells of.
+func openRepeats(set *balancer.Settings, of repeats.Options, clk clock.Clock, log *slog.Logger) (*repeatkeeper.Keeper, error) {
+	windows := map[string]time.Duration{}
+	for _, c := range set.Classes {
+		windows[c.Name] = c.Window - 2*set.Tick
+	}
+	o := repeatkeeper.Options{Repeats: of, Window: func(class string) time.Duration { return windows[class] }, Clock: clk, Log: log, Apart: true}
+	if of.File != "" {
+		l, err := repeatlog.Open(of.File)
+		if err != nil {
+			return nil, err
+		}
+		o.Journal = l
+	}
+	return repeatkeeper.New(o)
+}
+
+// repeatKey is the key by which a call's repeats are looked for: the caller's own, of a keyed class. One that is made here is
+// each call's own.
+func (p *Plugin) repeatKey(ctx context.Context, method string) string {
+	if p.repeats == nil || p.methods.class(method).Effect != balancer.Keyed {
+		return ""
+	}
+	md, _ := metadata.FromOutgoingContext(ctx)
+	return first(md, IdempotencyKey)
+}
+
+// once gives a call the end of the first one of its key. The attempts run apart from the callers, each of which may leave.
+func (u *unaryCall) once(ctx context.Context, key string) error {
+	req, isProto := u.req.(proto.Message)
+	reply, replies := u.reply.(proto.Message)
+	if !isProto || !replies {
+		return status.Error(codes.Internal, "orchidgrpc: a keyed call's messages are protobuf messages where its repeats are looked for")
+	}
+	body, err := proto.MarshalOptions{Deterministic: true}.Marshal(req)
+	if err != nil {
+		return status.Error(codes.Internal, "orchidgrpc: "+err.Error())
+	}
+	h := sha256.New()
+	fmt.Fprintf(h, "%s\x00", u.method) // a hash takes everything
+	h.Write(body)
+	own := *u.call // the call that is sent has no word of this caller's end
+	sent := &unaryCall{call: &own, req: proto.Clone(req), reply: u.like.fresh(), like: u.like, cc: u.cc, invoker: u.invoker, plain: u.plain}
+	r := u.p.repeats.Do(ctx, repeats.ID{Tenant: u.Tenant, Class: u.Class, Key: key}, repeats.Print(h.Sum(nil)[:16]),
+		func(prior []repeats.Send, sends repeatkeeper.Sends) repeatkeeper.Ended {
+			for _, x := range prior {
+				sent.Prior = append(sent.Prior, balancer.Prior{Zone: x.Zone, Cell: x.Cell, Sent: x.Sent})
+			}
+			a := sent.do(context.WithoutCancel(ctx), noted{sent, sends})
+			switch a.Kind {
+			case engine.Served:
+				return kept(a.Value.(*unaryResult))
+			case engine.Refused, engine.Duplicate, engine.Closed:
+				return repeatkeeper.Ended{Verdict: repeats.Refuse, RetryIn: a.RetryIn}
+			}
+			return repeatkeeper.Ended{Verdict: repeats.Fail}
+		})
+	err = u.told(ctx, r, reply)
+	(&outputs{}).handOver(u.writing, err) // headers and trailers are the first call's alone, and not kept
+	return err
+}
+
+// told words what a caller is told.
+func (u *unaryCall) told(ctx context.Context, r repeatkeeper.Result, reply proto.Message) error {
+	switch {
+	case r.Left:
+		return status.FromContextError(ctx.Err()).Err()
+	case r.Verdict == repeats.Replay:
+		if code := codes.Code(r.Answer.Status); code != codes.OK {
+			return status.Error(code, string(r.Answer.Body))
+		}
+		if err := proto.Unmarshal(r.Answer.Body, reply); err != nil {
+			return status.Error(codes.Internal, "orchidgrpc: "+err.Error())
+		}
+		return nil
+	case r.Verdict == repeats.Conflict:
+		return status.Error(codes.InvalidArgument, "orchidgrpc: the key was used for another call")
+	case r.Verdict == repeats.Answered:
+		return status.Error(codes.AlreadyExists, "orchidgrpc: a call of this key was answered, and its answer was too large to be kept")
+	case r.Verdict == repeats.Refuse:
+		return u.fail(ctx, engine.Answer{Kind: engine.Refused, RetryIn: r.RetryIn})
+	}
+	return u.fail(ctx, engine.Answer{Kind: engine.Failed})
+}
+
+// kept is an answer as it is kept: a message's bytes, or the application's status. What can't be written has run all the same.
+func kept(r *unaryResult) repeatkeeper.Ended {
+	a := &repeats.Answer{Status: int(codes.OK)}
+	if r.err != nil {
+		s := status.Convert(r.err)
+		a.Status, a.Body = int(s.Code()), []byte(s.Message())
+	} else {
+		body, err := proto.Marshal(r.reply.(proto.Message))
+		if err != nil {
+			return repeatkeeper.Ended{Verdict: repeats.Fail}
+		}
+		a.Body = body
+	}
+	return repeatkeeper.Ended{Verdict: repeats.Replay, Answer: a}
+}
+
+// noted are attempts whose sends are told of before they may run.
+type noted struct {
+	*unaryCall
+	sends repeatkeeper.Sends
+}
+
+// Carry is engine.Carrier's.
+func (c noted) Carry(ctx context.Context, a engine.Attempt) engine.Reply {
+	x := repeats.Send{Zone: a.Zone, Cell: a.Cell, Sent: c.p.engine.Clock().Now()}
+	c.sends.Sent(x)
+	r := c.unaryCall.Carry(ctx, a)
+	switch r.Result {
+	case balancer.Overloaded, balancer.ConnectFailed, balancer.Moot:
+		c.sends.Unsent(x)
+	}
+	return r
+}
--- a/orchidgrpc/unary.go
+++ b/orchidgrpc/unary.go
@@ -12,9 +12,13 @@
 // unary is the interceptor of unary calls.
 func (p *Plugin) unary(ctx context.Context, method string, req, reply any, cc *grpc.ClientConn,
 	invoker grpc.UnaryInvoker, opts ...grpc.CallOption) error {
+	key := p.repeatKey(ctx, method)
 	ctx, c := p.newCall(ctx, method)
 	u := &unaryCall{call: c, req: req, reply: reply, like: typeOf(reply), cc: cc, invoker: invoker}
 	u.plain, u.writing = split(opts)
+	if key != "" {
+		return u.once(ctx, key)
+	}
 	a := c.do(ctx, u)
 	if a.Kind != engine.Served {
 		err := c.fail(ctx, a)
