daemon: the module's first wish for the list is not lost before there is a source

Need: TestRegistryBesideThePlatform failed at random under load: the engine asks for the list as it is made, on a goroutine, and where that ran before the source was followed nobody was asked, ever; a sidecar would have kept its first list. Change: the wish is noted and passed on with the source; the test's discovery tells on any watch.

--- a/internal/daemon/eureka_test.go
+++ b/internal/daemon/eureka_test.go
@@ -169,16 +169,26 @@
 	e.Put(n.instance(t, "host:a", "a", "UP"))
 	e.Put(n.instance(t, "host:c", "c", "UP"))
 	drain := make(chan struct{})
-	var calls atomic.Int64
+	var told, again atomic.Bool
 	d := testkit.Discovery(t, func(_ int, send func(string), done <-chan struct{}) {
-		if calls.Add(1) > 1 { // again, after it was lost
-			send("")
+		send("")
+		if told.Load() { // it was lost
+			again.Store(true)
 			<-done
 			return
 		}
-		send("")
-		<-drain
-		send(testkit.List(2, false, testkit.Entry("a", n["a"], "Terminating")))
+		for { // a watch that a slow machine took for lost comes here anew
+			select {
+			case <-drain:
+				send(testkit.List(2, false, testkit.Entry("a", n["a"], "Terminating")))
+				told.Store(true)
+				return
+			case <-done:
+				return
+			case <-time.After(200 * time.Millisecond):
+				send("")
+			}
+		}
 	})
 	c := testkit.Config(t, d.Address, testkit.Entry("a", n["a"], "Ready"), testkit.Entry("b", n["b"], "Ready"))
 	p, err := config.ParseBeside(c, fmt.Appendf(nil, "[[eureka]]\nservice = \"platform\"\nservers = [%q]\napplications = [\"SEATS\"]\npoll = \"100ms\"\n", e.Base))
@@ -204,7 +214,7 @@
 	testkit.Eventually(t, "all three", takes("a", "b", "c"))
 	close(drain)
 	testkit.Eventually(t, "a drains", takes("b", "c"))
-	testkit.Eventually(t, "the lost list is asked for again", func() bool { return calls.Load() > 1 })
+	testkit.Eventually(t, "the lost list is asked for again", again.Load)
 	if !takes("b", "c")() {
 		t.Errorf("the loss changed the list: %v", s.dir.Places())
 	}
@@ -288,3 +298,21 @@
 		t.Errorf("%d flips, %d served, %d refused, %d came late: %v; %d flips seen", flips, served.Load(), refused.Load(), len(wrong), wrong, len(last))
 	}
 }
+
+// askedSource is a source that counts what it is asked.
+type askedSource struct{ asks atomic.Int64 }
+
+func (a *askedSource) Ask()                                      { a.asks.Add(1) }
+func (a *askedSource) Run(ctx context.Context, _ directory.Sink) { <-ctx.Done() }
+
+// Guards against a module whose wish for the list is lost, for good, because it came before there was a source to ask.
+func TestListIsAskedForEarly(t *testing.T) {
+	s, source := &service{}, &askedSource{}
+	s.ask()
+	testkit.Eventually(t, "the wish is noted", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.wanted })
+	s.follow(source)
+	defer s.follow(nil)
+	testkit.Eventually(t, "it is asked", func() bool { return source.asks.Load() == 1 })
+	s.ask()
+	testkit.Eventually(t, "and again", func() bool { return source.asks.Load() == 2 })
+}
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -69,6 +69,7 @@
 
 	mu         sync.Mutex // of the source
 	source     discovery.Source
+	wanted     bool // the module has asked for the list, and nobody has been told
 	stopSource context.CancelFunc
 	sourceDone chan struct{}
 
@@ -251,6 +252,10 @@
 	if s.source = source; source == nil {
 		return
 	}
+	if s.wanted { // the module asks as it is made, before there is a source
+		s.wanted = false
+		source.Ask()
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	s.stopSource, s.sourceDone = stop, done
@@ -273,7 +278,7 @@
 	go func() { // it must not block, and follow may hold the lock for a moment
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		if s.source != nil {
+		if s.wanted = s.source == nil; !s.wanted {
 			s.source.Ask()
 		}
 	}()
