--- a/internal/measure/graphql.go
+++ b/internal/measure/graphql.go
@@ -156,7 +156,11 @@
 	}{{"random choice", r}, {"the daemon", m}} {
 		fmt.Fprintf(w, "%s\t%v\t%v\t%.2f\t\n", x.name, x.f.P50.Round(10*time.Microsecond), x.f.P99.Round(10*time.Microsecond), float64(x.f.P99)/float64(r.P99))
 	}
-	return errors.Join(w.Flush(), nodes.stop())
+	if err := errors.Join(w.Flush(), nodes.stop()); err != nil {
+		return err
+	}
+	fmt.Fprintln(o.Out)
+	return graphqlDocuments(o.Out)
 }
 
 // serveGraphQLDaemon is a daemon with a route and an endpoint, which has a schema where Dir is given.
