--- a/internal/graphql/graphql_test.go
+++ b/internal/graphql/graphql_test.go
@@ -215,7 +215,7 @@
 		if _, got := decide(e, body); got != want {
 			t.Errorf("%.120q is %s, want %s", body, got, want)
 		}
-		if took := time.Since(begun); took > 500*time.Millisecond { // 5 ms on a machine that does nothing else: the benchmark
+		if took := time.Since(begun); took > 500*time.Millisecond { // 5 ms on a machine that does nothing else: cmd/measure
 			t.Errorf("%.60q takes %v", body, took)
 		}
 	}
