--- a/internal/repeatlog/record.go
+++ b/internal/repeatcodec/repeatcodec.go
@@ -1,4 +1,5 @@
-package repeatlog
+// Package repeatcodec writes the records of a repeats.Store as bytes, for a disk or a store that processes share, and reads them.
+package repeatcodec
 
 import (
 	"errors"
@@ -11,12 +12,13 @@
 	"orchiddrift/internal/repeats"
 )
 
-// A record is written as a protobuf message of these fields, so that later ones can be added. The key's texts are in it again: the
-// file's own key is for looking up alone.
+// A record is written as a protobuf message of these fields, so that later ones can be added. The key's texts are in it again: a
+// store's own key is for looking up alone.
 //
 //	1 tenant  2 class  3 key  4 print  5 running  6 kind  7 at
 //	8 answer {1 status  2 body  3 header {1 name  2 value}...}
 //	9 send {1 zone  2 cell  3 sent}...
+//	10 lost  11 owner  12 claim
 
 var errRecord = errors.New("a record can't be read")
 
@@ -28,7 +30,8 @@
 	return protowire.AppendVarint(protowire.AppendTag(b, n, protowire.VarintType), protowire.EncodeZigZag(v))
 }
 
-func encode(r *repeats.Record) []byte {
+// Encode writes a record.
+func Encode(r *repeats.Record) []byte {
 	b := make([]byte, 0, 256)
 	b = appendText(b, 1, []byte(r.ID.Tenant))
 	b = appendText(b, 2, []byte(r.ID.Class))
@@ -51,9 +54,34 @@
 	for _, x := range r.Sends {
 		b = appendText(b, 9, appendNumber(appendNumber(appendText(nil, 1, []byte(x.Zone)), 2, int64(x.Cell)), 3, int64(x.Sent)))
 	}
+	if r.Lost {
+		b = appendNumber(b, 10, 1)
+	}
 	return b
 }
 
+// EncodeShared writes a record that processes share.
+func EncodeShared(r *repeats.Shared) []byte {
+	return appendText(appendText(Encode(&r.Record), 11, []byte(r.Owner)), 12, []byte(r.Claim))
+}
+
+// DecodeShared reads one; nothing of it shares b.
+func DecodeShared(b []byte) (r repeats.Shared, err error) {
+	if r.Record, err = Decode(b, &repeats.Record{}); err != nil {
+		return r, err
+	}
+	err = fields(b, func(n protowire.Number, text []byte, _ int64) error {
+		switch n {
+		case 11:
+			r.Owner = string(text)
+		case 12:
+			r.Claim = string(text)
+		}
+		return nil
+	})
+	return r, err
+}
+
 // fields calls do for each field of a message, with its bytes or its number. A field of another type is passed over.
 func fields(b []byte, do func(n protowire.Number, text []byte, number int64) error) error {
 	for len(b) > 0 {
@@ -93,8 +121,8 @@
 	return string(text)
 }
 
-// decode reads a record; nothing of it shares b, and texts may be those of the record before.
-func decode(b []byte, before *repeats.Record) (r repeats.Record, err error) {
+// Decode reads a record; nothing of it shares b, and texts may be those of the record before.
+func Decode(b []byte, before *repeats.Record) (r repeats.Record, err error) {
 	err = fields(b, func(n protowire.Number, text []byte, number int64) error {
 		switch n {
 		case 1:
@@ -155,6 +183,8 @@
 			})
 			r.Sends = append(r.Sends, x)
 			return err
+		case 10:
+			r.Lost = number != 0
 		}
 		return nil
 	})
--- a/internal/repeatlog/repeatlog.go
+++ b/internal/repeatlog/repeatlog.go
@@ -12,6 +12,7 @@
 
 	"go.etcd.io/bbolt"
 
+	"orchiddrift/internal/repeatcodec"
 	"orchiddrift/internal/repeats"
 )
 
@@ -109,7 +110,7 @@
 		}
 		var r repeats.Record
 		return tx.Bucket(keys).ForEach(func(_, v []byte) error {
-			if r, err = decode(v, &r); err != nil {
+			if r, err = repeatcodec.Decode(v, &r); err != nil {
 				return err
 			}
 			return do(at, r)
@@ -125,7 +126,7 @@
 func (l *Log) Put(r *repeats.Record, gone []repeats.ID, at time.Duration) error {
 	var value []byte
 	if r != nil {
-		value = encode(r)
+		value = repeatcodec.Encode(r)
 	}
 	return l.db.Batch(func(tx *bbolt.Tx) error {
 		b := tx.Bucket(keys)
@@ -156,7 +157,7 @@
 		err := l.db.Update(func(tx *bbolt.Tx) error {
 			b := tx.Bucket(keys)
 			for i := range some {
-				if err := b.Put(key(some[i].ID), encode(&some[i])); err != nil {
+				if err := b.Put(key(some[i].ID), repeatcodec.Encode(&some[i])); err != nil {
 					return err
 				}
 			}
--- a/internal/repeatlog/repeatlog_test.go
+++ b/internal/repeatlog/repeatlog_test.go
@@ -9,6 +9,7 @@
 
 	"pgregory.net/rapid"
 
+	"orchiddrift/internal/repeatcodec"
 	"orchiddrift/internal/repeats"
 )
 
@@ -35,7 +36,7 @@
 			}
 			for range rapid.IntRange(0, 4).Draw(t, "puts") {
 				r := repeats.Record{ID: repeats.ID{Tenant: rapid.String().Draw(t, "tenant"), Class: "c", Key: rapid.StringN(1, 10, -1).Draw(t, "key")},
-					Running: rapid.Bool().Draw(t, "running"), Kind: repeats.Kind(rapid.IntRange(0, 2).Draw(t, "kind")), At: time.Duration(rapid.Int64().Draw(t, "at"))}
+					Running: rapid.Bool().Draw(t, "running"), Kind: repeats.Kind(rapid.IntRange(0, 2).Draw(t, "kind")), Lost: rapid.Bool().Draw(t, "lost"), At: time.Duration(rapid.Int64().Draw(t, "at"))}
 				copy(r.Print[:], rapid.SliceOfN(rapid.Byte(), 16, 16).Draw(t, "print"))
 				if rapid.Bool().Draw(t, "answer") {
 					r.Answer = &repeats.Answer{Status: rapid.IntRange(100, 999).Draw(t, "status"), Body: rapid.SliceOfN(rapid.Byte(), 1, 20).Draw(t, "body"),
@@ -63,6 +64,6 @@
 		}
 	})
 	rapid.Check(t, func(t *rapid.T) {
-		_, _ = decode(rapid.SliceOf(rapid.Byte()).Draw(t, "noise"), &repeats.Record{}) // whatever it says, it says it
+		_, _ = repeatcodec.DecodeShared(rapid.SliceOf(rapid.Byte()).Draw(t, "noise")) // whatever it says, it says it
 	})
 }
--- a/internal/repeats/repeats.go
+++ b/internal/repeats/repeats.go
@@ -378,6 +378,7 @@
 	Kind    Kind // WasAnswered or Uncertain, where it is not Running
 	Answer  *Answer
 	Sends   []Send
+	Lost    bool          // not all sends are known: it is not sent again
 	At      time.Duration // its last event
 }
 
@@ -421,7 +422,7 @@
 	if e == nil {
 		return Record{}, false
 	}
-	r := Record{ID: id, Print: e.print, Running: e.state == running, Sends: append([]Send(nil), e.sends...), Answer: e.answer, At: now}
+	r := Record{ID: id, Print: e.print, Running: e.state == running, Sends: append([]Send(nil), e.sends...), Answer: e.answer, Lost: e.lost, At: now}
 	if e.state == uncertain {
 		r.Kind = Uncertain
 	}
