repeatshare: sidecars share their idempotency keys in an etcd

Change: internal/repeatshare claims a key by a transaction of etcd's v3 API before the first byte goes out, has repeats at another process wait by watch, and puts ends there; a running record is never taken over. internal/repeatkeeper asks it where [repeats.shared] is set, in the daemon and the plug-in alike; one Open for both. The stand-in speaks etcd's protocol, with refused, lost and late commits.

--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -16,7 +16,7 @@
 	"orchiddrift/internal/logs"
 	"orchiddrift/internal/membership"
 	"orchiddrift/internal/probe"
-	"orchiddrift/internal/repeats"
+	"orchiddrift/internal/repeatkeeper"
 	"orchiddrift/internal/routes"
 	"orchiddrift/internal/settings"
 	"orchiddrift/internal/subset"
@@ -27,19 +27,19 @@
 
 // File is the operator's file. Each subsystem's part is declared next to it; this is where they come together.
 type File struct {
-	Daemon   Daemon               `toml:"daemon" doc:"The process. Beside the platform's file, that one's name, listen and seed win."`
-	Limits   FileLimits           `toml:"limits" doc:"What the process may use. Beside the platform's file, that one's win."`
-	Shares   Shares               `toml:"shares" doc:"How services share the limits."`
-	TLS      keys.Listener        `toml:"tls" doc:"Encryption towards clients."`
-	Log      logs.Declaration     `toml:"log" doc:"The log."`
-	Members  membership.Options   `toml:"membership" doc:"How several lists of one service are merged."`
-	Eureka   []eureka.Declaration `toml:"eureka" doc:"An Eureka registry that lists upstreams of a service, beside that one's own list or alone."`
-	Platform PlatformPart         `toml:"platform" doc:"Added to the platform's service, beside its file."`
-	Doors    []door.Options       `toml:"door" doc:"A queue before a service, fair between those who ask."`
-	Services []Service            `toml:"service" doc:"A service: upstreams that answer the same requests. There are as many as there are such tables."`
-	Repeats  []repeats.Options    `toml:"repeats" doc:"A store of idempotency keys: a client's repeat of a keyed request gets the first one's end."`
-	GraphQL  []graphql.Options    `toml:"graphql" doc:"A GraphQL endpoint: its operations are told apart, classed and costed by what stands in them."`
-	Routes   []routes.Declaration `toml:"route" doc:"A route: which requests go to which service, and as what. Absent, with one service and no [[graphql]]: all go there."`
+	Daemon   Daemon                     `toml:"daemon" doc:"The process. Beside the platform's file, that one's name, listen and seed win."`
+	Limits   FileLimits                 `toml:"limits" doc:"What the process may use. Beside the platform's file, that one's win."`
+	Shares   Shares                     `toml:"shares" doc:"How services share the limits."`
+	TLS      keys.Listener              `toml:"tls" doc:"Encryption towards clients."`
+	Log      logs.Declaration           `toml:"log" doc:"The log."`
+	Members  membership.Options         `toml:"membership" doc:"How several lists of one service are merged."`
+	Eureka   []eureka.Declaration       `toml:"eureka" doc:"An Eureka registry that lists upstreams of a service, beside that one's own list or alone."`
+	Platform PlatformPart               `toml:"platform" doc:"Added to the platform's service, beside its file."`
+	Doors    []door.Options             `toml:"door" doc:"A queue before a service, fair between those who ask."`
+	Services []Service                  `toml:"service" doc:"A service: upstreams that answer the same requests. There are as many as there are such tables."`
+	Repeats  []repeatkeeper.Declaration `toml:"repeats" doc:"A store of idempotency keys: a client's repeat of a keyed request gets the first one's end."`
+	GraphQL  []graphql.Options          `toml:"graphql" doc:"A GraphQL endpoint: its operations are told apart, classed and costed by what stands in them."`
+	Routes   []routes.Declaration       `toml:"route" doc:"A route: which requests go to which service, and as what. Absent, with one service and no [[graphql]]: all go there."`
 }
 
 // Daemon is about the process.
--- a/internal/config/plan.go
+++ b/internal/config/plan.go
@@ -24,7 +24,7 @@
 	"orchiddrift/internal/logs"
 	"orchiddrift/internal/membership"
 	"orchiddrift/internal/probe"
-	"orchiddrift/internal/repeats"
+	"orchiddrift/internal/repeatkeeper"
 	"orchiddrift/internal/routes"
 	"orchiddrift/internal/settings"
 	"orchiddrift/internal/subset"
@@ -70,7 +70,7 @@
 
 	Door *door.Options // before it; nil: there is none
 
-	Repeats *repeats.Options // the store of its keys; nil: there is none
+	Repeats *repeatkeeper.Declaration // the store of its keys; nil: there is none
 
 	Registries []eureka.Declaration // beside that list, or without one
 	Members    membership.Options
@@ -389,8 +389,8 @@
 type PluginFile struct {
 	Registries []eureka.Declaration
 	Members    membership.Options
-	Door       *door.Options    // nil: there is none
-	Repeats    *repeats.Options // nil: there is no store
+	Door       *door.Options             // nil: there is none
+	Repeats    *repeatkeeper.Declaration // nil: there is no store
 	Warm       warm.Options
 	Subset     subset.Options // of the [[service]] of that name, which needs no upstreams there
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -245,6 +245,7 @@
 
 // abort fails every request in hand: the process is about to be killed.
 func (d *daemon) abort() {
+	d.shared.abortRepeats()
 	for _, s := range d.routing.Load().services {
 		s.abort()
 	}
--- a/internal/daemon/repeats.go
+++ b/internal/daemon/repeats.go
@@ -6,13 +6,11 @@
 	"fmt"
 	"maps"
 	"net/http"
-	"time"
 
 	"orchiddrift/balancer"
 	"orchiddrift/internal/config"
 	"orchiddrift/internal/engine"
 	"orchiddrift/internal/repeatkeeper"
-	"orchiddrift/internal/repeatlog"
 	"orchiddrift/internal/repeats"
 	"orchiddrift/internal/upstream"
 )
@@ -26,27 +24,14 @@
 	if plan.Repeats == nil {
 		return nil, nil
 	}
-	windows := map[string]time.Duration{}
-	for _, c := range plan.Settings.Classes {
-		windows[c.Name] = c.Window - 2*plan.Settings.Tick
-	}
-	window := func(class string) time.Duration { return windows[class] }
 	sh.repeatsMu.Lock()
 	defer sh.repeatsMu.Unlock()
 	if k := sh.repeats[plan.Name]; k != nil {
-		k.Configure(*plan.Repeats, window)
+		k.Configure(plan.Repeats.Options, repeatkeeper.Windows(&plan.Settings.Settings))
 		return k, nil
 	}
-	o := repeatkeeper.Options{Repeats: *plan.Repeats, Window: window, Clock: sh.clock, Log: sh.log.With("service", plan.Name),
-		Step: repeatStep}
-	if file := plan.Repeats.File; file != "" {
-		log, err := repeatlog.Open(file)
-		if err != nil {
-			return nil, fmt.Errorf("repeats: %w", err)
-		}
-		o.Journal = log
-	}
-	k, err := repeatkeeper.New(o)
+	k, err := repeatkeeper.Open(*plan.Repeats, plan.Name, &plan.Settings.Settings, repeatkeeper.Options{Clock: sh.clock,
+		Log: sh.log.With("service", plan.Name), Step: repeatStep})
 	if err != nil {
 		return nil, fmt.Errorf("repeats: %w", err)
 	}
@@ -57,6 +42,15 @@
 	return k, nil
 }
 
+// abortRepeats ends what waits for other processes.
+func (sh *shared) abortRepeats() {
+	sh.repeatsMu.Lock()
+	defer sh.repeatsMu.Unlock()
+	for _, k := range sh.repeats {
+		k.Abort()
+	}
+}
+
 // closeRepeats ends all keepers; their engines are closed.
 func (sh *shared) closeRepeats() {
 	sh.repeatsMu.Lock()
--- a/internal/keys/tls.go
+++ b/internal/keys/tls.go
@@ -142,7 +142,14 @@
 
 // Client makes a fresh connection an encrypted one.
 func (c *Client) Client(ctx context.Context, conn net.Conn, at directory.Place) (*tls.Conn, error) {
-	t := tls.Client(conn, c.Config(at))
+	return c.Speak(ctx, conn, at, "http/1.1")
+}
+
+// Speak is Client for another protocol's connections, by its ALPN name.
+func (c *Client) Speak(ctx context.Context, conn net.Conn, at directory.Place, protocol string) (*tls.Conn, error) {
+	config := c.Config(at)
+	config.NextProtos = []string{protocol}
+	t := tls.Client(conn, config)
 	if err := t.HandshakeContext(ctx); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/repeatkeeper/declaration.go
@@ -0,0 +1,61 @@
+package repeatkeeper
+
+import (
+	"time"
+
+	"orchiddrift/balancer"
+	"orchiddrift/internal/repeatlog"
+	"orchiddrift/internal/repeats"
+	"orchiddrift/internal/repeatshare"
+	"orchiddrift/internal/units"
+)
+
+// Declaration is a store of keys in the operator's file.
+type Declaration struct {
+	repeats.Options
+	Shared repeatshare.Declaration `toml:"shared" reload:"start" doc:"Keys that all sidecars of the service share, in an etcd."`
+}
+
+// mostShared bounds an answer in an etcd, whose requests are 1.5 MiB at most.
+const mostShared = units.MiB
+
+// Check is tomlfile.Checker's.
+func (d *Declaration) Check(report func(key, format string, args ...any)) {
+	d.Options.Check(report)
+	if d.Shared.On() && d.File != "" {
+		report("file", "stands in place of [repeats.shared], not beside it")
+	}
+	if d.Shared.On() && d.Answer > mostShared {
+		report("answer", "%v is over %v, which a shared store takes", d.Answer, mostShared)
+	}
+}
+
+// Windows are the times for which the nodes drop repeats of a class, less what a decision takes.
+func Windows(set *balancer.Settings) func(class string) time.Duration {
+	windows := map[string]time.Duration{}
+	for _, c := range set.Classes {
+		windows[c.Name] = c.Window - 2*set.Tick
+	}
+	return func(class string) time.Duration { return windows[class] }
+}
+
+// Open returns the Keeper of a service that the operator's file declares, with its file or its shared store. What o has of these is
+// filled in.
+func Open(d Declaration, service string, set *balancer.Settings, o Options) (*Keeper, error) {
+	o.Repeats, o.Window = d.Options, Windows(set)
+	switch {
+	case d.File != "":
+		l, err := repeatlog.Open(d.File)
+		if err != nil {
+			return nil, err
+		}
+		o.Journal = l
+	case d.Shared.On():
+		s, err := repeatshare.New(repeatshare.Options{Declaration: d.Shared, Service: service, Keep: d.Keep.D(), Pending: d.Entries, Log: o.Log})
+		if err != nil {
+			return nil, err
+		}
+		o.Shared, o.GoOn = s, d.Shared.Error == GoOn
+	}
+	return New(o)
+}
--- a/internal/repeatkeeper/keeper.go
+++ b/internal/repeatkeeper/keeper.go
@@ -12,6 +12,7 @@
 
 	"orchiddrift/internal/clock"
 	"orchiddrift/internal/repeats"
+	"orchiddrift/internal/repeatshare"
 )
 
 // Sends is where a running request tells of its sends.
@@ -42,6 +43,8 @@
 	Log     *slog.Logger
 	Apart   bool    // what runs has a goroutine of its own, for clients that may leave at any time
 	Journal Journal // nil: nothing lasts longer than the process
+	Shared  Shared  // nil: no other process knows its keys
+	GoOn    bool    // new keys run while Shared can't be asked
 	// Step is called as a request gets to each of Steps, for tests that end the process there. Absent: nothing is.
 	Step func(step string)
 }
@@ -57,12 +60,22 @@
 	Close() error
 }
 
+// Shared is a store of keys that other processes have too: internal/repeatshare's. Times of sends are ages.
+type Shared interface {
+	Claim(ctx context.Context, m repeats.Meeting) (repeatshare.Claim, error)
+	Look(ctx context.Context, m repeats.Meeting) (repeats.Decision, error)
+	Settle(c repeatshare.Claim, id repeats.ID, r *repeats.Record)
+	Abort()
+	Close()
+}
+
 // Keeper holds a Store, and an entry for each request that runs.
 type Keeper struct {
 	o Options
 
 	mu      sync.Mutex
 	store   *repeats.Store
+	window  func(class string) time.Duration
 	flights map[repeats.ID]*flight
 	closed  bool
 	refused int
@@ -73,13 +86,14 @@
 }
 
 type flight struct {
-	done chan struct{}
-	end  Ended
+	done   chan struct{}
+	end    Ended
+	theirs bool // its end is another process's
 }
 
 // New returns a Keeper, with what its journal holds. Close ends it, and the journal.
 func New(o Options) (*Keeper, error) {
-	k := &Keeper{o: o, store: repeats.New(o.Repeats, o.Window), flights: map[repeats.ID]*flight{}}
+	k := &Keeper{o: o, store: repeats.New(o.Repeats, o.Window), flights: map[repeats.ID]*flight{}, window: o.Window}
 	if o.Journal == nil {
 		return k, nil
 	}
@@ -103,6 +117,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.store.Configure(o, window)
+	k.window = window
 }
 
 // saidEvery is how often the log speaks of refusals.
@@ -113,6 +128,7 @@
 func (k *Keeper) Do(ctx context.Context, id repeats.ID, print repeats.Print, run func(prior []repeats.Send, s Sends) Ended) Result {
 	now := k.now()
 	k.mu.Lock()
+	window := k.window
 	if k.closed {
 		k.mu.Unlock()
 		return Result{Ended: Ended{Verdict: repeats.Refuse}}
@@ -133,22 +149,28 @@
 		k.refusal(now)
 	}
 	k.mu.Unlock()
+	meeting := repeats.Meeting{ID: id, Print: print, Prior: d.Prior, Window: window(id.Class)}
 	switch {
+	case d.Verdict == repeats.Fail && k.o.Shared != nil: // another process may have had the answer since
+		if of, err := k.o.Shared.Look(ctx, meeting); err == nil {
+			d = of
+		}
+		return Result{Ended: Ended{Verdict: d.Verdict, Answer: d.Answer}}
 	case f == nil:
 		return Result{Ended: Ended{Verdict: d.Verdict, Answer: d.Answer, RetryIn: d.RetryIn}}
 	case d.Verdict == repeats.Run && k.o.Apart:
 		go func() {
 			defer k.running.Done()
-			k.run(id, d.Prior, f, run)
+			k.run(ctx, meeting, f, run)
 		}()
 	case d.Verdict == repeats.Run:
 		defer k.running.Done()
-		k.run(id, d.Prior, f, run)
-		return Result{Ended: f.end, First: true}
+		k.run(ctx, meeting, f, run)
+		return Result{Ended: f.end, First: !f.theirs}
 	}
 	select {
 	case <-f.done:
-		return Result{Ended: f.end, First: d.Verdict == repeats.Run}
+		return Result{Ended: f.end, First: d.Verdict == repeats.Run && !f.theirs}
 	case <-ctx.Done():
 	}
 	if d.Verdict == repeats.Wait {
@@ -201,15 +223,23 @@
 	return err
 }
 
-// run sends a request, once it is on record. Its end is told before it is on record: should the process end between the two, the
-// record says that it ran, and a repeat is not sent.
-func (k *Keeper) run(id repeats.ID, prior []repeats.Send, f *flight, run func([]repeats.Send, Sends) Ended) {
+// run sends a request, once it is on record, and claimed where processes share their keys. Its end is told before it is on record:
+// should the process end between the two, the record says that it ran, and a repeat is not sent.
+func (k *Keeper) run(ctx context.Context, m repeats.Meeting, f *flight, run func([]repeats.Send, Sends) Ended) {
+	id := m.ID
 	var end Ended
+	var claim repeatshare.Claim
 	k.step(0)
 	if err := k.write(id); err != nil && k.o.Repeats.DiskError != GoOn {
-		end = Ended{Verdict: repeats.Refuse, RetryIn: diskAgain}
+		end = Ended{Verdict: repeats.Refuse, RetryIn: storeAgain}
+	} else if claim, err = k.claim(ctx, m); err != nil && !k.o.GoOn {
+		end = Ended{Verdict: repeats.Refuse, RetryIn: storeAgain}
+	} else if claim.Verdict != repeats.Run {
+		f.theirs = true
+		end = Ended{Verdict: claim.Verdict, Answer: claim.Answer}
 	} else {
 		k.step(1)
+		prior := claim.Prior
 		for i := range prior {
 			prior[i].Sent -= k.offset
 		}
@@ -217,14 +247,18 @@
 	}
 	k.step(3)
 	kind := repeats.Uncertain
-	switch end.Verdict {
-	case repeats.Replay:
+	switch {
+	case end.Verdict == repeats.Replay:
 		kind = repeats.WasAnswered
-	case repeats.Refuse:
+	case end.Verdict == repeats.Refuse || f.theirs:
 		kind = repeats.NeverRan
 	}
+	now := k.now()
 	k.mu.Lock()
-	k.store.End(k.now(), id, kind, end.Answer)
+	k.store.End(now, id, kind, end.Answer)
+	if k.o.Shared != nil && !f.theirs {
+		k.settle(now, claim, id)
+	}
 	delete(k.flights, id)
 	k.mu.Unlock()
 	f.end = end
@@ -241,6 +275,52 @@
 	}()
 }
 
+// claim claims a request where processes share their keys; it goes on when its client leaves. Prior times are the Store's again.
+func (k *Keeper) claim(ctx context.Context, m repeats.Meeting) (repeatshare.Claim, error) {
+	known := repeatshare.Claim{Decision: repeats.Decision{Prior: m.Prior}}
+	if k.o.Shared == nil {
+		return known, nil
+	}
+	stays := context.WithoutCancel(ctx)
+	if at, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		stays, cancel = context.WithDeadline(stays, at)
+		defer cancel()
+	}
+	begun := k.now()
+	m.Prior = aged(begun, m.Prior)
+	c, err := k.o.Shared.Claim(stays, m)
+	if err != nil {
+		return known, err
+	}
+	now := k.now()
+	c.Prior = aged(now, c.Prior)
+	k.mu.Lock()
+	k.store.Adopt(m.ID, c.Prior)
+	k.mu.Unlock()
+	return c, nil
+}
+
+// settle tells the processes that share the keys of an end.
+func (k *Keeper) settle(now time.Duration, c repeatshare.Claim, id repeats.ID) {
+	r, ok := k.store.Record(now, id)
+	if !ok {
+		k.o.Shared.Settle(c, id, nil)
+		return
+	}
+	r.Sends = aged(now, r.Sends)
+	k.o.Shared.Settle(c, id, &r)
+}
+
+// aged turns times into ages at now, and ages into times.
+func aged(now time.Duration, sends []repeats.Send) []repeats.Send {
+	of := append([]repeats.Send(nil), sends...)
+	for i := range of {
+		of[i].Sent = now - of[i].Sent
+	}
+	return of
+}
+
 func (k *Keeper) step(i int) {
 	if k.o.Step != nil {
 		k.o.Step(Steps[i])
@@ -250,8 +330,8 @@
 // GoOn is Options.DiskError where keyed requests go on without a record.
 const GoOn = "go on"
 
-// diskAgain is when to come back where the journal can't be written.
-const diskAgain = time.Second
+// storeAgain is when to come back where a record can't be written.
+const storeAgain = time.Second
 
 type sends struct {
 	k  *Keeper
@@ -280,12 +360,22 @@
 	return k.store.Len(), k.store.Bytes(), k.store.Running()
 }
 
+// Abort ends what waits for other processes: the process is about to be killed.
+func (k *Keeper) Abort() {
+	if k.o.Shared != nil {
+		k.o.Shared.Abort()
+	}
+}
+
 // Close runs nothing more, and waits for what runs: its engines are closed before.
 func (k *Keeper) Close() {
 	k.mu.Lock()
 	k.closed = true
 	k.mu.Unlock()
 	k.running.Wait()
+	if k.o.Shared != nil {
+		k.o.Shared.Close()
+	}
 	if k.o.Journal != nil {
 		if err := k.o.Journal.Close(); err != nil {
 			k.o.Log.Error("repeats: closing the journal", "reason", err)
--- a/internal/repeats/shared.go
+++ b/internal/repeats/shared.go
@@ -1,6 +1,7 @@
 package repeats
 
 import (
+	"slices"
 	"strings"
 	"time"
 )
@@ -43,7 +44,7 @@
 		return Decision{Verdict: Answered}
 	case !r.Running && r.Kind == WasAnswered:
 		return Decision{Verdict: Replay, Answer: r.Answer}
-	case mine && len(m.Prior) > 0: // nobody had it after this process, which knows all its sends itself
+	case mine && m.knows(r.Sends): // nobody had it after this process
 		return Decision{Verdict: Run, Prior: m.Prior}
 	case r.Running || r.Lost || m.Skew <= 0 || len(r.Sends) == 0:
 		return Decision{Verdict: Fail}
@@ -69,6 +70,12 @@
 	e.sends = append([]Send(nil), sends...)
 }
 
-// Disown ends a running request that was not sent, since the store has an end of it or can't be asked; what was known of it before
-// stays.
-func (s *Store) Disown(now time.Duration, id ID) { s.End(now, id, NeverRan, nil) }
+// knows tells whether all sends of a record are known here.
+func (m *Meeting) knows(sends []Send) bool {
+	for _, x := range sends {
+		if !slices.ContainsFunc(m.Prior, func(own Send) bool { return own.Zone == x.Zone && own.Cell == x.Cell }) {
+			return false
+		}
+	}
+	return len(m.Prior) > 0 && len(sends) <= len(m.Prior)
+}
--- a/internal/testkit/base/base.go
+++ b/internal/testkit/base/base.go
@@ -118,3 +118,15 @@
 	t.Cleanup(e.Close)
 	return e
 }
+
+// Etcd starts a store for the test's length, and returns where it listens.
+func Etcd(t testing.TB, o standin.EtcdOptions) (*standin.Etcd, string) {
+	t.Helper()
+	e := standin.NewEtcd(o)
+	at, err := e.Start()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Close)
+	return e, at
+}
--- a/orchidgrpc/plugin.go
+++ b/orchidgrpc/plugin.go
@@ -187,7 +187,7 @@
 		}
 	}
 	if file.Repeats != nil {
-		if p.repeats, err = openRepeats(&set, *file.Repeats, clk, log); err != nil {
+		if p.repeats, err = repeatkeeper.Open(*file.Repeats, p.service, &set, repeatkeeper.Options{Clock: clk, Log: log, Apart: true}); err != nil {
 			return nil, fmt.Errorf("orchidgrpc: repeats: %w", err)
 		}
 	}
--- a/orchidgrpc/repeats.go
+++ b/orchidgrpc/repeats.go
@@ -4,8 +4,6 @@
 	"context"
 	"crypto/sha256"
 	"fmt"
-	"log/slog"
-	"time"
 
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/metadata"
@@ -13,30 +11,11 @@
 	"google.golang.org/protobuf/proto"
 
 	"orchiddrift/balancer"
-	"orchiddrift/internal/clock"
 	"orchiddrift/internal/engine"
 	"orchiddrift/internal/repeatkeeper"
-	"orchiddrift/internal/repeatlog"
 	"orchiddrift/internal/repeats"
 )
 
-// openRepeats makes the store of keys that the operator's file tells of.
-func openRepeats(set *balancer.Settings, of repeats.Options, clk clock.Clock, log *slog.Logger) (*repeatkeeper.Keeper, error) {
-	windows := map[string]time.Duration{}
-	for _, c := range set.Classes {
-		windows[c.Name] = c.Window - 2*set.Tick
-	}
-	o := repeatkeeper.Options{Repeats: of, Window: func(class string) time.Duration { return windows[class] }, Clock: clk, Log: log, Apart: true}
-	if of.File != "" {
-		l, err := repeatlog.Open(of.File)
-		if err != nil {
-			return nil, err
-		}
-		o.Journal = l
-	}
-	return repeatkeeper.New(o)
-}
-
 // repeatKey is the key by which a call's repeats are looked for: the caller's own, of a keyed class. One that is made here is
 // each call's own.
 func (p *Plugin) repeatKey(ctx context.Context, method string) string {
