repeats: daemons that share keys, proved by kills and restarts under load

Need: the proof by count had no kills and no second sidecar; what a request meets elsewhere was known to no test on sockets.

While a key is not yet claimed, another request under it waits for that claim: before, a request with a wrong body could have the right one told 422.

--- /dev/null
+++ b/internal/daemon/repeats_shared_test.go
@@ -0,0 +1,158 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"orchiddrift/internal/standin"
+	"orchiddrift/internal/testkit"
+	"orchiddrift/internal/testkit/base"
+)
+
+const sharedPart = "\n[repeats.shared]\nservers = [%q]\nsession = \"3s\"\ntimeout = \"300ms\"\n"
+
+// Two daemons share their keys: what one runs the other waits for, and gives the one answer, marked; another request under the key is a
+// conflict there too; while the store is away new keys are refused, or go on, and what is known here is still replayed.
+func TestRepeatsShared(t *testing.T) {
+	p := newSlowPay(t)
+	e, at := base.Etcd(t, standin.EtcdOptions{})
+	file := p.file("6s", "20s", fmt.Sprintf(sharedPart, at))
+	a, b := startFile(t, file), startFile(t, strings.Replace(file, "timeout =", "error = \"go on\"\ntimeout =", 1))
+	ends := make(chan string, 10)
+	for i, r := range []*fileRig{a, b, b, a} {
+		go func() {
+			status, body, head := pay(t.Context(), r, "/record/1", "k1", "5")
+			ends <- fmt.Sprint(status, body, head.Get(replayed))
+		}()
+		if i == 0 {
+			testkit.Eventually(t, "it runs", func() bool { return p.came.Load() == 1 })
+		}
+	}
+	if status, _, _ := pay(t.Context(), b, "/record/1", "k1", "6"); status != 422 {
+		t.Errorf("another body at the other one: %d", status)
+	}
+	p.let <- "paid"
+	got := map[string]int{}
+	for range 4 {
+		got[<-ends]++
+	}
+	if got["200paid"] != 1 || got["200paidtrue"] != 3 || p.came.Load() != 1 {
+		t.Errorf("%v of %d runs", got, p.came.Load())
+	}
+	p.let <- "break" // the last of its attempts: clocks are not trusted, and so the other one does not send it again
+	for range 4 {
+		p.let <- "break"
+	}
+	if status, _, _ := pay(t.Context(), a, "/record/2", "k2", "5"); status != 502 {
+		t.Errorf("broken: %d", status)
+	}
+	before := p.came.Load()
+	if status, _, _ := pay(t.Context(), b, "/record/2", "k2", "5"); status != 502 || p.came.Load() != before {
+		t.Errorf("at the other one: %d", status)
+	}
+	for len(p.let) > 0 {
+		<-p.let
+	}
+	e.Stop()
+	p.let <- "on"
+	for _, c := range []struct {
+		r    *fileRig
+		key  string
+		want string
+	}{{a, "k1", "200paid"}, {b, "k1", "200paid"}, {a, "k3", "503"}, {b, "k3", "200on"}} {
+		status, body, _ := pay(t.Context(), c.r, "/record/1", c.key, "5")
+		if got := fmt.Sprint(status, body); !strings.HasPrefix(got, c.want) {
+			t.Errorf("%s without a store: %s", c.key, got)
+		}
+	}
+	if _, err := e.Start(); err != nil {
+		t.Fatal(err)
+	}
+	testkit.Eventually(t, "new keys run again", func() bool {
+		p.let <- "back"
+		status, _, _ := pay(t.Context(), a, "/record/1", "k4", "5")
+		return status == 200
+	})
+}
+
+// The proof with kills: daemons of their own processes, killed at any moment and started again, one whose keys are in a file and two
+// that share them in a store that fails, before nodes that fail too. No payment is recorded twice.
+func TestRepeatsKilledNothingRecordedTwice(t *testing.T) {
+	const window = 400 * time.Millisecond
+	for name, n := range map[string]int{"file": 1, "shared": 2} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ledger, list := payNodes(t, window)
+			rng := rand.New(rand.NewPCG(7, uint64(n)))
+			var mu sync.Mutex
+			e, at := base.Etcd(t, standin.EtcdOptions{Late: 20 * time.Millisecond, Fault: func() standin.EtcdFault {
+				mu.Lock()
+				defer mu.Unlock()
+				return []standin.EtcdFault{standin.EtcdFine, standin.EtcdRefuse, standin.EtcdLose, standin.EtcdLate}[max(0, rng.IntN(60)-56)]
+			}})
+			more := fmt.Sprintf("file = %q\n", filepath.Join(t.TempDir(), "keys.db"))
+			if n > 1 {
+				more = fmt.Sprintf(sharedPart+"clock_skew = \"1ms\"\n", at)
+			}
+			rigs, files, children := make([]*fileRig, n), make([]string, n), make([]*exec.Cmd, n)
+			for i := range n {
+				address := freeAddress(t)
+				files[i] = base.File(t, "o.toml", fmt.Appendf(nil, "[daemon]\nlisten = %q\n"+strings.TrimPrefix(repeatsFile, "\n")+"running = 1024\n%s",
+					address, list, window, "250ms", more))
+				rigs[i] = &fileRig{running: &running{address: address, client: &http.Client{Timeout: testkit.Patience, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}}
+				t.Cleanup(rigs[i].client.CloseIdleConnections)
+				children[i] = startChild(t, rigs[i], files[i], "")
+			}
+			const wanted = 5000
+			var tries, served, lost, odd atomic.Int64
+			var wg sync.WaitGroup
+			for worker := range 16 {
+				wg.Go(func() {
+					for k := 0; tries.Load() < wanted; k++ {
+						key := fmt.Sprintf("%d-%d", worker/2, k) // two clients send each payment
+						for try := range 5 {
+							tries.Add(1)
+							switch status, _, _ := pay(context.Background(), rigs[(worker+try)%n], "/record/"+key, key, "5"); status {
+							case 200:
+								served.Add(1)
+							case 0: // its daemon was killed, or is not up yet
+								lost.Add(1)
+								time.Sleep(20 * time.Millisecond)
+							case 502, 503:
+							default:
+								odd.Add(1)
+							}
+						}
+					}
+				})
+			}
+			kills := 0
+			for ; tries.Load() < wanted; kills++ {
+				i := kills % n
+				from := tries.Load()
+				testkit.Eventually(t, "some are tried", func() bool { return tries.Load() > from+wanted/12 || tries.Load() >= wanted })
+				_ = children[i].Process.Kill()
+				_ = children[i].Wait() // killed
+				children[i] = startChild(t, rigs[i], files[i], "")
+			}
+			wg.Wait()
+			if twice := ledger.Doubled("record"); len(twice) > 0 {
+				t.Errorf("%d payments are recorded twice: %v", len(twice), twice[:min(5, len(twice))])
+			}
+			if odd.Load() > 0 || served.Load() < wanted/4 {
+				t.Errorf("%d answers of another kind, %d served", odd.Load(), served.Load())
+			}
+			t.Logf("%d tries, %d payments recorded, %d served, %d without an answer, %d kills; %d writes in the store", tries.Load(), ledger.Operations("record"),
+				served.Load(), lost.Load(), kills, e.Writes())
+		})
+	}
+}
--- a/internal/daemon/repeats_test.go
+++ b/internal/daemon/repeats_test.go
@@ -267,10 +267,8 @@
 	return ServePlan(ctx, plan(t, text), l, config.Sources{}, nil, nil)
 }
 
-// The proof by count: payments whose clients try again after every failure, also long after the window and also by another request
-// in the same moment, before nodes in two zones whose memories are short. None is recorded twice, and each client gets one end.
-func TestRepeatsNothingRecordedTwice(t *testing.T) {
-	const window = 300 * time.Millisecond
+// payNodes are six in two zones, whose memories are short and which fail in every way. It returns their part of the file.
+func payNodes(t *testing.T, window time.Duration) (*standin.Ledger, string) {
 	ledger := standin.NewLedger()
 	memories := map[string]*standin.KeyMemory{"a": standin.NewKeyMemory(window), "b": standin.NewKeyMemory(window)}
 	list := ""
@@ -293,6 +291,14 @@
 		}
 		list += fmt.Sprintf("[[service.endpoint]]\nname = \"n%d\"\naddress = %q\nzone = %q\n", i, at, zone)
 	}
+	return ledger, list
+}
+
+// The proof by count: payments whose clients try again after every failure, also long after the window and also by another request
+// in the same moment, before nodes in two zones whose memories are short. None is recorded twice, and each client gets one end.
+func TestRepeatsNothingRecordedTwice(t *testing.T) {
+	const window = 300 * time.Millisecond
+	ledger, list := payNodes(t, window)
 	r := startFile(t, fmt.Sprintf(repeatsFile, list, window, "250ms")+"running = 4096\n")
 	r.client.Transport.(*http.Transport).MaxIdleConnsPerHost = 128
 	var tries, odd, served atomic.Int64
@@ -364,6 +370,37 @@
 	}
 }
 
+// freeAddress is one to listen at.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// startChild starts a daemon of its own process, and returns once it is ready. It kills itself at step, if there is one.
+func startChild(t *testing.T, r *fileRig, file, step string) *exec.Cmd {
+	t.Helper()
+	c := exec.Command(os.Args[0], "-test.run=^TestRepeatsChild$")
+	c.Env = append(os.Environ(), childFile+"="+file, childStep+"="+step)
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Process.Kill(); _ = c.Wait() }) // it may have ended
+	testkit.Eventually(t, "ready", func() bool {
+		resp, err := r.client.Get("http://" + r.address + "/-/ready")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == 200
+	})
+	return c
+}
+
 // A process that is killed at any point of a payment's way, and one that takes its place: the payment is recorded once at most, and
 // who comes again gets an end that is true: the one answer, or that it may have run.
 func TestRepeatsKilled(t *testing.T) {
@@ -375,38 +412,16 @@
 				_, _ = io.Copy(io.Discard, q.Body)
 				_, _ = fmt.Fprintf(w, "paid %d", runs.Add(1))
 			})
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			address := l.Addr().String()
-			l.Close()
+			address := freeAddress(t)
 			file := base.File(t, "o.toml", fmt.Appendf(nil, "[daemon]\nlisten = %q\n"+strings.TrimPrefix(repeatsFile, "\n")+"file = %q\n", address,
 				fmt.Sprintf("addresses = [%q]", upstream), "6s", "5s", filepath.Join(t.TempDir(), "keys.db")))
 			r := &fileRig{running: &running{address: address, client: &http.Client{Timeout: testkit.Patience, Transport: &http.Transport{DisableKeepAlives: true}}}}
-			start := func(step string) *exec.Cmd {
-				c := exec.Command(os.Args[0], "-test.run=^TestRepeatsChild$")
-				c.Env = append(os.Environ(), childFile+"="+file, childStep+"="+step)
-				if err := c.Start(); err != nil {
-					t.Fatal(err)
-				}
-				t.Cleanup(func() { _ = c.Process.Kill(); _ = c.Wait() }) // it may have ended
-				testkit.Eventually(t, "ready", func() bool {
-					resp, err := r.client.Get("http://" + address + "/-/ready")
-					if err != nil {
-						return false
-					}
-					resp.Body.Close()
-					return resp.StatusCode == 200
-				})
-				return c
-			}
-			first := start(step)
+			first := startChild(t, r, file, step)
 			status, told, _ := pay(t.Context(), r, "/record/1", "k", "5")
 			if err := first.Wait(); err == nil || first.ProcessState.Sys().(syscall.WaitStatus).Signal() != syscall.SIGKILL {
 				t.Fatalf("it was not killed: %v", err)
 			}
-			start("")
+			startChild(t, r, file, "")
 			for range 3 {
 				again, body, _ := pay(t.Context(), r, "/record/1", "k", "5")
 				if again != 200 && again != 502 || again == 200 && body != "paid 1" || status == 200 && again == 200 && body != told {
--- a/internal/repeatkeeper/keeper.go
+++ b/internal/repeatkeeper/keeper.go
@@ -86,9 +86,10 @@
 }
 
 type flight struct {
-	done   chan struct{}
-	end    Ended
-	theirs bool // its end is another process's
+	done    chan struct{}
+	claimed chan struct{} // closed once it is known that it is this process's to run, or with done
+	end     Ended
+	theirs  bool // its end is another process's
 }
 
 // New returns a Keeper, with what its journal holds. Close ends it, and the journal.
@@ -126,12 +127,27 @@
 // Do gives a client of a key its end. Where the request is to be sent, run is called, which must end by itself and not with this
 // client: others may wait for it. One that waits is told Fail at ctx's deadline, and else has left when ctx ends.
 func (k *Keeper) Do(ctx context.Context, id repeats.ID, print repeats.Print, run func(prior []repeats.Send, s Sends) Ended) Result {
+	for {
+		r, again := k.do(ctx, id, print, run)
+		if again == nil {
+			return r
+		}
+		select { // another request has the key here, and perhaps not elsewhere
+		case <-again:
+		case <-ctx.Done():
+			return Result{Ended: Ended{Verdict: repeats.Conflict}}
+		}
+	}
+}
+
+// do is Do; where it returns a channel the key is not decided on before that is closed.
+func (k *Keeper) do(ctx context.Context, id repeats.ID, print repeats.Print, run func(prior []repeats.Send, s Sends) Ended) (Result, <-chan struct{}) {
 	now := k.now()
 	k.mu.Lock()
 	window := k.window
 	if k.closed {
 		k.mu.Unlock()
-		return Result{Ended: Ended{Verdict: repeats.Refuse}}
+		return Result{Ended: Ended{Verdict: repeats.Refuse}}, nil
 	}
 	if gone := k.store.Expire(now); k.o.Journal != nil {
 		k.gone = append(k.gone, gone...) // with the next record
@@ -140,13 +156,22 @@
 	var f *flight
 	switch d.Verdict {
 	case repeats.Run:
-		f = &flight{done: make(chan struct{})}
+		f = &flight{done: make(chan struct{}), claimed: make(chan struct{})}
 		k.flights[id] = f
 		k.running.Add(1)
 	case repeats.Wait:
 		f = k.flights[id]
 	case repeats.Refuse:
 		k.refusal(now)
+	case repeats.Conflict:
+		if of := k.flights[id]; of != nil && k.o.Shared != nil {
+			select {
+			case <-of.claimed:
+			default:
+				k.mu.Unlock()
+				return Result{}, of.claimed
+			}
+		}
 	}
 	k.mu.Unlock()
 	meeting := repeats.Meeting{ID: id, Print: print, Prior: d.Prior, Window: window(id.Class)}
@@ -155,9 +180,9 @@
 		if of, err := k.o.Shared.Look(ctx, meeting); err == nil {
 			d = of
 		}
-		return Result{Ended: Ended{Verdict: d.Verdict, Answer: d.Answer}}
+		return Result{Ended: Ended{Verdict: d.Verdict, Answer: d.Answer}}, nil
 	case f == nil:
-		return Result{Ended: Ended{Verdict: d.Verdict, Answer: d.Answer, RetryIn: d.RetryIn}}
+		return Result{Ended: Ended{Verdict: d.Verdict, Answer: d.Answer, RetryIn: d.RetryIn}}, nil
 	case d.Verdict == repeats.Run && k.o.Apart:
 		go func() {
 			defer k.running.Done()
@@ -166,11 +191,11 @@
 	case d.Verdict == repeats.Run:
 		defer k.running.Done()
 		k.run(ctx, meeting, f, run)
-		return Result{Ended: f.end, First: !f.theirs}
+		return Result{Ended: f.end, First: !f.theirs}, nil
 	}
 	select {
 	case <-f.done:
-		return Result{Ended: f.end, First: d.Verdict == repeats.Run && !f.theirs}
+		return Result{Ended: f.end, First: d.Verdict == repeats.Run && !f.theirs}, nil
 	case <-ctx.Done():
 	}
 	if d.Verdict == repeats.Wait {
@@ -181,9 +206,9 @@
 		k.mu.Unlock()
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return Result{Ended: Ended{Verdict: repeats.Fail}}
+		return Result{Ended: Ended{Verdict: repeats.Fail}}, nil
 	}
-	return Result{Left: true}
+	return Result{Left: true}, nil
 }
 
 // refusal logs that keys are refused, now and then.
@@ -238,6 +263,7 @@
 		f.theirs = true
 		end = Ended{Verdict: claim.Verdict, Answer: claim.Answer}
 	} else {
+		close(f.claimed)
 		k.step(1)
 		prior := claim.Prior
 		for i := range prior {
@@ -263,6 +289,11 @@
 	k.mu.Unlock()
 	f.end = end
 	close(f.done)
+	select {
+	case <-f.claimed:
+	default:
+		close(f.claimed)
+	}
 	k.step(4)
 	if k.o.Journal == nil {
 		return
--- a/internal/repeatshare/repeatshare_test.go
+++ b/internal/repeatshare/repeatshare_test.go
@@ -145,6 +145,7 @@
 	m := meeting("in hand")
 	held := claim(t, a, m, repeats.Run)
 	claim(t, b, meeting("warm"), repeats.Run) // it has its session
+	away := claim(t, a, meeting("away"), repeats.Run)
 	for i, f := range []standin.EtcdFault{standin.EtcdRefuse, standin.EtcdLose, standin.EtcdLate, standin.EtcdHang} {
 		fault.Store(int32(f))
 		if c, err := a.Claim(t.Context(), meeting(i)); err == nil {
@@ -152,6 +153,7 @@
 		}
 	}
 	a.Settle(held, m.ID, answered(m, "paid"))
+	a.Settle(away, id("away"), nil)
 	e.Stop()
 	fault.Store(0)
 	if _, err := a.Claim(t.Context(), meeting(9)); err == nil {
@@ -160,6 +162,13 @@
 	if _, err := e.Start(); err != nil {
 		t.Fatal(err)
 	}
+	base.Eventually(t, "what never ran can be run", func() bool {
+		c, err := a.Claim(t.Context(), meeting("away"))
+		if err == nil && c.Verdict != repeats.Run {
+			t.Fatalf("its end here counts before it is told there: %+v", c)
+		}
+		return err == nil
+	})
 	base.Eventually(t, "the end is told", func() bool {
 		c, err := b.Claim(t.Context(), m)
 		return err == nil && c.Verdict == repeats.Replay && string(c.Answer.Body) == "paid"
