repeats: a disk that is full for real, by a limit on the file's size

Need: the full disk was a stand-in's error in the tests.

Change: TestRepeatsDiskIsFull runs a daemon whose files may not grow beyond 1 MiB.

Result: new keys are refused or go on, as the file says; those on record are known, also to the next process.

--- a/internal/daemon/repeats_shared_test.go
+++ b/internal/daemon/repeats_shared_test.go
@@ -156,3 +156,56 @@
 		})
 	}
 }
+
+// A disk that is full, for real: the file may not grow beyond 1 MiB. New keys are refused, or go on; those on record are known, also to
+// the process that comes after and has room again.
+func TestRepeatsDiskIsFull(t *testing.T) {
+	for _, how := range []string{"refuse", "go on"} {
+		t.Run(how, func(t *testing.T) {
+			t.Parallel()
+			var runs atomic.Int64
+			upstream := base.HTTP(t, nil, func(w http.ResponseWriter, q *http.Request) {
+				runs.Add(1)
+				_, _ = w.Write(make([]byte, 8000))
+			})
+			address := freeAddress(t)
+			file := base.File(t, "o.toml", fmt.Appendf(nil, "[daemon]\nlisten = %q\n"+strings.TrimPrefix(repeatsFile, "\n")+"file = %q\ndisk_error = %q\n", address,
+				fmt.Sprintf("addresses = [%q]", upstream), "6s", "5s", filepath.Join(t.TempDir(), "keys.db"), how))
+			r := &fileRig{running: &running{address: address, client: &http.Client{Timeout: testkit.Patience, Transport: &http.Transport{DisableKeepAlives: true}}}}
+			c := startChild(t, r, file, "", childSize+"=1048576")
+			taken, refused := 0, 0
+			for n := range 300 {
+				switch status, _, _ := pay(t.Context(), r, "/record/1", fmt.Sprint(n), "5"); status {
+				case 200:
+					taken++
+				case 503:
+					refused++
+				default:
+					t.Fatalf("payment %d: %d", n, status)
+				}
+			}
+			if how == "refuse" && (refused < 100 || taken < 30) || how != "refuse" && refused > 0 {
+				t.Errorf("%d taken, %d refused", taken, refused)
+			}
+			if runs.Load() != int64(taken) {
+				t.Errorf("%d runs of %d that were taken", runs.Load(), taken)
+			}
+			known := func() {
+				t.Helper()
+				for n := range 20 {
+					if status, _, head := pay(t.Context(), r, "/record/1", fmt.Sprint(n), "5"); status != 200 || head.Get(replayed) == "" {
+						t.Errorf("payment %d again: %d", n, status)
+					}
+				}
+			}
+			known()
+			_ = c.Process.Kill()
+			_ = c.Wait() // killed
+			startChild(t, r, file, "")
+			known()
+			if status, _, _ := pay(t.Context(), r, "/record/1", "new", "5"); status != 200 {
+				t.Errorf("with room again: %d", status)
+			}
+		})
+	}
+}
--- a/internal/daemon/repeats_test.go
+++ b/internal/daemon/repeats_test.go
@@ -8,7 +8,9 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -350,8 +352,9 @@
 	t.Logf("%d tries, %d payments recorded, %d served; %d keys of %d bytes", tries.Load(), ledger.Operations("record"), served.Load(), keys, bytes)
 }
 
-// childFile names the operator's file of a daemon that this binary runs in place of its tests, and childStep where it kills itself.
-const childFile, childStep = "ORCHIDDRIFT_CHILD_FILE", "ORCHIDDRIFT_CHILD_STEP"
+// childFile names the operator's file of a daemon that this binary runs in place of its tests, childStep where it kills itself, and
+// childSize how large its files may grow.
+const childFile, childStep, childSize = "ORCHIDDRIFT_CHILD_FILE", "ORCHIDDRIFT_CHILD_STEP", "ORCHIDDRIFT_CHILD_SIZE"
 
 // TestRepeatsChild is a process of TestRepeatsKilled's, and else nothing.
 func TestRepeatsChild(t *testing.T) {
@@ -365,6 +368,13 @@
 			select {}
 		}
 	}
+	if size := os.Getenv(childSize); size != "" {
+		most, _ := strconv.ParseUint(size, 10, 64) // the test's own
+		signal.Ignore(syscall.SIGXFSZ)             // a write beyond is an error, as on a full disk
+		if err := syscall.Setrlimit(syscall.RLIMIT_FSIZE, &syscall.Rlimit{Cur: most, Max: most}); err != nil {
+			t.Fatal(err)
+		}
+	}
 	if err := Run(t.Context(), config.Sources{Config: path}, nil); err != nil {
 		t.Fatal(err)
 	}
@@ -382,10 +392,10 @@
 }
 
 // startChild starts a daemon of its own process, and returns once it is ready. It kills itself at step, if there is one.
-func startChild(t *testing.T, r *fileRig, file, step string) *exec.Cmd {
+func startChild(t *testing.T, r *fileRig, file, step string, env ...string) *exec.Cmd {
 	t.Helper()
 	c := exec.Command(os.Args[0], "-test.run=^TestRepeatsChild$")
-	c.Env = append(os.Environ(), childFile+"="+file, childStep+"="+step)
+	c.Env = append(append(os.Environ(), childFile+"="+file, childStep+"="+step), env...)
 	if err := c.Start(); err != nil {
 		t.Fatal(err)
 	}
