repeats: drains, plug-ins that share a store, and its cost in the measurement

Need: a draining daemon's answers to waiting repeats were tested without sockets, the plug-in's shared store and its cost not at all.

Change: TestRepeatsDrain, TestRepeats over two plug-ins, a row "shared" in cmd/measure repeats. Another request under a key waits for the claim only until the key is known to be the first one's, not for that one's end.

--- a/internal/daemon/repeats_shared_test.go
+++ b/internal/daemon/repeats_shared_test.go
@@ -84,6 +84,48 @@
 	})
 }
 
+// A daemon that drains hands each repeat that waits one answer: the first one's, wherever that runs.
+func TestRepeatsDrain(t *testing.T) {
+	for _, where := range []string{"here", "elsewhere"} {
+		t.Run(where, func(t *testing.T) {
+			p := newSlowPay(t)
+			_, at := base.Etcd(t, standin.EtcdOptions{})
+			file := p.file("6s", "20s", fmt.Sprintf(sharedPart, at))
+			a := startFile(t, file)
+			b := a
+			if where == "elsewhere" {
+				b = startFile(t, file)
+			}
+			ends := make(chan string, 10)
+			try := func(r *fileRig) {
+				status, body, _ := pay(t.Context(), r, "/record/1", "k1", "5")
+				ends <- fmt.Sprint(status, body)
+			}
+			go try(a)
+			testkit.Eventually(t, "it runs", func() bool { return p.came.Load() == 1 })
+			for range 5 {
+				go try(b)
+			}
+			testkit.Eventually(t, "its repeats are in hand", func() bool { return b.d.routing.Load().services["pay"].held.Load() >= 5 })
+			b.stop()
+			time.AfterFunc(100*time.Millisecond, func() { p.let <- "paid" })
+			for range 6 {
+				if got := <-ends; got != "200paid" {
+					t.Errorf("%s", got)
+				}
+			}
+			select {
+			case <-b.ended:
+			case <-time.After(testkit.Patience):
+				t.Fatal("it does not end")
+			}
+			if b.err != nil || p.came.Load() != 1 {
+				t.Errorf("%v, %d runs", b.err, p.came.Load())
+			}
+		})
+	}
+}
+
 // The proof with kills: daemons of their own processes, killed at any moment and started again, one whose keys are in a file and two
 // that share them in a store that fails, before nodes that fail too. No payment is recorded twice.
 func TestRepeatsKilledNothingRecordedTwice(t *testing.T) {
--- a/internal/measure/repeats.go
+++ b/internal/measure/repeats.go
@@ -18,11 +18,11 @@
 	"orchiddrift/internal/repeatkeeper"
 	"orchiddrift/internal/repeatlog"
 	"orchiddrift/internal/repeats"
+	"orchiddrift/internal/standin"
 	"orchiddrift/internal/units"
 )
 
-// Repeats prints what a keyed request costs the daemon without a store of keys, with one in memory and with one on the disk, then
-// what such a file holds: bytes a key, and how soon it is read back.
+// Repeats prints what a keyed request costs the daemon without a store of keys, with one in memory, on the disk and shared, then what such a file holds: bytes a key, and how soon it is read back.
 func Repeats(o Options) error {
 	var addresses []string
 	nodes, err := start(role{Part: "nodes", Nodes: 12}, &addresses)
@@ -34,7 +34,12 @@
 		return err
 	}
 	defer os.RemoveAll(dir)
-	kinds := []struct{ name, policy string }{{"no store", ""}, {"in memory", "memory"}, {"on the disk", "disk"}}
+	var etcd string // the stand-in: it syncs nothing
+	shared, err := start(role{Part: "etcd"}, &etcd)
+	if err != nil {
+		return errors.Join(err, nodes.stop())
+	}
+	kinds := []struct{ name, policy string }{{"no store", ""}, {"in memory", "memory"}, {"on the disk", "disk"}, {"shared", "shared"}}
 	w := tabwriter.NewWriter(o.Out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(w, "connections\tstore\tCPU a request\tallocations\trequests a second\tp50\tp99\tCPU ratio\t")
 	for _, connections := range []int{16, 256} {
@@ -42,9 +47,13 @@
 		rates := make([][]float64, len(kinds))
 		for round := range o.Rounds {
 			for i, k := range kinds {
-				f, rate, err := repeatsRound(addresses, k.policy, filepath.Join(dir, fmt.Sprint(connections, "-", round, ".db")), connections, o.Calls)
+				at := filepath.Join(dir, fmt.Sprint(connections, "-", round, ".db"))
+				if k.policy == "shared" {
+					at = etcd
+				}
+				f, rate, err := repeatsRound(addresses, k.policy, at, connections, o.Calls)
 				if err != nil {
-					return errors.Join(err, nodes.stop())
+					return errors.Join(err, nodes.stop(), shared.stop())
 				}
 				all[i], rates[i] = append(all[i], f), append(rates[i], rate)
 			}
@@ -57,7 +66,7 @@
 				f.P50.Round(10*time.Microsecond), f.P99.Round(10*time.Microsecond), float64(f.CPU)/float64(base.CPU))
 		}
 	}
-	if err := errors.Join(w.Flush(), nodes.stop()); err != nil {
+	if err := errors.Join(w.Flush(), nodes.stop(), shared.stop()); err != nil {
 		return err
 	}
 	return repeatsFull(o.Out, filepath.Join(dir, "full.db"))
@@ -120,10 +129,23 @@
 		text += "[[repeats]]\nservice = \"s\"\ntenant_part = 1.0\nbytes = \"64MiB\"\n"
 	case "disk":
 		text += fmt.Sprintf("[[repeats]]\nservice = \"s\"\ntenant_part = 1.0\nbytes = \"64MiB\"\nfile = %q\n", r.Dir)
+	case "shared":
+		text += fmt.Sprintf("[[repeats]]\nservice = \"s\"\ntenant_part = 1.0\nbytes = \"64MiB\"\n[repeats.shared]\nservers = [%q]\nprefix = %q\n", r.Dir, strconv.Itoa(os.Getpid())+"/")
 	}
 	return attendFile([]byte(text))
 }
 
+// serveEtcd is the stand-in of a shared store.
+func serveEtcd() error {
+	e := standin.NewEtcd(standin.EtcdOptions{})
+	at, err := e.Start()
+	if err != nil {
+		return err
+	}
+	defer e.Close()
+	return attend(at)
+}
+
 // repeatsFull fills a file with a million keys, and reads it back.
 func repeatsFull(out io.Writer, path string) error {
 	const n = 1_000_000
--- a/internal/repeatkeeper/keeper.go
+++ b/internal/repeatkeeper/keeper.go
@@ -62,7 +62,7 @@
 
 // Shared is a store of keys that other processes have too: internal/repeatshare's. Times of sends are ages.
 type Shared interface {
-	Claim(ctx context.Context, m repeats.Meeting) (repeatshare.Claim, error)
+	Claim(ctx context.Context, m repeats.Meeting, same func()) (repeatshare.Claim, error)
 	Look(ctx context.Context, m repeats.Meeting) (repeats.Decision, error)
 	Settle(c repeatshare.Claim, id repeats.ID, r *repeats.Record)
 	Abort()
@@ -86,10 +86,10 @@
 }
 
 type flight struct {
-	done    chan struct{}
-	claimed chan struct{} // closed once it is known that it is this process's to run, or with done
-	end     Ended
-	theirs  bool // its end is another process's
+	done   chan struct{}
+	same   chan struct{} // closed once it is known that the key is this request's elsewhere too, or with done
+	end    Ended
+	theirs bool // its end is another process's
 }
 
 // New returns a Keeper, with what its journal holds. Close ends it, and the journal.
@@ -156,7 +156,7 @@
 	var f *flight
 	switch d.Verdict {
 	case repeats.Run:
-		f = &flight{done: make(chan struct{}), claimed: make(chan struct{})}
+		f = &flight{done: make(chan struct{}), same: make(chan struct{})}
 		k.flights[id] = f
 		k.running.Add(1)
 	case repeats.Wait:
@@ -166,10 +166,10 @@
 	case repeats.Conflict:
 		if of := k.flights[id]; of != nil && k.o.Shared != nil {
 			select {
-			case <-of.claimed:
+			case <-of.same:
 			default:
 				k.mu.Unlock()
-				return Result{}, of.claimed
+				return Result{}, of.same
 			}
 		}
 	}
@@ -254,16 +254,17 @@
 	id := m.ID
 	var end Ended
 	var claim repeatshare.Claim
+	same := sync.OnceFunc(func() { close(f.same) })
 	k.step(0)
 	if err := k.write(id); err != nil && k.o.Repeats.DiskError != GoOn {
 		end = Ended{Verdict: repeats.Refuse, RetryIn: storeAgain}
-	} else if claim, err = k.claim(ctx, m); err != nil && !k.o.GoOn {
+	} else if claim, err = k.claim(ctx, m, same); err != nil && !k.o.GoOn {
 		end = Ended{Verdict: repeats.Refuse, RetryIn: storeAgain}
 	} else if claim.Verdict != repeats.Run {
 		f.theirs = true
 		end = Ended{Verdict: claim.Verdict, Answer: claim.Answer}
 	} else {
-		close(f.claimed)
+		same()
 		k.step(1)
 		prior := claim.Prior
 		for i := range prior {
@@ -289,11 +290,7 @@
 	k.mu.Unlock()
 	f.end = end
 	close(f.done)
-	select {
-	case <-f.claimed:
-	default:
-		close(f.claimed)
-	}
+	same()
 	k.step(4)
 	if k.o.Journal == nil {
 		return
@@ -307,7 +304,7 @@
 }
 
 // claim claims a request where processes share their keys; it goes on when its client leaves. Prior times are the Store's again.
-func (k *Keeper) claim(ctx context.Context, m repeats.Meeting) (repeatshare.Claim, error) {
+func (k *Keeper) claim(ctx context.Context, m repeats.Meeting, same func()) (repeatshare.Claim, error) {
 	known := repeatshare.Claim{Decision: repeats.Decision{Prior: m.Prior}}
 	if k.o.Shared == nil {
 		return known, nil
@@ -320,7 +317,7 @@
 	}
 	begun := k.now()
 	m.Prior = aged(begun, m.Prior)
-	c, err := k.o.Shared.Claim(stays, m)
+	c, err := k.o.Shared.Claim(stays, m, same)
 	if err != nil {
 		return known, err
 	}
--- a/internal/repeatshare/repeatshare.go
+++ b/internal/repeatshare/repeatshare.go
@@ -301,9 +301,10 @@
 const mostTries = 32
 
 // Claim claims a request, or tells what else becomes of it; it waits while another process runs it, till ctx's deadline, which is Fail.
-// m's process and skew are the Store's to fill in. An error says that the store could not be asked, and that nothing may be
+// m's process and skew are the Store's to fill in. same is called once the key is known to be this very request's, and no other's:
+// what waits may wait for long. An error says that the store could not be asked, and that nothing may be
 // sent on its word.
-func (s *Store) Claim(ctx context.Context, m repeats.Meeting) (Claim, error) {
+func (s *Store) Claim(ctx context.Context, m repeats.Meeting, same func()) (Claim, error) {
 	if err := s.flush(ctx, m.ID); err != nil {
 		return Claim{}, err
 	}
@@ -370,6 +371,7 @@
 		case repeats.Run:
 			prior, over, was = ages{d.Prior, met}, kvs[0].ModRevision, &rec.Record
 		case repeats.Wait:
+			same()
 			if !s.wait(ctx, at, key, s.ownerKey(rec.Owner), r.Header.Revision+1) {
 				return Claim{Decision: repeats.Decision{Verdict: repeats.Fail}}, nil
 			}
--- a/internal/repeatshare/repeatshare_test.go
+++ b/internal/repeatshare/repeatshare_test.go
@@ -46,7 +46,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 	defer cancel()
-	c, err := s.Claim(ctx, m)
+	c, err := s.Claim(ctx, m, func() {})
 	if err != nil || c.Verdict != want {
 		t.Fatalf("%v: %+v, %v", m.ID, c, err)
 	}
@@ -131,7 +131,7 @@
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 	defer cancel()
-	if c, err := b.Claim(ctx, m); err != nil || c.Verdict != repeats.Fail {
+	if c, err := b.Claim(ctx, m, func() {}); err != nil || c.Verdict != repeats.Fail {
 		t.Errorf("waiting till its deadline: %+v, %v", c, err)
 	}
 }
@@ -148,7 +148,7 @@
 	away := claim(t, a, meeting("away"), repeats.Run)
 	for i, f := range []standin.EtcdFault{standin.EtcdRefuse, standin.EtcdLose, standin.EtcdLate, standin.EtcdHang} {
 		fault.Store(int32(f))
-		if c, err := a.Claim(t.Context(), meeting(i)); err == nil {
+		if c, err := a.Claim(t.Context(), meeting(i), func() {}); err == nil {
 			t.Errorf("fault %d: %+v", f, c)
 		}
 	}
@@ -156,28 +156,28 @@
 	a.Settle(away, id("away"), nil)
 	e.Stop()
 	fault.Store(0)
-	if _, err := a.Claim(t.Context(), meeting(9)); err == nil {
+	if _, err := a.Claim(t.Context(), meeting(9), func() {}); err == nil {
 		t.Error("claimed without a store")
 	}
 	if _, err := e.Start(); err != nil {
 		t.Fatal(err)
 	}
 	base.Eventually(t, "what never ran can be run", func() bool {
-		c, err := a.Claim(t.Context(), meeting("away"))
+		c, err := a.Claim(t.Context(), meeting("away"), func() {})
 		if err == nil && c.Verdict != repeats.Run {
 			t.Fatalf("its end here counts before it is told there: %+v", c)
 		}
 		return err == nil
 	})
 	base.Eventually(t, "the end is told", func() bool {
-		c, err := b.Claim(t.Context(), m)
+		c, err := b.Claim(t.Context(), m, func() {})
 		return err == nil && c.Verdict == repeats.Replay && string(c.Answer.Body) == "paid"
 	})
 	for i := range 4 {
 		base.Eventually(t, "the key is free again", func() bool {
 			ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
 			defer cancel()
-			c, err := b.Claim(ctx, meeting(i))
+			c, err := b.Claim(ctx, meeting(i), func() {})
 			return err == nil && c.Verdict == repeats.Run
 		})
 	}
@@ -197,7 +197,7 @@
 	s := with(ca, "secret")
 	claim(t, s, meeting(0), repeats.Run)
 	for name, s := range map[string]*Store{"another authority": with(strange, "secret"), "another password": with(ca, "guess")} {
-		if c, err := s.Claim(t.Context(), meeting(name)); err == nil {
+		if c, err := s.Claim(t.Context(), meeting(name), func() {}); err == nil {
 			t.Errorf("%s: %+v", name, c)
 		}
 	}
@@ -268,7 +268,7 @@
 					m := meeting(key)
 					m.Window = window
 					ctx, cancel := context.WithTimeout(t.Context(), 150*time.Millisecond)
-					c, err := s.Claim(ctx, m)
+					c, err := s.Claim(ctx, m, func() {})
 					cancel()
 					switch {
 					case err != nil || c.Verdict == repeats.Fail:
--- a/orchidgrpc/door_test.go
+++ b/orchidgrpc/door_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"google.golang.org/genproto/googleapis/rpc/errdetails"
+	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
@@ -242,25 +243,48 @@
 }
 
 // A keyed call that comes again with its key gets the first one's end: while it runs, after it, whoever has left; another call under
-// the key is told so, and one without a key of its own is sent.
+// the key is told so, and one without a key of its own is sent. So it is over two plug-ins that share a store.
 func TestRepeats(t *testing.T) {
+	t.Run("one", func(t *testing.T) { testRepeats(t, 1, "") })
+	t.Run("two", func(t *testing.T) {
+		_, at := base.Etcd(t, standin.EtcdOptions{})
+		testRepeats(t, 2, fmt.Sprintf("[repeats.shared]\nservers = [%q]\n", at))
+	})
+}
+
+func testRepeats(t *testing.T, plugins int, more string) {
 	came, answer := make(chan string, 100), make(chan bool, 100)
 	f := newFleet(t, standin.NodeOptions{Answer: func(j standin.Job) []byte { came <- j.ID; <-answer; return nil }}, standin.NodeOptions{
 		Answer: func(j standin.Job) []byte { came <- j.ID; <-answer; return nil }})
-	file := base.File(t, "o.toml", []byte("[[repeats]]\nservice = \"service\"\ntenant_part = 1.0\n"))
-	conn, _ := f.dial(t, func(o *orchidgrpc.Options) {
-		o.File = file
-		o.Settings.SecondCopies = false
-		for i := range o.Settings.Classes {
-			o.Settings.Classes[i].Deadline, o.Settings.Classes[i].Aim = time.Minute, time.Minute
+	file := base.File(t, "o.toml", []byte("[[repeats]]\nservice = \"service\"\ntenant_part = 1.0\n"+more))
+	var conns []*grpc.ClientConn
+	for range plugins {
+		conn, _ := f.dial(t, func(o *orchidgrpc.Options) {
+			o.File = file
+			o.Settings.SecondCopies = false
+			for i := range o.Settings.Classes {
+				o.Settings.Classes[i].Deadline, o.Settings.Classes[i].Aim = base.Patience, base.Patience
+			}
+		})
+		conns = append(conns, conn)
+	}
+	arrives := func() {
+		t.Helper()
+		select {
+		case <-came:
+		case <-time.After(base.Patience / 2):
+			t.Fatal("no call came to a node")
 		}
-	})
+	}
+	calls := 0
 	type end struct {
 		name string
 		err  error
 	}
 	ends := make(chan end, 10)
 	call := func(ctx context.Context, key string) {
+		calls++
+		conn := conns[calls%plugins]
 		go func() {
 			if key != "" {
 				ctx = metadata.AppendToOutgoingContext(ctx, orchidgrpc.IdempotencyKey, key)
@@ -271,7 +295,7 @@
 	}
 	leaves, leave := context.WithCancel(t.Context())
 	call(leaves, "k")
-	<-came
+	arrives()
 	leave()
 	if e := <-ends; status.Code(e.err) != codes.Canceled {
 		t.Errorf("who left: %v", e)
@@ -287,7 +311,7 @@
 		}
 	}
 	other := metadata.AppendToOutgoingContext(t.Context(), orchidgrpc.IdempotencyKey, "k")
-	if err := conn.Invoke(other, record, wrapperspb.String("another seat"), &wrapperspb.StringValue{}); status.Code(err) != codes.InvalidArgument {
+	if err := conns[0].Invoke(other, record, wrapperspb.String("another seat"), &wrapperspb.StringValue{}); status.Code(err) != codes.InvalidArgument {
 		t.Errorf("another call: %v", err)
 	}
 	if len(came) > 0 {
@@ -296,7 +320,7 @@
 	call(t.Context(), "")
 	call(t.Context(), "")
 	for range 2 {
-		<-came
+		arrives()
 		answer <- true
 		if e := <-ends; e.err != nil {
 			t.Error(e.err)
