--- a/internal/repeatkeeper/keeper.go
+++ b/internal/repeatkeeper/keeper.go
@@ -87,7 +87,7 @@
 
 type flight struct {
 	done   chan struct{}
-	same   chan struct{} // closed once it is known that the key is this request's elsewhere too, or with done
+	same   chan struct{} // where keys are shared: closed once it is known that the key is this request's elsewhere too, or with done
 	end    Ended
 	theirs bool // its end is another process's
 }
@@ -156,7 +156,10 @@
 	var f *flight
 	switch d.Verdict {
 	case repeats.Run:
-		f = &flight{done: make(chan struct{}), same: make(chan struct{})}
+		f = &flight{done: make(chan struct{})}
+		if k.o.Shared != nil {
+			f.same = make(chan struct{})
+		}
 		k.flights[id] = f
 		k.running.Add(1)
 	case repeats.Wait:
@@ -254,11 +257,14 @@
 	id := m.ID
 	var end Ended
 	var claim repeatshare.Claim
-	same := sync.OnceFunc(func() { close(f.same) })
+	same := func() {}
+	if k.o.Shared != nil {
+		same = sync.OnceFunc(func() { close(f.same) })
+	}
 	k.step(0)
 	if err := k.write(id); err != nil && k.o.Repeats.DiskError != GoOn {
 		end = Ended{Verdict: repeats.Refuse, RetryIn: storeAgain}
-	} else if claim, err = k.claim(ctx, m, same); err != nil && !k.o.GoOn {
+	} else if claim, err = k.claimed(ctx, m, same); err != nil && !k.o.GoOn {
 		end = Ended{Verdict: repeats.Refuse, RetryIn: storeAgain}
 	} else if claim.Verdict != repeats.Run {
 		f.theirs = true
@@ -303,12 +309,17 @@
 	}()
 }
 
+// claimed is claim where processes share their keys.
+func (k *Keeper) claimed(ctx context.Context, m repeats.Meeting, same func()) (repeatshare.Claim, error) {
+	if k.o.Shared == nil {
+		return repeatshare.Claim{Decision: repeats.Decision{Prior: m.Prior}}, nil
+	}
+	return k.claim(ctx, m, same)
+}
+
 // claim claims a request where processes share their keys; it goes on when its client leaves. Prior times are the Store's again.
 func (k *Keeper) claim(ctx context.Context, m repeats.Meeting, same func()) (repeatshare.Claim, error) {
 	known := repeatshare.Claim{Decision: repeats.Decision{Prior: m.Prior}}
-	if k.o.Shared == nil {
-		return known, nil
-	}
 	stays := context.WithoutCancel(ctx)
 	if at, ok := ctx.Deadline(); ok {
 		var cancel context.CancelFunc
