orchiddrift load: an open-loop load tool for HTTP/1.1 and gRPC

Change: internal/load (a seeded schedule of phases and classes, senders of HTTP/1.1 and gRPC, retries, HdrHistogram and its log, a verdict on what the limit was) and the command load.

--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,371 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	hdr "github.com/HdrHistogram/hdrhistogram-go"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"orchiddrift/internal/standin"
+	"orchiddrift/internal/testkit/base"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func options(target, rate string, classes ...string) Options {
+	o := Options{Target: target, Connections: 8, Timeout: 5 * time.Second, Seed: 1}
+	o.Phases, _ = ParsePhases(rate, time.Second) // the tests' own
+	if len(classes) == 0 {
+		classes = []string{"GET /"}
+	}
+	for _, text := range classes {
+		c, _ := ParseClass(text)
+		o.Classes = append(o.Classes, c)
+	}
+	return o
+}
+
+func play(t *testing.T, ctx context.Context, o Options, w Watch) *Result {
+	t.Helper()
+	r, err := Run(ctx, o, w)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range r.Classes {
+		sum := int64(0)
+		for _, n := range c.Ends {
+			sum += n
+		}
+		if sum != c.Asked || c.Latency.TotalCount() != c.Ends[OK] || c.Tries > c.Asked*int64(1+o.Retries) {
+			t.Errorf("%s: %d asked, ends %v, %d tries, %d latencies", c.Name, c.Asked, c.Ends, c.Tries, c.Latency.TotalCount())
+		}
+	}
+	return r
+}
+
+// A server that stands still for a second is seen by all who would have come in that second, not by one a connection.
+func TestCoordinatedOmission(t *testing.T) {
+	var mu sync.Mutex
+	var begun time.Time
+	at := base.HTTP(t, nil, func(w http.ResponseWriter, _ *http.Request) {
+		mu.Lock() // one at a time, as in a process that is stopped
+		defer mu.Unlock()
+		if begun.IsZero() {
+			begun = time.Now()
+		}
+		if since := time.Since(begun); since > 500*time.Millisecond && since < 1500*time.Millisecond {
+			time.Sleep(1500*time.Millisecond - since)
+		}
+	})
+	o := options("http://"+at, "200:2s")
+	o.Steady = true
+	r := play(t, t.Context(), o, Watch{})
+	all := r.Total()
+	if all.Asked != 399 || all.Ends[OK] != all.Asked {
+		t.Fatalf("%d asked, %v", all.Asked, all.Ends)
+	}
+	// 200 of 400 came in that second, and waited for what was left of it.
+	slow := int64(0)
+	for _, b := range all.Latency.Distribution() {
+		if b.From > (200 * time.Millisecond).Microseconds() {
+			slow += b.Count
+		}
+	}
+	if slow < 150 || slow > 220 {
+		t.Errorf("%d requests took more than 200 ms, some 160 had to", slow)
+	}
+	if r.Busy < 100 || len(r.Limits()) == 0 || !strings.Contains(strings.Join(r.Limits(), " "), "connections busy") {
+		t.Errorf("%d found all busy; %v", r.Busy, r.Limits())
+	}
+}
+
+// A schedule keeps its rates, its shares and its order, and is the same for the same seed.
+func TestSchedule(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := Options{Steady: rapid.Bool().Draw(t, "steady"), Seed: rapid.Uint64().Draw(t, "seed")}
+		want, length := 0.0, time.Duration(0)
+		for range rapid.IntRange(1, 4).Draw(t, "phases") {
+			p := Phase{float64(rapid.IntRange(0, 2000).Draw(t, "rate")), time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond}
+			o.Phases = append(o.Phases, p)
+			want += p.Rate * p.For.Seconds()
+			length += p.For
+		}
+		o.Classes = []Class{{Share: 3}, {Share: 1}}
+		a, b := NewSchedule(o), NewSchedule(o)
+		n, first, last := 0, 0, time.Duration(0)
+		for {
+			x, ok := a.Next()
+			y, okY := b.Next()
+			if x != y || ok != okY {
+				t.Fatalf("%+v, and with the same seed %+v", x, y)
+			}
+			if !ok {
+				break
+			}
+			n++
+			if x.At < last || x.At >= length || x.N != uint64(n) {
+				t.Fatalf("%+v after %v, of %v", x, last, length)
+			}
+			last = x.At
+			if x.Class == 0 {
+				first++
+			}
+		}
+		if allowed := 5*math.Sqrt(want) + 2; math.Abs(float64(n)-want) > allowed || o.Steady && math.Abs(float64(n)-want) > 2 {
+			t.Fatalf("%d requests, %.0f are to come", n, want)
+		}
+		if math.Abs(float64(first)-0.75*float64(n)) > 5*math.Sqrt(float64(n))/2+2 {
+			t.Fatalf("%d of %d are of a class that has three of four", first, n)
+		}
+	})
+}
+
+// What a server may say, and what comes of it; the next request is sent in any case.
+func TestAnswers(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n"
+	for _, c := range []struct {
+		name, answer string
+		want         Kind
+		again        bool // over the same connection
+	}{
+		{"length", head + "Content-Length: 3\r\n\r\nabc", OK, true},
+		{"chunks", head + "Transfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n0\r\nTrailer: 1\r\n\r\n", OK, true},
+		{"to the end", head + "\r\nabc", OK, false},
+		{"closes", head + "Connection: close\r\nContent-Length: 0\r\n\r\n", OK, false},
+		{"old", "HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n", OK, false},
+		{"no content", "HTTP/1.1 204 No Content\r\n\r\n", OK, true},
+		{"interim", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + head + "Content-Length: 0\r\n\r\n", OK, true},
+		{"refused", "HTTP/1.1 503 S\r\nRetry-After: 7\r\nContent-Length: 0\r\n\r\n", Refused, true},
+		{"too many", "HTTP/1.1 429 T\r\nContent-Length: 0\r\n\r\n", Refused, true},
+		{"rejected", "HTTP/1.1 404 N\r\nContent-Length: 0\r\n\r\n", Rejected, true},
+		{"failed", "HTTP/1.1 502 B\r\nContent-Length: 0\r\n\r\n", Failed, true},
+		{"cut", head + "Content-Length: 9\r\n\r\nabc", Broken, false},
+		{"cut chunk", head + "Transfer-Encoding: chunked\r\n\r\n9\r\nabc", Broken, false},
+		{"bad chunk", head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", Broken, false},
+		{"long chunk", head + "Transfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n", Broken, false},
+		{"two lengths", head + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab", Broken, false},
+		{"a length below 0", head + "Content-Length: -1\r\n\r\n", Broken, false},
+		{"no header", head + "nonsense\r\n\r\n", Broken, false},
+		{"no answer", "SSH-2.0-OpenSSH\r\n", Broken, false},
+		{"a long line", head + "X: " + strings.Repeat("x", 20<<10), Broken, false},
+		{"a long head", head + strings.Repeat("X: "+strings.Repeat("x", 1000)+"\r\n", 70), Broken, false},
+		{"switches", "HTTP/1.1 101 S\r\n\r\n", Broken, false},
+		{"nothing", "", Broken, false},
+	} {
+		conns := atomic.Int64{}
+		raw, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		var wg sync.WaitGroup
+		wg.Go(func() {
+			for {
+				conn, err := raw.Accept()
+				if err != nil {
+					return
+				}
+				conns.Add(1)
+				wg.Go(func() {
+					defer conn.Close()
+					buf := make([]byte, 4096)
+					for {
+						if _, err := conn.Read(buf); err != nil {
+							return
+						}
+						if _, err := io.WriteString(conn, c.answer); err != nil || !c.again {
+							return
+						}
+					}
+				})
+			}
+		})
+		h := newHTTP1(raw.Addr().String(), options("", "1", "CALL /{n}").Classes)
+		for range 2 {
+			if o := h.send(Due{N: 1}, 5*time.Second); o.kind != c.want || c.name == "refused" && o.retryIn != 7*time.Second {
+				t.Errorf("%s: %+v", c.name, o)
+			}
+		}
+		if want := map[bool]int64{true: 1, false: 2}[c.again]; conns.Load() != want {
+			t.Errorf("%s: %d connections", c.name, conns.Load())
+		}
+		h.close()
+		raw.Close()
+		wg.Wait()
+	}
+	rapid.Check(t, func(t *rapid.T) { // whatever comes, it ends
+		noise := append([]byte(rapid.SampledFrom([]string{"", head, head + "Transfer-Encoding: chunked\r\n\r\n"}).Draw(t, "head")), rapid.SliceOf(rapid.Byte()).Draw(t, "noise")...)
+		h := newHTTP1("", nil)
+		h.r.Reset(bytes.NewReader(noise))
+		_, _, _ = h.answer(false)
+	})
+}
+
+// What is refused is tried again when the server says, what breaks only where it is safe; no more wait for that than may, and each
+// request has one end, also where the run is stopped. The log has what the result has.
+func TestRetries(t *testing.T) {
+	var tries, posts atomic.Int64
+	seen := sync.Map{}
+	at := base.HTTP(t, nil, func(w http.ResponseWriter, q *http.Request) {
+		body, _ := io.ReadAll(q.Body)
+		key := q.Header.Get("X-Key") + string(body)
+		n, _ := seen.LoadOrStore(key, new(atomic.Int64))
+		first := n.(*atomic.Int64).Add(1) == 1
+		switch {
+		case strings.HasPrefix(q.URL.Path, "/refuses/"):
+			if tries.Add(1); first {
+				w.Header().Set("Retry-After", "0")
+				w.WriteHeader(503)
+			}
+		case q.URL.Path == "/never":
+			w.WriteHeader(503)
+		case first && (q.URL.Path == "/breaks" || q.URL.Path == "/unsafe"):
+			posts.Add(1)
+			panic(http.ErrAbortHandler)
+		}
+	})
+	o := options("http://"+at, "150", "a=1:POST /refuses/{n}", "b=1:GET /breaks", "c=1:POST /unsafe")
+	o.Retries, o.RetryWait = 2, 20*time.Millisecond
+	for i := range o.Classes {
+		o.Classes[i].Headers = []Header{{"X-Key", o.Classes[i].Name + "{n}"}}
+	}
+	o.Classes[0].Body = []byte("body {n}")
+	var log bytes.Buffer
+	r := play(t, t.Context(), o, Watch{Log: &log})
+	a, b, c := r.Classes[0], r.Classes[1], r.Classes[2]
+	if a.Asked < 20 || a.Ends[OK] != a.Asked || a.Tries != 2*a.Asked || tries.Load() != a.Tries || quantile(a.Latency, 0) < 19*time.Millisecond {
+		t.Errorf("refused: %+v, %d at the server", a, tries.Load())
+	}
+	if b.Ends[OK] != b.Asked {
+		t.Errorf("broken and safe: %+v", b)
+	}
+	if c.Ends[Broken] != c.Asked || c.Tries != c.Asked {
+		t.Errorf("broken and unsafe: %+v", c)
+	}
+	logged := map[string]int64{}
+	reader := hdr.NewHistogramLogReader(&log)
+	for {
+		h, err := reader.NextIntervalHistogram()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if h == nil {
+			break
+		}
+		logged[h.Tag()] += h.TotalCount()
+	}
+	if logged["a"] != a.Ends[OK] || logged["b"] != b.Ends[OK] || logged["c"] != 0 {
+		t.Errorf("logged: %v, %v %v", logged, a.Ends, b.Ends)
+	}
+
+	o = options("http://"+at, "200:1m", "GET /never")
+	o.Retries, o.MostWaiting, o.RetryWait = 50, 10, time.Minute
+	ctx, stop := context.WithCancel(t.Context())
+	most := 0
+	r = play(t, ctx, o, Watch{Progress: func(p Progress) { most = max(most, p.Waiting); stop() }})
+	if !r.Stopped || most != 10 || r.Classes[0].GivenUp < 50 || r.Classes[0].Ends[Refused] != r.Classes[0].Asked {
+		t.Errorf("%d waited at most; %+v", most, r.Classes[0])
+	}
+}
+
+// Calls over gRPC end as they are.
+func TestGRPC(t *testing.T) {
+	n := standin.NewNode(standin.NodeOptions{Name: "n", Cores: 8, Ledger: standin.NewLedger(), Answer: func(standin.Job) []byte { return nil }})
+	t.Cleanup(n.Close)
+	at, err := n.ListenGRPC("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := options("grpc://"+at, "100", "ok=1:CALL /p.S/M", "bad=1:CALL /p.S/M")
+	o.Classes[1].Headers = []Header{{standin.StatusKey, "3"}}
+	r := play(t, t.Context(), o, Watch{})
+	if a, b := r.Classes[0], r.Classes[1]; a.Ends[OK] != a.Asked || b.Ends[Rejected] != b.Asked || a.Asked == 0 {
+		t.Errorf("%+v\n%+v", a, b)
+	}
+	n.Close()
+	o = options("grpc://"+at, "50", "CALL /p.S/M")
+	if r := play(t, t.Context(), o, Watch{}); r.Classes[0].Ends[Broken] != r.Classes[0].Asked {
+		t.Errorf("without a server: %+v", r.Classes[0])
+	}
+}
+
+// It says what was the limit: itself, the connections, or nothing but the server.
+func TestLimits(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		r    Result
+		own  time.Duration
+		want string
+	}{
+		{"the server", Result{Took: time.Second, CPU: time.Second, Cores: 2}, time.Millisecond, ""},
+		{"cores", Result{Took: time.Second, CPU: 1900 * time.Millisecond, Cores: 2}, 0, "this tool used 95%"},
+		{"late", Result{Took: time.Second, Cores: 2}, 5 * time.Millisecond, "more than 5ms late"},
+		{"connections", Result{Took: time.Second, Cores: 2, Busy: 5, Blocked: time.Second / 2}, 0, "all connections busy"},
+		{"handing out", Result{Took: time.Second, Cores: 2, Busy: 5}, 0, "it was the limit"},
+	} {
+		c.r.Own = newHistogram()
+		record(c.r.Own, c.own)
+		c.r.Classes = []ClassResult{{Asked: 100, Latency: newHistogram()}}
+		if got := strings.Join(c.r.Limits(), ";"); c.want == "" && got != "" || !strings.Contains(got, c.want) {
+			t.Errorf("%s: %q", c.name, got)
+		}
+	}
+	var out strings.Builder
+	r := Result{Classes: []ClassResult{{Name: "a", Latency: newHistogram()}, {Name: "b", Latency: newHistogram()}}, Own: newHistogram()}
+	if err := r.Print(&out); err != nil || !strings.Contains(out.String(), "all") {
+		t.Errorf("%v\n%s", err, out.String())
+	}
+}
+
+// What can't be run is told in one line.
+func TestCheck(t *testing.T) {
+	for _, c := range []struct {
+		what   string
+		change func(o *Options)
+	}{
+		{"target", func(o *Options) { o.Target = "ftp://127.0.0.1:1" }},
+		{"missing port", func(o *Options) { o.Target = "http://127.0.0.1" }},
+		{"rate above 0", func(o *Options) { o.Phases = []Phase{{0, time.Second}} }},
+		{"phases", func(o *Options) { o.Phases = nil }},
+		{"connections", func(o *Options) { o.Connections = 0 }},
+		{"classes", func(o *Options) { o.Classes = nil }},
+		{"called", func(o *Options) { o.Classes = append(o.Classes, o.Classes[0]) }},
+		{"time", func(o *Options) { o.Timeout = 0 }},
+		{"retries", func(o *Options) { o.Retries = -1 }},
+	} {
+		o := options("http://127.0.0.1:1", "1")
+		c.change(&o)
+		if err := o.Check(); err == nil || !strings.Contains(err.Error(), c.what) {
+			t.Errorf("%s: %v", c.what, err)
+		}
+	}
+	for _, text := range []string{"x", "-1", "1:", "1:-1s", "1:x", "1e9", "NaN"} {
+		if p, err := ParsePhases(text, time.Second); err == nil {
+			t.Errorf("rate %q: %v", text, p)
+		}
+	}
+	for _, text := range []string{"", "GET", "GET x", "a=0:GET /", "a=x:GET /", "GET /a b", "GET /\r\nX: y"} {
+		if c, err := ParseClass(text); err == nil {
+			t.Errorf("class %q: %+v", text, c)
+		}
+	}
+	for _, text := range []string{"", "x", ": y", "a b: c", "a: b\r\nc: d"} {
+		if h, err := ParseHeader(text); err == nil {
+			t.Errorf("header %q: %v", text, h)
+		}
+	}
+	if c, err := ParseClass("search=3:GET /search?q=a=1:2"); err != nil || fmt.Sprint(c) != fmt.Sprint(Class{Name: "search", Share: 3, Method: "GET", Path: "/search?q=a=1:2"}) {
+		t.Errorf("%+v, %v", c, err)
+	}
+}
