--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -84,6 +84,10 @@
 
 func (c repeatsCmd) Run() error { return measure.Repeats(c.options.options()) }
 
+type loadCmd struct{ options }
+
+func (c loadCmd) Run() error { return measure.Load(c.options.options()) }
+
 type grpcCmd struct{ options }
 
 func (c grpcCmd) Run() error { return measure.GRPC(c.options.options()) }
@@ -108,7 +112,8 @@
 		Fleet    fleetCmd    `cmd:"" help:"Fleets of 10 to 200 sidecars before 5,000 nodes, in virtual time."`
 		Probes   probesCmd   `cmd:"" help:"Whether probes would help sidecars that send little."`
 		GraphQL  graphqlCmd  `cmd:"" name:"graphql" help:"GraphQL operations beside plain requests, and beside a random choice of nodes."`
-		Repeats  repeatsCmd  `cmd:"" help:"Keyed requests without a store of keys, with one in memory and with one on the disk."`
+		Repeats  repeatsCmd  `cmd:"" help:"Keyed requests without a store of keys, with one in memory, on the disk and shared."`
+		Load     loadCmd     `cmd:"" help:"The load tool beside a plain net/http client, and its own lateness by rate."`
 		GRPC     grpcCmd     `cmd:"" name:"grpc" help:"The plug-in beside grpc-go's balancers."`
 	}
 	ctx := kong.Parse(&cli, kong.Name("measure"), kong.UsageOnError())
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -79,23 +79,3 @@
 		}
 	}
 }
-
-// Guards against quantiles that are off by more than a bucket.
-func TestQuantiles(t *testing.T) {
-	var q quantiles
-	if q.at(0.5) != 0 {
-		t.Errorf("of nothing: %v", q.at(0.5))
-	}
-	for i := range 1000 {
-		q.add(time.Duration(i+1) * time.Millisecond)
-	}
-	for p, want := range map[float64]time.Duration{0.5: 500 * time.Millisecond, 0.99: 990 * time.Millisecond} {
-		if got := q.at(p); got < want || float64(got) > 1.1*float64(want) {
-			t.Errorf("quantile %v is %v, want %v", p, got, want)
-		}
-	}
-	q.add(24 * time.Hour)
-	if q.at(1) < time.Minute {
-		t.Errorf("the largest is %v", q.at(1))
-	}
-}
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -8,6 +8,9 @@
 	"sync"
 	"time"
 
+	hdr "github.com/HdrHistogram/hdrhistogram-go"
+
+	lab "orchiddrift/internal/load"
 	"orchiddrift/internal/standin"
 )
 
@@ -51,15 +54,15 @@
 type load struct {
 	front front
 	o     Options
-	took  quantiles
 
 	mu    sync.Mutex
 	asked int
+	took  *hdr.Histogram
 	by    [results]int
 	out   int
 }
 
-func newLoad(f front, o Options) *load { return &load{front: f, o: o} }
+func newLoad(f front, o Options) *load { return &load{front: f, o: o, took: lab.NewHistogram()} }
 
 // run asks until ctx ends, then waits for the answers. Both sides draw the same arrivals, classes and work.
 func (l *load) run(ctx context.Context, begun time.Time) {
@@ -109,11 +112,11 @@
 	if end == inTime && took > r.class.aim {
 		end = late
 	}
-	if end == inTime || end == late {
-		l.took.add(took)
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if end == inTime || end == late {
+		lab.Record(l.took, took)
+	}
 	l.by[end]++
 	l.out--
 }
@@ -121,5 +124,6 @@
 func (l *load) total() Count {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return Count{Asked: l.asked, By: l.by, P50: l.took.at(0.5), P95: l.took.at(0.95), P99: l.took.at(0.99)}
+	return Count{Asked: l.asked, By: l.by, P50: lab.Quantile(l.took, 50), P95: lab.Quantile(l.took, 95),
+		P99: lab.Quantile(l.took, 99)}
 }
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -244,7 +244,7 @@
 	var log bytes.Buffer
 	r := play(t, t.Context(), o, Watch{Log: &log})
 	a, b, c := r.Classes[0], r.Classes[1], r.Classes[2]
-	if a.Asked < 20 || a.Ends[OK] != a.Asked || a.Tries != 2*a.Asked || tries.Load() != a.Tries || quantile(a.Latency, 0) < 19*time.Millisecond {
+	if a.Asked < 20 || a.Ends[OK] != a.Asked || a.Tries != 2*a.Asked || tries.Load() != a.Tries || Quantile(a.Latency, 0) < 19*time.Millisecond {
 		t.Errorf("refused: %+v, %d at the server", a, tries.Load())
 	}
 	if b.Ends[OK] != b.Asked {
@@ -314,15 +314,15 @@
 		{"connections", Result{Took: time.Second, Cores: 2, Busy: 5, Blocked: time.Second / 2}, 0, "all connections busy"},
 		{"handing out", Result{Took: time.Second, Cores: 2, Busy: 5}, 0, "it was the limit"},
 	} {
-		c.r.Own = newHistogram()
-		record(c.r.Own, c.own)
-		c.r.Classes = []ClassResult{{Asked: 100, Latency: newHistogram()}}
+		c.r.Own = NewHistogram()
+		Record(c.r.Own, c.own)
+		c.r.Classes = []ClassResult{{Asked: 100, Latency: NewHistogram()}}
 		if got := strings.Join(c.r.Limits(), ";"); c.want == "" && got != "" || !strings.Contains(got, c.want) {
 			t.Errorf("%s: %q", c.name, got)
 		}
 	}
 	var out strings.Builder
-	r := Result{Classes: []ClassResult{{Name: "a", Latency: newHistogram()}, {Name: "b", Latency: newHistogram()}}, Own: newHistogram()}
+	r := Result{Classes: []ClassResult{{Name: "a", Latency: NewHistogram()}, {Name: "b", Latency: NewHistogram()}}, Own: NewHistogram()}
 	if err := r.Print(&out); err != nil || !strings.Contains(out.String(), "all") {
 		t.Errorf("%v\n%s", err, out.String())
 	}
@@ -369,3 +369,24 @@
 		t.Errorf("%+v, %v", c, err)
 	}
 }
+
+// Quantiles are off by a thousandth at most, and what is beyond the bounds counts at them.
+func TestQuantile(t *testing.T) {
+	h := NewHistogram()
+	if Quantile(h, 50) != 0 {
+		t.Errorf("of nothing: %v", Quantile(h, 50))
+	}
+	for i := range 1000 {
+		Record(h, time.Duration(i+1)*time.Millisecond)
+	}
+	for percent, want := range map[float64]float64{50: 500, 95: 950, 99: 990, 100: 1000} {
+		if got := Quantile(h, percent).Seconds() * 1000; math.Abs(got-want) > want/1000 {
+			t.Errorf("%v%%: %v ms, want %v", percent, got, want)
+		}
+	}
+	Record(h, -time.Second)
+	Record(h, 24*time.Hour)
+	if Quantile(h, 0) > time.Millisecond || Quantile(h, 100) < time.Hour-10*time.Second || h.TotalCount() != 1002 {
+		t.Errorf("%v to %v", Quantile(h, 0), Quantile(h, 100))
+	}
+}
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -24,7 +24,7 @@
 
 // Total is all classes together, under no name.
 func (r *Result) Total() ClassResult {
-	t := ClassResult{Name: "all", Latency: newHistogram()}
+	t := ClassResult{Name: "all", Latency: NewHistogram()}
 	for _, c := range r.Classes {
 		t.Asked += c.Asked
 		t.Tries += c.Tries
@@ -48,7 +48,7 @@
 func (r *Result) Limits() (all []string) {
 	t := r.Total()
 	used := r.CPU.Seconds() / max(r.Took.Seconds(), 1e-9) / float64(max(r.Cores, 1))
-	own := quantile(r.Own, 99)
+	own := Quantile(r.Own, 99)
 	if used > mostCPU {
 		all = append(all, fmt.Sprintf("this tool used %.0f%% of its %d cores: it, not the server, was the limit", 100*used, r.Cores))
 	}
@@ -108,7 +108,7 @@
 }
 
 func rounded(h *hdr.Histogram, percent float64) time.Duration {
-	d := quantile(h, percent)
+	d := Quantile(h, percent)
 	if d > 10*time.Millisecond {
 		return d.Round(100 * time.Microsecond)
 	}
@@ -154,7 +154,7 @@
 
 // Summary sums it up.
 func (r *Result) Summary() Summary {
-	s := Summary{Target: r.Target, Seconds: r.Took.Seconds(), Stopped: r.Stopped, Busy: r.Busy, OwnP99: quantile(r.Own, 99).Microseconds(),
+	s := Summary{Target: r.Target, Seconds: r.Took.Seconds(), Stopped: r.Stopped, Busy: r.Busy, OwnP99: Quantile(r.Own, 99).Microseconds(),
 		CPUSeconds: r.CPU.Seconds(), Cores: r.Cores, Limits: r.Limits()}
 	for _, c := range append(append([]ClassResult(nil), r.Classes...), r.Total()) {
 		of := ClassSummary{Name: c.Name, Asked: c.Asked, Tries: c.Tries, GivenUp: c.GivenUp, Ends: map[string]int64{}, Latency: map[string]int64{}}
@@ -162,7 +162,7 @@
 			of.Ends[Kind(k).String()] = n
 		}
 		for _, p := range percents {
-			of.Latency[fmt.Sprintf("p%v", p)] = quantile(c.Latency, p).Microseconds()
+			of.Latency[fmt.Sprintf("p%v", p)] = Quantile(c.Latency, p).Microseconds()
 		}
 		s.Classes = append(s.Classes, of)
 	}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -14,19 +14,6 @@
 	hdr "github.com/HdrHistogram/hdrhistogram-go"
 )
 
-// Histograms are of microseconds, from 1 us to an hour, to three digits.
-const (
-	leastMicros = 1
-	mostMicros  = int64(time.Hour / time.Microsecond)
-	digits      = 3
-)
-
-func newHistogram() *hdr.Histogram { return hdr.New(leastMicros, mostMicros, digits) }
-
-func record(h *hdr.Histogram, d time.Duration) {
-	_ = h.RecordValue(min(max(d.Microseconds(), leastMicros), mostMicros)) // it is within the bounds
-}
-
 // ClassResult is what came of a class.
 type ClassResult struct {
 	Name     string
@@ -116,9 +103,9 @@
 		return nil, err
 	}
 	u, _ := url.Parse(o.Target) // checked
-	r := &run{o: o, own: newHistogram(), recent: newHistogram(), wake: make(chan struct{}, 1)}
+	r := &run{o: o, own: NewHistogram(), recent: NewHistogram(), wake: make(chan struct{}, 1)}
 	for _, c := range o.Classes {
-		r.classes = append(r.classes, ClassResult{Name: c.Name, Latency: newHistogram(), interval: newHistogram()})
+		r.classes = append(r.classes, ClassResult{Name: c.Name, Latency: NewHistogram(), interval: NewHistogram()})
 	}
 	senders := make([]sender, o.Connections)
 	for i := range senders {
@@ -258,7 +245,7 @@
 			r.classes[x.due.Class].Asked++
 			r.last.Asked++
 			if x.due.At >= held {
-				record(r.own, late)
+				Record(r.own, late)
 			} else if late > time.Millisecond {
 				r.busy++
 			}
@@ -291,9 +278,9 @@
 		c.Ends[o.kind]++
 		r.last.Ends[o.kind]++
 		if o.kind == OK {
-			record(c.Latency, now-x.first)
-			record(c.interval, now-x.first)
-			record(r.recent, now-x.first)
+			Record(c.Latency, now-x.first)
+			Record(c.interval, now-x.first)
+			Record(r.recent, now-x.first)
 		}
 	}
 	r.mu.Unlock()
@@ -321,7 +308,7 @@
 		r.mu.Lock()
 		p := r.last
 		p.At, p.InFlight, p.Waiting = time.Since(r.begun), int(r.open.Load()), len(r.waiting)
-		p.P50, p.P99 = quantile(r.recent, 50), quantile(r.recent, 99)
+		p.P50, p.P99 = Quantile(r.recent, 50), Quantile(r.recent, 99)
 		r.last = Progress{}
 		r.recent.Reset()
 		var logged []*hdr.Histogram
@@ -364,10 +351,3 @@
 	}
 	return out.OutputLegend()
 }
-
-func quantile(h *hdr.Histogram, percent float64) time.Duration {
-	if h.TotalCount() == 0 {
-		return 0
-	}
-	return time.Duration(h.ValueAtPercentile(percent)) * time.Microsecond
-}
--- a/internal/measure/roles.go
+++ b/internal/measure/roles.go
@@ -96,6 +96,8 @@
 		return true, r.serveGraphQLDaemon()
 	case "repeatsdaemon":
 		return true, r.serveRepeatsDaemon()
+	case "instant":
+		return true, serveInstant()
 	case "etcd":
 		return true, serveEtcd()
 	case "client":
