fleetsim: other policies, faults by time, clients that try again, rules checked

Each run checks that requests have one answer, that nothing unsafe runs twice and nothing goes to a leaving node.

--- a/internal/fleetsim/fleetsim.go
+++ b/internal/fleetsim/fleetsim.go
@@ -45,6 +45,14 @@
 	Latent bool                // answers to those tell no latency
 	Probes *Probes             // in place of the module; nil: the module chooses
 
+	Policy  func(rng *rand.Rand) Policy // in place of the module; nil: the module chooses
+	Tries   int                         // of a Policy's request, on nodes that it picks anew, where it is proved not to have run or is safe
+	Faults  []Fault
+	Steps   []Step    // of the rate; none: Rate all the time
+	Mix     []float64 // shares of Settings.Classes; absent: the first alone
+	Clients Clients
+	Series  time.Duration // what Result.Points are for; 0: there are none
+
 	RestartAt   time.Duration // so that a part of the nodes restarts, spread over RestartOver; 0: none
 	RestartOver time.Duration
 	RestartPart float64
@@ -74,6 +82,10 @@
 	Decisions                         int     // calls of the modules
 	Probes                            int     // sent
 	P50, P99                          time.Duration
+	Operations, Done, Sends           int // what clients wanted, what of it was served, and all that was sent to nodes
+	Points                            []Point
+	Violations                        int // of rules that must always hold, and the first of them
+	Broken                            []string
 }
 
 type node struct {
@@ -96,6 +108,11 @@
 	work      time.Duration
 	asked     int
 	open, top int
+	faults    []*Fault
+	util      Report
+	busyFrom  time.Duration // of the second that util is counted in
+	busyTime  time.Duration
+	answers   int
 	recent    float64 // work that came, forgotten over FallTime, s
 	recentAt  time.Duration
 	overSince time.Duration
@@ -104,7 +121,10 @@
 type sidecar struct {
 	index int
 	zone  string
+	home  *node // of its zone: a cut is its own too
 	b     *balancer.Balancer
+	p     Policy          // nil: the module chooses
+	leave map[string]bool // told to be leaving or gone
 	s     *subset.Subset
 	asked map[string]*request
 	conns map[*node]*pool
@@ -134,6 +154,8 @@
 	expires  time.Duration
 	attempts []*attempt
 	done     bool
+	op       *operation
+	ran      int // times that it ran to its end
 }
 
 type attempt struct {
@@ -157,6 +179,7 @@
 	out      Result
 	ids      int
 	took     []time.Duration
+	none     Point
 	openSum  float64
 	openN    int
 }
@@ -211,11 +234,14 @@
 		s.After(time.Duration(s.rng.Int64N(int64(sweep))), func() { s.sweep(c) })
 	}
 	s.restarts()
+	s.faults()
 	for _, z := range r.Sizes {
 		s.At(virtual.Origin+z.At, func() { s.resize(z.Nodes) })
 	}
 	s.sample()
 	s.Run(r.Length)
+	s.closePoint()
+	s.check()
 	s.sum()
 	return &s.out, nil
 }
@@ -232,8 +258,11 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &sidecar{index: i, zone: zone, b: b, asked: map[string]*request{}, conns: map[*node]*pool{},
+	c := &sidecar{index: i, zone: zone, b: b, asked: map[string]*request{}, conns: map[*node]*pool{}, leave: map[string]bool{}, home: s.nodes[i%s.r.Zones],
 		rng: rand.New(rand.NewPCG(s.r.Seed, uint64(i)))}
+	if s.r.Policy != nil {
+		c.p = s.r.Policy(rand.New(rand.NewPCG(s.r.Seed, uint64(i)+3<<32)))
+	}
 	if s.r.Subset.On {
 		o := s.r.Subset
 		if o.Index = -1; s.r.Known {
@@ -307,7 +336,8 @@
 				c.probe.Add(e.Name)
 			}
 		}
-		if s.r.Probes != nil {
+		c.leave[e.Name] = member.State != balancer.Active
+		if s.r.Probes != nil || c.p != nil {
 			c.own = slices.DeleteFunc(c.own, func(name string) bool { return name == e.Name })
 			if member.State == balancer.Active {
 				c.own = append(c.own, e.Name)
@@ -320,6 +350,10 @@
 			}
 		}
 	}
+	if c.p != nil {
+		c.p.Members(c.own)
+		return
+	}
 	s.module(c, m)
 }
 
@@ -398,20 +432,43 @@
 func (s *sim) traffic(c *sidecar, rate float64) {
 	var next func()
 	next = func() {
-		s.ask(c)
-		s.After(time.Duration(c.rng.ExpFloat64()/rate*float64(time.Second)), next)
+		now := s.rate()
+		if now > 0 {
+			s.ask(c)
+		}
+		s.After(time.Duration(c.rng.ExpFloat64()/rate/max(now, 0.01)*float64(time.Second)), next)
 	}
 	s.After(time.Duration(c.rng.ExpFloat64()/rate*float64(time.Second)), next)
 }
 
 func (s *sim) ask(c *sidecar) {
+	op := &operation{came: s.Now()}
+	if len(s.r.Mix) > 1 {
+		for x := c.rng.Float64(); op.class < len(s.r.Mix)-1; op.class++ {
+			if x -= s.r.Mix[op.class]; x < 0 {
+				break
+			}
+		}
+	}
+	op.work = time.Duration(c.rng.ExpFloat64() * float64(s.r.Work))
+	s.out.Operations++
+	s.point().Operations++
+	s.request(c, op)
+}
+
+// request is one of an operation's.
+func (s *sim) request(c *sidecar, op *operation) {
 	s.ids++
-	class := &s.r.Settings.Classes[0]
-	q := &request{id: strconv.Itoa(s.ids), work: time.Duration(c.rng.ExpFloat64() * float64(s.r.Work)), came: s.Now(),
-		expires: s.Now() + class.Deadline}
+	class := &s.r.Settings.Classes[op.class]
+	q := &request{id: strconv.Itoa(s.ids), work: op.work, came: s.Now(), expires: s.Now() + class.Deadline, op: op}
 	c.asked[q.id] = q
 	c.sent++
 	s.out.Requests++
+	s.point().Asked++
+	if c.p != nil {
+		s.choose(c, q)
+		return
+	}
 	if s.r.Probes != nil {
 		s.probed(c, q)
 		return
@@ -468,9 +525,9 @@
 				s.After(0, func() { s.outcome(a, balancer.Cancelled) })
 			}
 		case balancer.Refuse:
-			s.answer(c, x.ID, &s.out.Refused)
+			s.answer(c, x.ID, &s.out.Refused, x.RetryIn)
 		case balancer.Fail:
-			s.answer(c, x.ID, &s.out.Failed)
+			s.answer(c, x.ID, &s.out.Failed, 0)
 		case balancer.SetTimer:
 			at := x.At
 			c.timer = at
@@ -484,11 +541,12 @@
 	}
 }
 
-func (s *sim) answer(c *sidecar, id string, count *int) {
+func (s *sim) answer(c *sidecar, id string, count *int, retryIn time.Duration) {
 	if q := c.asked[id]; q != nil && !q.done {
 		q.done = true
 		*count++
 		delete(c.asked, id)
+		s.ended(c, q, count, retryIn)
 	}
 }
 
@@ -501,6 +559,11 @@
 	n := s.byName[x.Upstream]
 	a := &attempt{of: q, by: c, number: len(q.attempts), node: n, sent: s.Now()}
 	q.attempts = append(q.attempts, a)
+	s.out.Sends++
+	s.point().Sends++
+	if c.leave[n.name] {
+		s.broken("sent to " + n.name + " after it was told to be leaving")
+	}
 	limit := q.expires - s.Now()
 	if x.Timeout > 0 {
 		limit = min(limit, x.Timeout)
@@ -541,7 +604,7 @@
 
 func (s *sim) arrive(a *attempt) {
 	n := a.node
-	if a.ended {
+	if a.ended || a.by.cut(n) {
 		return
 	}
 	if !n.up {
@@ -549,9 +612,18 @@
 		return
 	}
 	n.asked++
+	switch {
+	case n.has(TurnAway) != nil:
+		s.after(wire/2, a, balancer.Overloaded)
+		return
+	case n.has(Errors) != nil:
+		s.ran(a)
+		s.after(wire/2, a, balancer.ServerError)
+		return
+	}
 	s.pushed(n, a.of.work)
 	if len(n.queue) >= nodeQueue {
-		s.After(wire/2, func() { s.outcome(a, balancer.Overloaded) })
+		s.after(wire/2, a, balancer.Overloaded)
 		return
 	}
 	n.queue = append(n.queue, a)
@@ -584,7 +656,7 @@
 }
 
 func (s *sim) work(n *node) {
-	for !n.busy && len(n.queue) > 0 {
+	for !n.busy && len(n.queue) > 0 && n.has(Freeze) == nil {
 		a := n.queue[0]
 		n.queue[0] = nil
 		n.queue = n.queue[1:]
@@ -592,19 +664,30 @@
 			continue
 		}
 		took := time.Duration(float64(a.of.work+n.owed) / s.capacity(n) / n.speed)
+		if f := n.has(Slow); f != nil {
+			took = time.Duration(float64(took) * f.Factor)
+		}
 		n.owed = 0
 		n.busy, n.running = true, a
 		epoch := n.epoch
-		s.After(took, func() {
+		var over func()
+		over = func() {
 			if n.epoch != epoch {
 				return // it was reset
 			}
+			if f := n.has(Freeze); f != nil {
+				s.At(max(s.Now()+time.Millisecond, virtual.Origin+f.At+f.For), over)
+				return
+			}
+			s.worked(n, took)
+			s.ran(a)
 			n.busy, n.running = false, nil
 			n.work += a.of.work
 			n.took += ((s.Now() - a.sent).Seconds() - n.took) * tookBlend
-			s.After(wire/2, func() { s.outcome(a, balancer.OK) })
+			s.after(wire/2, a, balancer.OK)
 			s.work(n)
-		})
+		}
+		s.After(took, over)
 	}
 }
 
@@ -625,11 +708,15 @@
 	}
 	if r == balancer.OK && !q.done {
 		s.took = append(s.took, s.Now()-q.came)
-		s.answer(c, q.id, &s.out.Served)
+		s.answer(c, q.id, &s.out.Served, 0)
+	}
+	if c.p != nil {
+		s.chosen(c, q, a, r)
+		return
 	}
 	if s.r.Probes != nil {
 		if r != balancer.OK {
-			s.answer(c, q.id, &s.out.Failed)
+			s.answer(c, q.id, &s.out.Failed, 0)
 		}
 		return
 	}
--- a/internal/fleetsim/probes.go
+++ b/internal/fleetsim/probes.go
@@ -25,7 +25,7 @@
 // probed has a request choose by probes.
 func (s *sim) probed(c *sidecar, q *request) {
 	if len(c.own) == 0 {
-		s.answer(c, q.id, &s.out.Refused)
+		s.answer(c, q.id, &s.out.Refused, 0)
 		return
 	}
 	s.After(wire, func() { // there and back
