lab: experiments from a file, six policies beside ours, results that resume, reports

Change: internal/lab (the file, a runner on all cores whose output is the same bytes on any number of them and after a stop, tables with medians and bootstrap intervals, a comparison), orchiddrift lab run, report and compare, ten experiments in lab/. Prequal's nodes tell latencies by requests in hand, as its paper has it. A run that breaks a rule, panics or hangs is told of and fails the command.

--- /dev/null
+++ b/cmd/orchiddrift/lab.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"syscall"
+	"time"
+
+	"orchiddrift/internal/lab"
+)
+
+type labCmd struct {
+	Run     labRunCmd     `cmd:"" help:"Play an experiment's policies and seeds, in virtual time."`
+	Report  labReportCmd  `cmd:"" help:"Print what runs came to."`
+	Compare labCompareCmd `cmd:"" help:"Say what differs beyond chance between two files of results, and fail where it is worse than bounds allow."`
+}
+
+type labRunCmd struct {
+	File  string        `arg:"" type:"existingfile" help:"An experiment, as in lab/."`
+	Out   string        `help:"Where results go, a JSON line a run; runs that it has are not played again. Absent: the experiment's name, .jsonl."`
+	Cores int           `help:"Runs at once. Absent: as there are cores."`
+	Limit time.Duration `default:"10m" help:"For one run."`
+}
+
+// Run is kong's.
+func (c *labRunCmd) Run() error {
+	e, err := lab.LoadFile(c.File)
+	if err != nil {
+		return err
+	}
+	path := c.Out
+	if path == "" {
+		path = strings.TrimSuffix(filepath.Base(c.File), filepath.Ext(c.File)) + ".jsonl"
+	}
+	cores := c.Cores
+	if cores <= 0 {
+		cores = runtime.GOMAXPROCS(0)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	n := lab.Runner{Cores: cores, Limit: c.Limit, Version: version, Told: func(done, all int, l lab.Line) {
+		word := l.Error
+		if l.Result != nil {
+			word = fmt.Sprintf("%d of %d served, p99 %v", l.Result.Done, l.Result.Operations, l.Result.P99.Round(100*time.Microsecond))
+		}
+		fmt.Fprintf(os.Stderr, "%d/%d  %s, seed %d: %s\n", done, all, l.Policy, l.Seed, word)
+	}}
+	if err := n.Run(ctx, e, path); err != nil {
+		if errors.Is(err, context.Canceled) {
+			return fmt.Errorf("stopped; the same command goes on from what %s has", path)
+		}
+		return err
+	}
+	return report(path)
+}
+
+// report prints a file's table; what no run may have is an error.
+func report(path string) error {
+	head, lines, err := lab.Read(path)
+	if err != nil {
+		return err
+	}
+	if err := lab.Report(os.Stdout, head, lines); err != nil {
+		return err
+	}
+	if t := lab.Troubles(lines); len(t) > 0 {
+		return fmt.Errorf("%d runs failed or broke a rule", len(t))
+	}
+	return nil
+}
+
+type labReportCmd struct {
+	Results []string `arg:"" type:"existingfile" help:"Files of results."`
+}
+
+// Run is kong's.
+func (c *labReportCmd) Run() error {
+	var all error
+	for _, path := range c.Results {
+		all = errors.Join(all, report(path))
+	}
+	return all
+}
+
+type labCompareCmd struct {
+	Before string  `arg:"" type:"existingfile" help:"Results to hold against."`
+	After  string  `arg:"" type:"existingfile" help:"Results of the same experiment."`
+	Worse  float64 `default:"0.05" help:"The part by which a figure of ours may be worse."`
+}
+
+// Run is kong's.
+func (c *labCompareCmd) Run() error {
+	a, before, err := lab.Read(c.Before)
+	if err != nil {
+		return err
+	}
+	b, after, err := lab.Read(c.After)
+	if err != nil {
+		return err
+	}
+	if a.Hash != b.Hash {
+		return fmt.Errorf("%s and %s are of different experiments", c.Before, c.After)
+	}
+	bad := 0
+	all := lab.Compare(before, after, a.Policies)
+	for _, d := range all {
+		word := "better"
+		if d.Worse > 0 {
+			word = "worse"
+		}
+		if d.Policy == lab.Ours && d.Worse > c.Worse {
+			bad, word = bad+1, "TOO MUCH WORSE"
+		}
+		fmt.Printf("%s, %s: %.4g, %.4g before (by %.4g to %.4g): %s\n", d.Policy, d.Figure, d.After, d.Before, d.Low, d.High, word)
+	}
+	if len(all) == 0 {
+		fmt.Println("nothing differs beyond chance")
+	}
+	if bad > 0 {
+		return fmt.Errorf("%d figures of %s are worse by more than %g", bad, lab.Ours, c.Worse)
+	}
+	return nil
+}
--- a/cmd/orchiddrift/main.go
+++ b/cmd/orchiddrift/main.go
@@ -15,6 +15,7 @@
 	Check   checkCmd   `cmd:"" help:"Say whether a configuration can be used, and all that is wrong with it."`
 	Config  configCmd  `cmd:"" help:"Print an operator's file: an example, or what one comes to."`
 	Demo    demoCmd    `cmd:"" help:"Show the main job on a fleet of stand-in nodes, beside plain random choice."`
+	Lab     labCmd     `cmd:"" help:"Play experiments on a fleet in virtual time: policies beside each other, through faults."`
 	Load    loadCmd    `cmd:"" help:"Send requests to an HTTP/1.1 or gRPC server at a rate, and tell how long they take."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
--- a/internal/fleetsim/choose.go
+++ b/internal/fleetsim/choose.go
@@ -1,6 +1,7 @@
 package fleetsim
 
 import (
+	"slices"
 	"time"
 
 	"orchiddrift/balancer"
@@ -24,7 +25,7 @@
 		n.owed += probeWork
 		s.After(wire, func() {
 			if n.up {
-				c.p.Probed(s.Now(), ProbeReply{name, time.Duration(n.took * float64(time.Second)), n.report(s.Now())})
+				c.p.Probed(s.Now(), ProbeReply{name, n.latency(), n.report(s.Now())})
 			}
 		})
 	}
@@ -76,6 +77,43 @@
 	n.answers++
 }
 
+// recent latencies of a number in hand.
+type recentLatencies struct {
+	last [latenciesKept]time.Duration
+	n    int
+}
+
+const (
+	latenciesKept = 8
+	mostInHand    = 64 // beyond, as this
+)
+
+// keepLatency notes how long a request took that found so many in hand.
+func (n *node) keepLatency(found int, took time.Duration) {
+	if n.latencies == nil {
+		n.latencies = make([]recentLatencies, mostInHand)
+	}
+	r := &n.latencies[min(found, mostInHand-1)]
+	r.last[r.n%latenciesKept] = took
+	r.n++
+}
+
+// latency is what a request takes with as many in hand as now, as Prequal's servers tell it: the median of the last ones that found as many, or
+// nearly as many, there.
+func (n *node) latency() time.Duration {
+	now := min(n.inHand(), mostInHand-1)
+	for off := range len(n.latencies) {
+		for _, i := range []int{now - off, now + off} {
+			if i >= 0 && i < len(n.latencies) && n.latencies[i].n > 0 {
+				r := n.latencies[i]
+				x := slices.Sorted(slices.Values(r.last[:min(r.n, latenciesKept)]))
+				return x[len(x)/2]
+			}
+		}
+	}
+	return 0
+}
+
 // roll takes a second's counts over into the report.
 func (n *node) roll(now time.Duration) {
 	if passed := now - n.busyFrom; passed >= time.Second {
--- a/internal/fleetsim/fleetsim.go
+++ b/internal/fleetsim/fleetsim.go
@@ -110,7 +110,8 @@
 	open, top int
 	faults    []*Fault
 	util      Report
-	busyFrom  time.Duration // of the second that util is counted in
+	latencies []recentLatencies // by requests in hand that were found
+	busyFrom  time.Duration     // of the second that util is counted in
 	busyTime  time.Duration
 	answers   int
 	recent    float64 // work that came, forgotten over FallTime, s
@@ -166,6 +167,8 @@
 	sent   time.Duration
 	ended  bool
 	conn   bool // it holds a connection
+	found  int  // in hand at its node
+	in     time.Duration
 }
 
 type sim struct {
@@ -626,6 +629,7 @@
 		s.after(wire/2, a, balancer.Overloaded)
 		return
 	}
+	a.found, a.in = n.inHand(), s.Now()
 	n.queue = append(n.queue, a)
 	s.work(n)
 }
@@ -680,6 +684,9 @@
 				return
 			}
 			s.worked(n, took)
+			if s.r.Policy != nil {
+				n.keepLatency(a.found, s.Now()-a.in)
+			}
 			s.ran(a)
 			n.busy, n.running = false, nil
 			n.work += a.of.work
--- /dev/null
+++ b/internal/lab/experiment.go
@@ -0,0 +1,277 @@
+// Package lab plays experiments: a fleet, a load, faults by time, and the policies to compare, from a file, in virtual time. The
+// module is the real one; internal/fleetsim is the fleet.
+package lab
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"orchiddrift/balancer"
+	"orchiddrift/internal/fleetsim"
+	"orchiddrift/internal/subset"
+	"orchiddrift/internal/tomlfile"
+	"orchiddrift/internal/units"
+)
+
+// Ours is the module, among the policies.
+const Ours = "ours"
+
+// Experiment is a file.
+type Experiment struct {
+	Name     string         `toml:"name" sample:"\"slow fifth\"" doc:"What it is called."`
+	Question string         `toml:"question" doc:"What it is to answer, for the report."`
+	Length   units.Duration `toml:"length" default:"60s" doc:"Virtual time."`
+	Series   units.Duration `toml:"series" default:"1s" doc:"An interval of the figures over time."`
+	Seeds    int            `toml:"seeds" default:"5" doc:"Runs of each policy: seeds 1 and on."`
+	Policies []string       `toml:"policies" sample:"[\"ours\", \"random\"]" doc:"Absent: all."`
+	Fleet    Fleet          `toml:"fleet" doc:"The nodes and their clients' sidecars."`
+	Load     Load           `toml:"load" doc:"What comes."`
+	Clients  Clients        `toml:"clients" doc:"What clients do on their own."`
+	Classes  []Class        `toml:"class" doc:"Kinds of requests. Absent: one, safe."`
+	Faults   []Fault        `toml:"fault" doc:"What befalls the nodes."`
+
+	hash string
+}
+
+// Fleet is its part of the file.
+type Fleet struct {
+	Nodes    int            `toml:"nodes" default:"50" doc:"Of one core each."`
+	Sidecars int            `toml:"sidecars" default:"10" doc:"That choose for themselves."`
+	Zones    int            `toml:"zones" default:"1" doc:"Nodes and sidecars are dealt out to them in turn."`
+	Work     units.Duration `toml:"work" default:"20ms" doc:"Of a request, the mean; exponential."`
+	Cold     float64        `toml:"cold" default:"0.3" doc:"What a node that has just started can do, as a part."`
+	WarmUp   units.Duration `toml:"warm_up" default:"10s" doc:"Till it can do all."`
+	Fall     float64        `toml:"fall" default:"3.0" doc:"A cold node falls over at so many times what it can do; 0: never."`
+	Down     units.Duration `toml:"down" default:"2s" doc:"A node that is deployed anew is away so long."`
+	Connect  units.Duration `toml:"connect" default:"2ms" doc:"What a new connection adds."`
+	Subset   bool           `toml:"subset" doc:"Sidecars know a part of the nodes as their own."`
+}
+
+// Load is its part of the file.
+type Load struct {
+	Busy  float64 `toml:"busy" default:"0.5" doc:"What comes, as a part of what all warm nodes can do."`
+	Steps []Step  `toml:"step" doc:"Changes of it."`
+}
+
+// Step is a change of the load.
+type Step struct {
+	At   units.Duration `toml:"at" doc:"Since the begin."`
+	Busy float64        `toml:"busy" doc:"From then on."`
+}
+
+// Clients is its part of the file.
+type Clients struct {
+	Tries int            `toml:"tries" doc:"After the first: where it was refused, or failed and is safe."`
+	Wait  units.Duration `toml:"wait" default:"500ms" doc:"Before each, doubled."`
+	Heed  bool           `toml:"heed" doc:"They wait at least as long as a refusal says."`
+}
+
+// Class is a kind of requests.
+type Class struct {
+	Name     string         `toml:"name" doc:"What it is called."`
+	Share    float64        `toml:"share" default:"1.0" doc:"Beside the others'."`
+	Effect   string         `toml:"effect" default:"safe" oneof:"safe|unsafe" doc:"Whether it may run twice."`
+	Aim      units.Duration `toml:"aim" default:"400ms" doc:"By which it is worth all."`
+	Deadline units.Duration `toml:"deadline" default:"2s" doc:"By which it is worth anything."`
+}
+
+// Fault befalls nodes.
+type Fault struct {
+	Kind   string         `toml:"kind" oneof:"slow|freeze|errors|turn away|crash|deploy|cut" doc:"What befalls them."`
+	At     units.Duration `toml:"at" doc:"Since the begin."`
+	For    units.Duration `toml:"for" default:"10s" doc:"How long; deploy: in which all are."`
+	Part   float64        `toml:"part" default:"0.2" doc:"Of the nodes, drawn by the seed."`
+	Zone   int            `toml:"zone" doc:"That is cut off."`
+	Factor float64        `toml:"factor" default:"5.0" doc:"By which slow ones are slower."`
+}
+
+// Problems are all that is wrong with a file.
+type Problems struct {
+	Name     string
+	Mistakes []tomlfile.Mistake
+}
+
+func (p *Problems) Error() string { return tomlfile.Text(p.Name, p.Mistakes) }
+
+// LoadFile reads an experiment. Its error may be Problems.
+func LoadFile(path string) (*Experiment, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(path, text)
+}
+
+// Parse is LoadFile of a text.
+func Parse(name string, text []byte) (*Experiment, error) {
+	e := &Experiment{}
+	doc := tomlfile.Decode(text, e)
+	e.check(doc)
+	if m := doc.Mistakes(); len(m) > 0 {
+		return nil, &Problems{name, m}
+	}
+	e.hash = fmt.Sprintf("%016x", xxhash.Sum64(text))
+	return e, nil
+}
+
+const (
+	mostNodes    = 5000
+	mostSidecars = 400
+	mostRequests = 100_000_000
+	mostSeeds    = 1000
+	mostPoints   = 10_000
+)
+
+func (e *Experiment) check(doc *tomlfile.Document) {
+	if doc.Broken() {
+		return
+	}
+	bounds := func(key string, x, least, most float64) {
+		if !(x >= least && x <= most) {
+			doc.Report(key, "%v is not from %v to %v", x, least, most)
+		}
+	}
+	if e.Name == "" {
+		doc.Report("name", "missing")
+	}
+	bounds("seeds", float64(e.Seeds), 1, mostSeeds)
+	bounds("fleet.nodes", float64(e.Fleet.Nodes), 1, mostNodes)
+	bounds("fleet.sidecars", float64(e.Fleet.Sidecars), 1, mostSidecars)
+	bounds("fleet.zones", float64(e.Fleet.Zones), 1, float64(max(1, e.Fleet.Nodes)))
+	bounds("fleet.cold", e.Fleet.Cold, 0, 1)
+	bounds("fleet.fall", e.Fleet.Fall, 0, 1000)
+	bounds("load.busy", e.Load.Busy, 0, 100)
+	bounds("clients.tries", float64(e.Clients.Tries), 0, 100)
+	if e.Fleet.Work.D() < time.Microsecond || e.Length.D() < time.Second || e.Series.D() < time.Millisecond || e.Clients.Wait <= 0 {
+		doc.Report("", "length (1s), series (1ms), fleet.work (1us) and clients.wait need some time")
+		return
+	}
+	if e.Length.D()/e.Series.D() > mostPoints {
+		doc.Report("series", "%d intervals, %d at most", e.Length.D()/e.Series.D(), mostPoints)
+	}
+	most := e.Load.Busy
+	for i, s := range e.Load.Steps {
+		bounds(fmt.Sprintf("load.step[%d].busy", i), s.Busy, 0, 100)
+		if i > 0 && s.At < e.Load.Steps[i-1].At {
+			doc.Report(fmt.Sprintf("load.step[%d].at", i), "it is before the one before it")
+		}
+		most = max(most, s.Busy)
+	}
+	if n := most * e.capacity() * e.Length.D().Seconds(); n > mostRequests {
+		doc.Report("length", "%.0f requests, %d at most", n, mostRequests)
+	}
+	for i, name := range e.Policies {
+		if name != Ours && fleetsim.Policies[name] == nil {
+			doc.Report("policies", "there is no policy %q", name)
+		}
+		if slices.Contains(e.Policies[:i], name) {
+			doc.Report("policies", "%q stands there twice", name)
+		}
+	}
+	for i, c := range e.Classes {
+		at := fmt.Sprintf("class[%d]", i)
+		if c.Name == "" || slices.ContainsFunc(e.Classes[:i], func(b Class) bool { return b.Name == c.Name }) {
+			doc.Report(at+".name", "%q names no class of its own", c.Name)
+		}
+		bounds(at+".share", c.Share, 1e-9, 1e9)
+		if c.Aim <= 0 || c.Deadline < c.Aim {
+			doc.Report(at+".deadline", "%v is before aim, %v", c.Deadline, c.Aim)
+		}
+	}
+	for i, f := range e.Faults {
+		at := fmt.Sprintf("fault[%d]", i)
+		if f.Kind == "" {
+			doc.Report(at+".kind", "missing")
+		}
+		bounds(at+".part", f.Part, 0, 1)
+		bounds(at+".factor", f.Factor, 1, 1e6)
+		if f.Kind == string(fleetsim.Cut) && (f.Zone < 0 || f.Zone >= e.Fleet.Zones) {
+			doc.Report(at+".zone", "there is no zone %d of %d", f.Zone, e.Fleet.Zones)
+		}
+		if f.At < 0 || f.For <= 0 {
+			doc.Report(at+".for", "it has no time")
+		}
+	}
+}
+
+// capacity is requests a second that all warm nodes can do.
+func (e *Experiment) capacity() float64 { return float64(e.Fleet.Nodes) / e.Fleet.Work.D().Seconds() }
+
+// Names are the policies that it compares.
+func (e *Experiment) Names() []string {
+	if len(e.Policies) > 0 {
+		return e.Policies
+	}
+	all := []string{Ours}
+	for name := range fleetsim.Policies {
+		all = append(all, name)
+	}
+	slices.Sort(all[1:])
+	return all
+}
+
+// tries is how often a request may be sent in all, by every policy.
+const tries = 3
+
+// run is one policy's, with one seed.
+func (e *Experiment) run(policy string, seed int) (fleetsim.Run, error) {
+	f := e.Fleet
+	base := e.Load.Busy
+	if base == 0 {
+		base = 1 // Steps are multiples of it
+	}
+	r := fleetsim.Run{Sidecars: f.Sidecars, Nodes: f.Nodes, Zones: f.Zones, Rate: base * e.capacity(), Work: f.Work.D(), Length: e.Length.D(), Seed: uint64(seed),
+		Connect: f.Connect.D(), Down: f.Down.D(), Series: e.Series.D(), Tries: tries, Clients: fleetsim.Clients{Tries: e.Clients.Tries, Wait: e.Clients.Wait.D(), Heed: e.Clients.Heed},
+		Steps: []fleetsim.Step{{At: 0, Rate: e.Load.Busy / base}},
+		Settings: balancer.Settings{MaxAttempts: tries, SecondCopies: true, Cancelling: true, RetryAfter: true, MaxRetryAfter: 5 * time.Second, ConnectTimeout: 500 * time.Millisecond,
+			Tick: 5 * time.Millisecond, ColdFrom: f.Cold, WarmUp: f.WarmUp.D(), FallMultiple: f.Fall, FallTime: 2 * time.Second}}
+	for _, s := range e.Load.Steps {
+		r.Steps = append(r.Steps, fleetsim.Step{At: s.At.D(), Rate: s.Busy / base})
+	}
+	classes := e.Classes
+	if len(classes) == 0 {
+		classes = []Class{{Name: "request", Share: 1, Effect: "safe", Aim: units.Duration(400 * time.Millisecond), Deadline: units.Duration(2 * time.Second)}}
+	}
+	sum := 0.0
+	for _, c := range classes {
+		sum += c.Share
+	}
+	for _, c := range classes {
+		of := balancer.Class{Name: c.Name, Aim: c.Aim.D(), Deadline: c.Deadline.D(), Worth: 1, LateShare: 0.5}
+		if c.Effect == "unsafe" {
+			of.Effect = balancer.Unsafe
+		}
+		r.Settings.Classes, r.Mix = append(r.Settings.Classes, of), append(r.Mix, c.Share/sum)
+	}
+	for _, x := range e.Faults {
+		r.Faults = append(r.Faults, fleetsim.Fault{Kind: fleetsim.FaultKind(x.Kind), At: x.At.D(), For: x.For.D(), Part: x.Part, Zone: x.Zone, Factor: x.Factor})
+	}
+	if f.Subset {
+		r.Subset, r.Known = subset.Default(), true
+		r.Subset.On = true
+	}
+	if policy != Ours {
+		if r.Policy = fleetsim.Policies[policy]; r.Policy == nil {
+			return r, fmt.Errorf("there is no policy %q", policy)
+		}
+	}
+	return r, nil
+}
+
+// errPanic is a policy's own failure.
+var errPanic = errors.New("it panicked")
+
+// play plays a run. A policy that panics ends its own run only.
+func play(r fleetsim.Run) (result *fleetsim.Result, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = fmt.Errorf("%w: %v", errPanic, p)
+		}
+	}()
+	return fleetsim.Play(r)
+}
