--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -123,10 +123,10 @@
 
 // A policy that panics, never answers or sends to leaving nodes is told of, loudly; the others go on.
 func TestTroubles(t *testing.T) {
-	free := make(chan struct{})
+	free, random := make(chan struct{}), fleetsim.Policies["random"]
 	for _, how := range []string{"panics", "hangs", "strays"} {
 		fleetsim.Policies[how] = func(rng *rand.Rand) fleetsim.Policy {
-			return &stray{Policy: fleetsim.Policies["random"](rng), how: how, rng: rng, free: free}
+			return &stray{Policy: random(rng), how: how, rng: rng, free: free}
 		}
 		defer delete(fleetsim.Policies, how)
 	}
