lab: zones' price, ours without second copies, and a runner without a race

Change: new nodes begin where the others are; [fleet] cross_zone_price; a variant of ours without second copies; a run that was given up no longer shares its line with the runner.

--- a/internal/fleetsim/policies.go
+++ b/internal/fleetsim/policies.go
@@ -141,10 +141,17 @@
 	p.members.Members(names)
 	old := p.of
 	p.of = map[string]*weight{}
+	first := math.Inf(1) // a new one is not given what it missed
+	for _, w := range old {
+		first = min(first, w.next)
+	}
+	if len(old) == 0 {
+		first = 0
+	}
 	for _, name := range p.names {
 		w := old[name]
 		if w == nil {
-			w = &weight{next: p.rng.Float64()}
+			w = &weight{next: first + p.rng.Float64()}
 		}
 		p.of[name] = w
 	}
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -18,8 +18,14 @@
 	"orchiddrift/internal/units"
 )
 
-// Ours is the module, among the policies.
-const Ours = "ours"
+// Ours is the module, among the policies, and with a part of it switched off by its settings.
+const (
+	Ours        = "ours"
+	OursOneCopy = "ours, no second copies"
+)
+
+// isOurs tells whether a name is the module's.
+func isOurs(name string) bool { return name == Ours || name == OursOneCopy }
 
 // Experiment is a file.
 type Experiment struct {
@@ -49,6 +55,7 @@
 	Fall     float64        `toml:"fall" default:"3.0" doc:"A cold node falls over at so many times what it can do; 0: never."`
 	Down     units.Duration `toml:"down" default:"2s" doc:"A node that is deployed anew is away so long."`
 	Connect  units.Duration `toml:"connect" default:"2ms" doc:"What a new connection adds."`
+	Price    float64        `toml:"cross_zone_price" default:"0.1" doc:"Of a request that leaves its zone, in parts of one that is served: ours weighs it, the others don't know zones."`
 	Subset   bool           `toml:"subset" doc:"Sidecars know a part of the nodes as their own."`
 }
 
@@ -144,6 +151,7 @@
 	bounds("fleet.sidecars", float64(e.Fleet.Sidecars), 1, mostSidecars)
 	bounds("fleet.zones", float64(e.Fleet.Zones), 1, float64(max(1, e.Fleet.Nodes)))
 	bounds("fleet.cold", e.Fleet.Cold, 0, 1)
+	bounds("fleet.cross_zone_price", e.Fleet.Price, 0, 100)
 	bounds("fleet.fall", e.Fleet.Fall, 0, 1000)
 	bounds("load.busy", e.Load.Busy, 0, 100)
 	bounds("clients.tries", float64(e.Clients.Tries), 0, 100)
@@ -166,7 +174,7 @@
 		doc.Report("length", "%.0f requests, %d at most", n, mostRequests)
 	}
 	for i, name := range e.Policies {
-		if name != Ours && fleetsim.Policies[name] == nil {
+		if !isOurs(name) && fleetsim.Policies[name] == nil {
 			doc.Report("policies", "there is no policy %q", name)
 		}
 		if slices.Contains(e.Policies[:i], name) {
@@ -207,11 +215,11 @@
 	if len(e.Policies) > 0 {
 		return e.Policies
 	}
-	all := []string{Ours}
+	all := []string{Ours, OursOneCopy}
 	for name := range fleetsim.Policies {
 		all = append(all, name)
 	}
-	slices.Sort(all[1:])
+	slices.Sort(all[2:])
 	return all
 }
 
@@ -228,7 +236,7 @@
 	r := fleetsim.Run{Sidecars: f.Sidecars, Nodes: f.Nodes, Zones: f.Zones, Rate: base * e.capacity(), Work: f.Work.D(), Length: e.Length.D(), Seed: uint64(seed),
 		Connect: f.Connect.D(), Down: f.Down.D(), Series: e.Series.D(), Tries: tries, Clients: fleetsim.Clients{Tries: e.Clients.Tries, Wait: e.Clients.Wait.D(), Heed: e.Clients.Heed},
 		Steps: []fleetsim.Step{{At: 0, Rate: e.Load.Busy / base}},
-		Settings: balancer.Settings{MaxAttempts: tries, SecondCopies: true, Cancelling: true, RetryAfter: true, MaxRetryAfter: 5 * time.Second, ConnectTimeout: 500 * time.Millisecond,
+		Settings: balancer.Settings{MaxAttempts: tries, SecondCopies: true, Cancelling: true, RetryAfter: true, MaxRetryAfter: 5 * time.Second, ConnectTimeout: 500 * time.Millisecond, PriceCrossZone: f.Price,
 			Tick: 5 * time.Millisecond, ColdFrom: f.Cold, WarmUp: f.WarmUp.D(), FallMultiple: f.Fall, FallTime: 2 * time.Second}}
 	for _, s := range e.Load.Steps {
 		r.Steps = append(r.Steps, fleetsim.Step{At: s.At.D(), Rate: s.Busy / base})
@@ -255,7 +263,8 @@
 		r.Subset, r.Known = subset.Default(), true
 		r.Subset.On = true
 	}
-	if policy != Ours {
+	r.Settings.SecondCopies = policy != OursOneCopy
+	if !isOurs(policy) {
 		if r.Policy = fleetsim.Policies[policy]; r.Policy == nil {
 			return r, fmt.Errorf("there is no policy %q", policy)
 		}
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -128,7 +128,7 @@
 	}
 	ended := make(chan Line, 1)
 	go func() {
-		of := l
+		of := Line{Policy: policy, Seed: seed}
 		result, err := play(r)
 		if of.Result = result; err != nil {
 			of.Error = err.Error()
