--- a/internal/fleetsim/faults.go
+++ b/internal/fleetsim/faults.go
@@ -238,6 +238,14 @@
 	s.After(wait, func() { s.request(c, op) })
 }
 
+// hint is what the module is told of a request's work.
+func (s *sim) hint(q *request) time.Duration {
+	if s.r.Hints {
+		return q.work
+	}
+	return 0
+}
+
 // check looks for requests that have no answer though their time is over.
 func (s *sim) check() {
 	for _, c := range s.sidecars {
--- a/internal/fleetsim/fleetsim.go
+++ b/internal/fleetsim/fleetsim.go
@@ -49,6 +49,7 @@
 	Tries   int                         // of a Policy's request, on nodes that it picks anew, where it is proved not to have run or is safe
 	Faults  []Fault
 	Steps   []Step    // of the rate; none: Rate all the time
+	Hints   bool      // modules are told a request's work
 	Mix     []float64 // shares of Settings.Classes; absent: the first alone
 	Clients Clients
 	Series  time.Duration // what Result.Points are for; 0: there are none
@@ -476,7 +477,9 @@
 		s.probed(c, q)
 		return
 	}
-	decide := func() { s.module(c, balancer.Request{ID: q.id, Class: class.Name, Expires: q.expires}) }
+	decide := func() {
+		s.module(c, balancer.Request{ID: q.id, Class: class.Name, Expires: q.expires, Hint: s.hint(q)})
+	}
 	if c.probe != nil {
 		if names := c.probe.Ask(s.Now()); len(names) > 0 {
 			s.probe(c, names, decide)
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -56,6 +56,7 @@
 	Down     units.Duration `toml:"down" default:"2s" doc:"A node that is deployed anew is away so long."`
 	Connect  units.Duration `toml:"connect" default:"2ms" doc:"What a new connection adds."`
 	Price    float64        `toml:"cross_zone_price" default:"0.1" doc:"Of a request that leaves its zone, in parts of one that is served: ours weighs it, the others don't know zones."`
+	Hints    bool           `toml:"hints" doc:"Requests tell their work; ours heeds it."`
 	Subset   bool           `toml:"subset" doc:"Sidecars know a part of the nodes as their own."`
 }
 
@@ -234,7 +235,7 @@
 		base = 1 // Steps are multiples of it
 	}
 	r := fleetsim.Run{Sidecars: f.Sidecars, Nodes: f.Nodes, Zones: f.Zones, Rate: base * e.capacity(), Work: f.Work.D(), Length: e.Length.D(), Seed: uint64(seed),
-		Connect: f.Connect.D(), Down: f.Down.D(), Series: e.Series.D(), Tries: tries, Clients: fleetsim.Clients{Tries: e.Clients.Tries, Wait: e.Clients.Wait.D(), Heed: e.Clients.Heed},
+		Connect: f.Connect.D(), Down: f.Down.D(), Series: e.Series.D(), Tries: tries, Hints: f.Hints, Clients: fleetsim.Clients{Tries: e.Clients.Tries, Wait: e.Clients.Wait.D(), Heed: e.Clients.Heed},
 		Steps: []fleetsim.Step{{At: 0, Rate: e.Load.Busy / base}},
 		Settings: balancer.Settings{MaxAttempts: tries, SecondCopies: true, Cancelling: true, RetryAfter: true, MaxRetryAfter: 5 * time.Second, ConnectTimeout: 500 * time.Millisecond, PriceCrossZone: f.Price,
 			Tick: 5 * time.Millisecond, ColdFrom: f.Cold, WarmUp: f.WarmUp.D(), FallMultiple: f.Fall, FallTime: 2 * time.Second}}
