balancer: no second copy of a request that tells no work, but beside a silent upstream

Change: a late request that has no hint gets a copy only where its upstream hangs; with a hint as before.

--- a/balancer/attempts.go
+++ b/balancer/attempts.go
@@ -34,6 +34,7 @@
 	out      int
 	stale    bool // a repeat whose aim has passed
 	done     bool
+	hinted   bool          // its work is known: late is late, and not long
 	stream   bool          // the answer has begun
 	lateAt   time.Duration // when its latest attempt is late
 }
@@ -48,7 +49,7 @@
 		return
 	}
 	r := &request{id: e.ID, class: c, arrived: b.now, expires: e.Expires, cost: b.cost(c, e.Hint)}
-	r.prior = e.Prior
+	r.prior, r.hinted = e.Prior, e.Hint > 0
 	r.tenant = slices.IndexFunc(b.set.Tenants, func(t Tenant) bool { return t.Name == e.Tenant })
 	aim := c.Aim + time.Duration(c.AimStretch*float64(e.Hint))
 	r.aim = b.now + min(aim, c.Deadline)
@@ -183,7 +184,8 @@
 // lateAttempt answers a request whose attempt is late: a second copy beside it, or where that is ruled out
 // another attempt in its place, if the upstream has not been heard since. Guards against pauses and hung
 // upstreams. A late request is mostly a costly one, and so is its copy: it takes an upstream that leaves two
-// of ours unanswered, or copies that paid of late. Budget and pressure stop it in overload.
+// of ours unanswered, or copies that paid of late, where its work is told: else it is as likely a long one,
+// whose copy costs as much again (lab/calm.toml). Budget and pressure stop it in overload.
 func (b *Balancer) lateAttempt(r *request) {
 	if r.out == 0 || b.now < r.lateAt || b.retries < 1 || b.pressure() > copyPressure {
 		return
@@ -191,7 +193,7 @@
 	last := r.attempts[len(r.attempts)-1]
 	if b.set.SecondCopies {
 		hangs := last.u.heard <= last.sent && len(last.u.out) > 1
-		if !hangs && b.copyWins < copyPays && b.rng.Float64() > copyTrial {
+		if !hangs && (!r.hinted || b.copyWins < copyPays && b.rng.Float64() > copyTrial) {
 			return
 		}
 		if u := b.pick(r); u != nil {
--- a/balancer/trouble_test.go
+++ b/balancer/trouble_test.go
@@ -549,7 +549,7 @@
 			r.b.served.add(1, r.now)
 		}
 		r.b.late.v, r.b.copyWins = 0.08, 1
-		r.wantSend(r.request("r", "c", time.Second))
+		r.wantSend(r.do(Request{ID: "r", Class: "c", Expires: r.now + time.Second, Hint: 20 * ms}))
 		for range c.inHand {
 			r.b.hold(&request{arrived: r.now, aim: r.now + 200*ms}, 1)
 		}
@@ -602,10 +602,14 @@
 	}
 }
 
-// A late request is most often a costly one, and its copy as costly: no copy of it, unless copies have won of late.
+// A late request is most often a costly one, and its copy as costly: no copy of it, unless copies have won of late and its work is told.
 // Where the upstream leaves a second of ours unanswered too it hangs, and the copy goes out as soon as it is late.
 func TestCopiesOnlyWhereTheUpstreamHangs(t *testing.T) {
-	for _, c := range []struct{ second, won, copied bool }{{}, {true, false, true}, {false, true, true}} {
+	for _, c := range []struct {
+		second, won bool
+		hint        time.Duration
+		copied      bool
+	}{{}, {second: true, copied: true}, {won: true, hint: 20 * ms, copied: true}, {won: true}, {hint: 20 * ms}} {
 		r := newRig(t, testSettings()) // aim 200 ms
 		r.fleet(1)
 		for i := range 300 {
@@ -618,7 +622,7 @@
 			r.b.copyWins = 0.5
 		}
 		r.now += time.Second
-		r.request("late", "c", time.Second)
+		r.do(Request{ID: "late", Class: "c", Expires: r.now + time.Second, Hint: c.hint})
 		if c.second {
 			r.request("beside", "c", time.Second)
 		}
