warm: a test's processes are all different, as processes are

Need: TestAnyHistory failed once on two cores: rapid drew the same process twice for a member that went and came, so that an end of the first counted for the second.

Change: each process in the test's history has a number of its own, as real ones differ in when they began.

--- a/internal/warm/warm_test.go
+++ b/internal/warm/warm_test.go
@@ -24,7 +24,7 @@
 		now := time.Hour
 		open, opening := map[string]int{}, map[string]int{}
 		var named []time.Duration
-		ready := map[string]uint64{}
+		ready, processes := map[string]uint64{}, uint64(0)
 		total := func() (n int) {
 			for _, k := range open {
 				n += k
@@ -79,7 +79,8 @@
 				if draw(2) == 0 {
 					delete(ready, name)
 				} else {
-					ready[name] = uint64(1 + draw(1<<30))
+					processes++ // no two are the same: they are told by when they began
+					ready[name] = processes
 				}
 				delete(open, name)
 				delete(opening, name)
