--- a/internal/config/plan.go
+++ b/internal/config/plan.go
@@ -296,19 +296,27 @@
 	return p
 }
 
+// named is the service that a part of the file is for; nil: there is none, which is told unless the part's own check did.
+func (p *Plan) named(names map[string]int, service, at string, doc *tomlfile.Document) *ServicePlan {
+	n, known := names[service]
+	if known {
+		return &p.Services[n]
+	}
+	if service != "" {
+		doc.Report(at+".service", "there is no service %q", service)
+	}
+	return nil
+}
+
 // repeats gives services their stores of keys.
 func (f *File) repeats(p *Plan, names map[string]int, doc *tomlfile.Document) {
 	files := map[string]bool{}
 	for i := range f.Repeats {
 		at, o := fmt.Sprintf("repeats[%d]", i), f.Repeats[i]
-		n, known := names[o.Service]
-		if !known {
-			if o.Service != "" {
-				doc.Report(at+".service", "there is no service %q", o.Service)
-			}
+		s := p.named(names, o.Service, at, doc)
+		if s == nil {
 			continue
 		}
-		s := &p.Services[n]
 		if s.Repeats != nil {
 			doc.Report(at+".service", "%q has two stores of keys", o.Service)
 		}
@@ -327,14 +335,10 @@
 func (f *File) doors(p *Plan, names map[string]int, all []*routes.Route, doc *tomlfile.Document) {
 	for i := range f.Doors {
 		at, o := fmt.Sprintf("door[%d]", i), f.Doors[i]
-		n, known := names[o.Service]
-		if !known {
-			if o.Service != "" {
-				doc.Report(at+".service", "there is no service %q", o.Service)
-			}
+		s := p.named(names, o.Service, at, doc)
+		if s == nil {
 			continue
 		}
-		s := &p.Services[n]
 		if s.Door != nil {
 			doc.Report(at+".service", "%q has two doors", o.Service)
 		}
