balancer: thin sidecars shed in proportion, fill the cold budget, remember longer

Need: 80 sidecars before 60 upstreams refuse one request in five while upstreams answer in 50 ms. At fault: pressure() in refusals.go, coldAllows() in cold.go, decay() in pick.go: 1.3 s, when each upstream is drawn every 2 s. Change: below 12 in hand pressure is the crowding of 25 attempts, sheds in proportion and the lower half at most; the cold budget is 0.8 of what pushes over, by the speed of the kind of machine; estimates last until an upstream is heard again.

--- a/balancer/attempts.go
+++ b/balancer/attempts.go
@@ -69,6 +69,7 @@
 		return
 	}
 	b.offered.add(r.cost, b.now) // without what is refused: its repeats would count again
+	b.keepFor()
 	b.move(r)
 }
 
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -24,6 +24,7 @@
 // Tunables. Times are derived from Settings (aims, deadlines, rules) or learnt; these are the rest.
 const (
 	decayAims    = 4.0              // mean aims over which estimates decay: long enough to hear from all
+	decayHeard   = 1.25             // or this many times as long as it takes to hear from all, if longer
 	penaltyAims  = 1.0              // mean aims that a failure answer counts as: as bad as a miss
 	crossAims    = 3.5              // a crossing's price p weighs as p x this many aims of latency
 	meanWeight   = 0.02             // weight of a new sample in plain means: about the last 50
@@ -49,14 +50,17 @@
 	servedMemory = 2 * time.Second       // what is served is averaged over this
 	tryVotes     = 20                    // requests that settle what time left is usual
 	rankOver     = 64                    // requests that a new one's worth is ranked among
-	coldPart     = 0.45                  // share used of what pushes a cold upstream over: it may be a small one
+	coldPart     = 0.8                   // share used of what pushes a cold upstream over
+	coldKind     = 1.6                   // most that its kind's speed counts in that, and 1/coldKind the least
 	subsetEvery  = 2 * time.Second       // each upstream of the subset is heard about this often
 	toldFor      = 60 * time.Millisecond // what an upstream says of its load holds for so long
 	toldMost     = 16                    // of so many it is remembered
 	subsetMin    = 4                     // two to compare, and spares while some are out
-	fewInHand    = 5.0                   // below, what is served tells too little
-	crowdWeight  = 0.12                  // weight of an attempt in the crowding seen: about the last eight
-	crowdFrom    = 0.62                  // shed from this share on, early as it is late by some attempts
+	fewInHand    = 12.0                  // below, what is served tells too little
+	crowdWeight  = 0.04                  // weight of an attempt in the crowding seen: about the last 25
+	crowdFrom    = 0.5                   // shed from this share on, early as it is late by some attempts
+	crowdShed    = 0.5                   // of what is beyond it; a sidecar that sees little is not sure
+	crowdMax     = 1.25                  // of pressure by crowding alone: the half worth least is shed
 	crowdMost    = 1.5                   // aims: a hung upstream is not a crowd
 	crowdMemory  = 10 * time.Second      // crowding unheard of fades over this: all refused must not be for ever
 	askBase      = time.Second           // first wait before asking for the list again; doubles
@@ -103,6 +107,7 @@
 	crowd    float64       // mean share of their aim that recent attempts took
 	crowdAt  time.Duration // when the latest of them ended
 	inHand   float64       // sum of their 1/aim
+	decay    time.Duration // of estimates
 	arrivals time.Duration // sum of their arrival times; may wrap around
 	served   rate          // answers a second
 	offered  rate          // arriving work, in mean requests a second
@@ -129,6 +134,7 @@
 		b.meanAim += c.Aim.Seconds() / float64(len(s.Classes))
 	}
 	b.fleet, b.mean = b.meanAim/4, b.meanAim/4
+	b.decay = seconds(decayAims * b.meanAim)
 	b.mid, b.late = quantile{0.5, b.meanAim / 4}, quantile{lateQuant, b.meanAim / 2}
 	return b, nil
 }
--- a/balancer/cold.go
+++ b/balancer/cold.go
@@ -28,6 +28,7 @@
 // coldAllows holds a cold upstream to a part of what would push it over. The rule counts all sidecars' work;
 // each does its part by sending no more than that multiple of its mean load, as far as the upstream is warm.
 // Only those that list it in their subset do: else, with many cold, every sidecar would come to each of them.
+// What its kind of machine takes for a request, beside the mean, tells how far from the mean its capacity is.
 func (b *Balancer) coldAllows(u *upstream) bool {
 	f := b.warmth(u)
 	if !u.cold {
@@ -38,7 +39,7 @@
 		return false
 	}
 	if b.set.FallMultiple > 0 {
-		f *= coldPart * b.set.FallMultiple
+		f *= coldPart * b.set.FallMultiple * min(max(b.fleet / *u.mean, 1/coldKind), coldKind)
 	}
 	perSec := f * b.offered.per(b.now) / float64(size)
 	depth := max(1, perSec*b.set.FallTime.Seconds()/10)
--- a/balancer/estimate_test.go
+++ b/balancer/estimate_test.go
@@ -224,3 +224,24 @@
 	clear(r.b.list[100:]) // a look at one of them panics
 	r.wantSend(r.request("1", "c", time.Second))
 }
+
+// What is known of an upstream outlasts the time until it is drawn again, and no longer: at two requests a second among
+// twelve a failing one is still passed over seconds later, at two hundred an estimate is as old as its like.
+func TestEstimatesLastUntilHeardAgain(t *testing.T) {
+	for _, c := range []struct {
+		rate int
+		want time.Duration
+	}{{2, seconds(decayHeard * subsetEvery.Seconds())}, {200, 4 * 200 * ms}} {
+		r := newRig(t, testSettings())
+		r.fleet(12)
+		for i := range 10 * c.rate {
+			id := time.Duration(i).String()
+			r.wantSend(r.request(id, "c", time.Second))
+			r.result(id, 0, OK, 5*ms)
+			r.pass(time.Second / time.Duration(c.rate))
+		}
+		if r.b.decay != c.want {
+			t.Errorf("%d a second: estimates last %v, want %v", c.rate, r.b.decay, c.want)
+		}
+	}
+}
--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -140,7 +140,7 @@
 // of machine, not to nothing (idleness is not speed), an attempt out takes its age at least, and what the
 // upstream itself has just said counts where it is more.
 func (b *Balancer) load(u *upstream) float64 {
-	w := u.est.weight(b.now, b.decay())
+	w := u.est.weight(b.now, b.decay)
 	latency := u.est.value*w + *u.mean*(1-w)
 	if len(u.out) > 0 {
 		a := u.out[0]
@@ -178,7 +178,13 @@
 	e.at = now
 }
 
-func (b *Balancer) decay() time.Duration { return seconds(decayAims * b.meanAim) }
+// keepFor sets how long estimates count. Guards against a sidecar that sees little and has forgotten each
+// upstream, also the failing ones, by the time that it draws it again.
+func (b *Balancer) keepFor() {
+	offered := b.offered.per(b.now)
+	heard := min(float64(len(b.list))/max(offered, 1e-3), subsetEvery.Seconds())
+	b.decay = seconds(max(decayAims*b.meanAim, decayHeard*heard))
+}
 
 // observe feeds an attempt's outcome to the estimates. Samples are normalised by the work expected of the
 // request, so that one costly request does not make its upstream look slow.
@@ -217,7 +223,7 @@
 			return
 		}
 	}
-	a.u.est.add(norm, b.now, b.decay())
+	a.u.est.add(norm, b.now, b.decay)
 }
 
 // cost is the work expected of a request, relative to the mean request: from its hint, else from its class.
--- a/balancer/refusals.go
+++ b/balancer/refusals.go
@@ -84,14 +84,16 @@
 // above 1 they would take more than the limit of their aim on average. Guards against queues that grow
 // faster than late answers tell of, and against jams that feed on themselves. What is in hand only since a
 // moment counts less, so that a burst on a calm day passes. With few in hand a rate of answers is noise:
-// there it is the share of their aim that recent attempts took.
+// there it is the share of their aim that recent attempts took. That tells late, and less the more is
+// refused: it sheds in proportion, and never more than the half that is worth least.
 func (b *Balancer) pressure() float64 {
 	n := float64(b.waiting)
 	if n < float64(len(b.list))/float64(b.set.Balancers) { // less than one for each upstream of its share
 		return 0
 	}
 	if n < fewInHand {
-		return b.crowd * math.Exp(-float64(b.now-b.crowdAt)/float64(crowdMemory)) / crowdFrom
+		c := b.crowd * math.Exp(-float64(b.now-b.crowdAt)/float64(crowdMemory)) / crowdFrom
+		return min(c, 1+(c-1)*crowdShed, crowdMax)
 	}
 	age := (time.Duration(b.waiting)*b.now - b.arrivals).Seconds() / n // mean
 	return min(1, age*b.inHand/n/limitAge) * min(pressureMax, b.inHand/(b.limit*max(b.served.per(b.now), 1e-3)))
