--- a/test.sh
+++ b/test.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# The whole check: formatting, vet, the deploy file's build, all tests. Run from anywhere; needs only Go.
-#   --race   the tests under the race detector, which needs a C compiler
+# The whole check: formatting, vet, the deploy file's build, all tests. Run from anywhere; needs Go and a C compiler.
+#   --race   the tests under the race detector
 set -eu
 cd "$(dirname "$0")"
 race=
@@ -12,6 +12,10 @@
 	exit 2
 	;;
 esac
+if ! command -v "$(go env CC)" >/dev/null; then
+	echo "no C compiler ($(go env CC)): the deploy file's build links against the C library" >&2
+	exit 1
+fi
 unformatted=$(gofmt -l .)
 if [ -n "$unformatted" ]; then
 	echo "not gofmt clean:" "$unformatted" >&2
