balancer: a cold upstream's first estimate is its kind's, so that its budget is used

Ruled out: the budget itself (it allows 29 a second at the start). At fault: chill() in cold.go, which divided the first estimate by the warmth, 3.3 times its kind's, so that two choices hardly ever took it, and one answer a second brought it down slowly. Change: it begins at 0.9 of its kind's mean. TestColdBudgetIsUsed: 15 sends in 4 s before, 29 now.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -56,6 +56,7 @@
 	tryVotes     = 20                    // requests that settle what time left is usual
 	rankOver     = 64                    // requests that a new one's worth is ranked among
 	coldPart     = 0.8                   // share used of what pushes a cold upstream over
+	coldFirst    = 0.9                   // of its kind's mean that one is thought to take before it is heard
 	coldKind     = 1.6                   // most that its kind's speed counts in that, and 1/coldKind the least
 	subsetEvery  = 2 * time.Second       // each upstream of the subset is heard about this often
 	toldFor      = 60 * time.Millisecond // what an upstream says of its load holds for so long
--- a/balancer/cold.go
+++ b/balancer/cold.go
@@ -7,10 +7,11 @@
 	"time"
 )
 
-// chill begins an upstream's warm-up at from.
+// chill begins an upstream's warm-up at from. Its estimate is a little below its kind's: the budget holds it
+// back, and nothing waits there yet. Guards against budgets left unused beside full upstreams.
 func (b *Balancer) chill(u *upstream, from time.Duration) {
 	u.cold, u.coldFrom, u.filled, u.tokens = true, from, b.now, b.rng.Float64()
-	u.est = estimate{*u.mean / b.warmth(u), b.now}
+	u.est = estimate{coldFirst * *u.mean, b.now}
 }
 
 // warmth is the least share of its capacity that a starting upstream has by now.
