--- a/internal/fleetsim/faults.go
+++ b/internal/fleetsim/faults.go
@@ -22,21 +22,25 @@
 	Crash    FaultKind = "crash"     // gone without a word, and back cold; the list tells late
 	Deploy   FaultKind = "deploy"    // drained one after another, and back cold
 	Cut      FaultKind = "cut"       // a zone reaches the others no more, nor they it
+	Lost     FaultKind = "lost"      // a zone's machines vanish and say nothing; back cold, and the list tells late of both
 )
 
 // FaultKinds are all.
-var FaultKinds = []FaultKind{Slow, Freeze, Errors, TurnAway, Crash, Deploy, Cut}
+var FaultKinds = []FaultKind{Slow, Freeze, Errors, TurnAway, Crash, Deploy, Cut, Lost}
 
 // Fault is what befalls a part of the nodes for a time.
 type Fault struct {
 	Kind   FaultKind
 	At     time.Duration // since the run's begin
 	For    time.Duration // Deploy: in which all of them are drained; Crash: how long each is away
-	Part   float64       // of all nodes, drawn by chance; Cut: Zone's nodes
+	Part   float64       // of all nodes, drawn by chance; Cut, Lost: Zone's nodes
 	Zone   int
 	Factor float64 // of Slow
 }
 
+// Zonal tells whether a kind befalls a zone's nodes, and not a part of all.
+func (k FaultKind) Zonal() bool { return k == Cut || k == Lost }
+
 // Step is a rate from a time on, as a multiple of Run.Rate.
 type Step struct {
 	At   time.Duration
@@ -79,7 +83,7 @@
 func (s *sim) faults() {
 	for _, f := range s.r.Faults {
 		var of []*node
-		if f.Kind == Cut {
+		if f.Kind.Zonal() {
 			for _, n := range s.nodes {
 				if n.index%s.r.Zones == f.Zone {
 					of = append(of, n)
@@ -91,10 +95,10 @@
 			}
 		}
 		for i, n := range of {
-			n.restarted = n.restarted || f.Kind == Crash || f.Kind == Deploy
+			n.restarted = n.restarted || f.Kind == Crash || f.Kind == Deploy || f.Kind == Lost
 			switch f.Kind {
-			case Crash:
-				s.After(f.At, func() { s.crash(n, f.For) })
+			case Crash, Lost:
+				s.After(f.At, func() { s.crash(n, f.For, f.Kind == Lost) })
 			case Deploy:
 				s.After(f.At+f.For*time.Duration(i)/time.Duration(len(of)), func() { s.deploy(n) })
 			default:
@@ -122,10 +126,11 @@
 	return c.zone != n.zone && (n.has(Cut) != nil || c.home.has(Cut) != nil)
 }
 
-func (s *sim) crash(n *node, away time.Duration) {
+func (s *sim) crash(n *node, away time.Duration, silent bool) {
 	if !n.up {
 		return
 	}
+	n.silent = silent
 	s.stop(n)
 	s.After(crashTold, func() {
 		if !n.up {
@@ -151,7 +156,7 @@
 	if n.up || n.fallen {
 		return
 	}
-	n.up, n.started = true, s.Now()
+	n.up, n.silent, n.started = true, false, s.Now()
 	s.announce(n, directory.StatusReady)
 }
 
--- a/internal/fleetsim/fleetsim.go
+++ b/internal/fleetsim/fleetsim.go
@@ -82,6 +82,7 @@
 	Fell                              int     // nodes that were pushed over
 	Decisions                         int     // calls of the modules
 	Probes                            int     // sent
+	Unreached                         int     // sends that found neither a connection nor a node
 	P50, P99                          time.Duration
 	Operations, Done, Sends           int // what clients wanted, what of it was served, and all that was sent to nodes
 	Points                            []Point
@@ -95,6 +96,7 @@
 	zone      string
 	up        bool
 	fallen    bool
+	silent    bool // it is down and its machine with it: nothing is refused or reset
 	restarted bool
 	started   time.Duration // 0: long ago
 	queue     []*attempt
@@ -407,6 +409,9 @@
 		lost = append(lost, n.running)
 	}
 	n.queue, n.running = nil, nil
+	if n.silent {
+		lost = nil // their senders wait until they have had enough
+	}
 	for _, a := range lost {
 		s.After(wire/2, func() { s.outcome(a, balancer.Reset) })
 	}
@@ -584,7 +589,12 @@
 		p.idle = p.idle[:last]
 	} else {
 		if !n.up {
-			s.After(wire, func() { s.outcome(a, balancer.ConnectFailed) })
+			wait := wire
+			if n.silent {
+				wait = max(wire, s.r.Settings.ConnectTimeout)
+			}
+			s.out.Unreached++
+			s.After(wait, func() { s.outcome(a, balancer.ConnectFailed) })
 			return
 		}
 		delay = s.r.Connect
@@ -614,7 +624,9 @@
 		return
 	}
 	if !n.up {
-		s.outcome(a, balancer.Reset)
+		if !n.silent {
+			s.outcome(a, balancer.Reset)
+		}
 		return
 	}
 	n.asked++
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -90,7 +90,7 @@
 
 // Fault befalls nodes.
 type Fault struct {
-	Kind   string         `toml:"kind" oneof:"slow|freeze|errors|turn away|crash|deploy|cut" doc:"What befalls them."`
+	Kind   string         `toml:"kind" oneof:"slow|freeze|errors|turn away|crash|deploy|cut|lost" doc:"What befalls them."`
 	At     units.Duration `toml:"at" doc:"Since the begin."`
 	For    units.Duration `toml:"for" default:"10s" doc:"How long; deploy: in which all are."`
 	Part   float64        `toml:"part" default:"0.2" doc:"Of the nodes, drawn by the seed."`
@@ -199,7 +199,7 @@
 		}
 		bounds(at+".part", f.Part, 0, 1)
 		bounds(at+".factor", f.Factor, 1, 1e6)
-		if f.Kind == string(fleetsim.Cut) && (f.Zone < 0 || f.Zone >= e.Fleet.Zones) {
+		if fleetsim.FaultKind(f.Kind).Zonal() && (f.Zone < 0 || f.Zone >= e.Fleet.Zones) {
 			doc.Report(at+".zone", "there is no zone %d of %d", f.Zone, e.Fleet.Zones)
 		}
 		if f.At < 0 || f.For <= 0 {
