--- a/internal/fleetsim/faults.go
+++ b/internal/fleetsim/faults.go
@@ -26,7 +26,7 @@
 )
 
 // FaultKinds are all.
-var FaultKinds = []FaultKind{Slow, Freeze, Errors, TurnAway, Crash, Deploy, Cut, Lost}
+var FaultKinds = []FaultKind{Slow, Freeze, Errors, TurnAway, Crash, Deploy, Cut, Lost, Kill}
 
 // Fault is what befalls a part of the nodes for a time.
 type Fault struct {
@@ -82,6 +82,10 @@
 
 func (s *sim) faults() {
 	for _, f := range s.r.Faults {
+		if f.Kind == Kill {
+			s.kills(f)
+			continue
+		}
 		var of []*node
 		if f.Kind.Zonal() {
 			for _, n := range s.nodes {
--- a/internal/fleetsim/fleetsim.go
+++ b/internal/fleetsim/fleetsim.go
@@ -58,6 +58,7 @@
 	RestartOver time.Duration
 	RestartPart float64
 	Down        time.Duration // a node is away so long
+	Discovery   *Discovery    // nil: the list reaches all by itself
 	Sizes       []Size        // of the list at times; the first Nodes names are listed before
 }
 
@@ -70,19 +71,21 @@
 // Result is what a run came to.
 type Result struct {
 	Requests, Served, Refused, Failed int
-	Spread                            float64 // the most loaded node's work over the mean of those that were up all the time
-	Asked                             int     // nodes that got a request
-	OpenNode, MostNode                float64 // connections a node, mean over time and nodes, and the most that one had
-	OpenSidecar                       int     // the most that one sidecar had
-	Opened                            int     // connections made
-	Ahead                             int     // of them before a request needed them
-	Waited                            int     // requests whose first send waited for a connection
-	MostMade                          int     // most connections made to one node within a second
-	Own                               float64 // mean number of a sidecar's own nodes, at the end
-	Fell                              int     // nodes that were pushed over
-	Decisions                         int     // calls of the modules
-	Probes                            int     // sent
-	Unreached                         int     // sends that found neither a connection nor a node
+	Spread                            float64       // the most loaded node's work over the mean of those that were up all the time
+	Asked                             int           // nodes that got a request
+	OpenNode, MostNode                float64       // connections a node, mean over time and nodes, and the most that one had
+	OpenSidecar                       int           // the most that one sidecar had
+	Opened                            int           // connections made
+	Ahead                             int           // of them before a request needed them
+	Waited                            int           // requests whose first send waited for a connection
+	MostMade                          int           // most connections made to one node within a second
+	Own                               float64       // mean number of a sidecar's own nodes, at the end
+	Fell                              int           // nodes that were pushed over
+	Decisions                         int           // calls of the modules
+	Probes                            int           // sent
+	Calls, MostCalls, CallsTurnedAway int           // for the list: all, within a second, in vain
+	Listed                            time.Duration // when a sidecar last got the whole list
+	Unreached                         int           // sends that found neither a connection nor a node
 	P50, P99                          time.Duration
 	Operations, Done, Sends           int // what clients wanted, what of it was served, and all that was sent to nodes
 	Points                            []Point
@@ -95,6 +98,7 @@
 	index     int
 	zone      string
 	up        bool
+	listed    bool
 	fallen    bool
 	silent    bool // it is down and its machine with it: nothing is refused or reset
 	restarted bool
@@ -144,6 +148,11 @@
 	own   []string             // active ones, where probes choose
 	seen  []int                // requests in hand, by the last probes
 	news  []directory.Endpoint // of the list, on its way
+
+	set     balancer.Settings
+	life    int // of its processes, the present one
+	watches bool
+	known   []directory.Endpoint
 }
 
 type pool struct {
@@ -172,6 +181,7 @@
 	conn   bool // it holds a connection
 	found  int  // in hand at its node
 	in     time.Duration
+	life   int // of its sidecar's process
 }
 
 type sim struct {
@@ -188,6 +198,9 @@
 	none     Point
 	openSum  float64
 	openN    int
+	served   time.Duration // when discovery has worked through its calls
+	callsIn  time.Duration // the second that calls are counted in
+	calls    int
 }
 
 const (
@@ -214,7 +227,7 @@
 	s := &sim{Time: virtual.New(), r: r, rng: rand.New(rand.NewPCG(r.Seed, 11)), wall: time.UnixMilli(1_800_000_000_000),
 		byName: map[string]*node{}}
 	for i := range r.Nodes {
-		n := &node{name: fmt.Sprintf("node-%05d", i), index: i, zone: fmt.Sprint("z", i%r.Zones), up: true, speed: 1}
+		n := &node{name: fmt.Sprintf("node-%05d", i), index: i, zone: fmt.Sprint("z", i%r.Zones), up: true, listed: true, speed: 1}
 		if r.Speed != nil {
 			n.speed = r.Speed(i)
 		}
@@ -241,6 +254,7 @@
 	}
 	s.restarts()
 	s.faults()
+	s.discovery()
 	for _, z := range r.Sizes {
 		s.At(virtual.Origin+z.At, func() { s.resize(z.Nodes) })
 	}
@@ -260,11 +274,12 @@
 	}
 	zone := fmt.Sprint("z", i%s.r.Zones)
 	set.Zone = zone
+	set.MustSubscribe = s.r.Discovery != nil
 	b, err := balancer.New(set, s.r.Seed<<16+uint64(i))
 	if err != nil {
 		return nil, err
 	}
-	c := &sidecar{index: i, zone: zone, b: b, asked: map[string]*request{}, conns: map[*node]*pool{}, leave: map[string]bool{}, home: s.nodes[i%s.r.Zones],
+	c := &sidecar{index: i, set: set, zone: zone, b: b, asked: map[string]*request{}, conns: map[*node]*pool{}, leave: map[string]bool{}, home: s.nodes[i%s.r.Zones],
 		rng: rand.New(rand.NewPCG(s.r.Seed, uint64(i)))}
 	if s.r.Policy != nil {
 		c.p = s.r.Policy(rand.New(rand.NewPCG(s.r.Seed, uint64(i)+3<<32)))
@@ -284,11 +299,7 @@
 		c.probe = probe.New(s.r.Ask, rand.New(rand.NewPCG(s.r.Seed, uint64(i)+2<<32)))
 	}
 	s.sidecars = append(s.sidecars, c)
-	list := &directory.Listing{Snapshot: true}
-	for _, n := range s.nodes {
-		list.Endpoints = append(list.Endpoints, s.endpoint(n, directory.StatusReady))
-	}
-	s.tell(c, list, balancer.Full)
+	s.begin(c)
 	return c, nil
 }
 
@@ -304,6 +315,7 @@
 
 // tell brings a list, or a change, to a sidecar: through its subset, if it has one.
 func (s *sim) tell(c *sidecar, l *directory.Listing, kind balancer.MembersKind) {
+	s.knows(c, l)
 	if c.s != nil {
 		if l = c.s.Update(s.at(s.Now()), l); l == nil {
 			return
@@ -366,13 +378,23 @@
 // announce tells all sidecars of a node's state, each after a delay of its own.
 func (s *sim) announce(n *node, status string) {
 	e := s.endpoint(n, status)
+	n.listed = status == directory.StatusReady
 	for _, c := range s.sidecars {
+		if s.r.Discovery != nil {
+			if !c.watches {
+				continue // it gets the whole list when its call is taken
+			}
+			s.spend(1)
+		}
 		if c.news = append(c.news, e); len(c.news) > 1 {
 			continue // they come together, as a poll or a watch brings them
 		}
 		s.After(time.Duration(s.rng.Int64N(int64(toldMost))), func() {
 			news := c.news
 			c.news = nil
+			if s.r.Discovery != nil && !c.watches {
+				return
+			}
 			s.tell(c, &directory.Listing{Endpoints: news}, balancer.Change)
 		})
 	}
@@ -539,6 +561,8 @@
 			s.answer(c, x.ID, &s.out.Refused, x.RetryIn)
 		case balancer.Fail:
 			s.answer(c, x.ID, &s.out.Failed, 0)
+		case balancer.Subscribe:
+			s.subscribe(c)
 		case balancer.SetTimer:
 			at := x.At
 			c.timer = at
@@ -568,7 +592,7 @@
 		return
 	}
 	n := s.byName[x.Upstream]
-	a := &attempt{of: q, by: c, number: len(q.attempts), node: n, sent: s.Now()}
+	a := &attempt{of: q, by: c, number: len(q.attempts), node: n, sent: s.Now(), life: c.life}
 	q.attempts = append(q.attempts, a)
 	s.out.Sends++
 	s.point().Sends++
@@ -714,7 +738,7 @@
 }
 
 func (s *sim) outcome(a *attempt, r balancer.Result) {
-	if a.ended {
+	if a.ended || a.life != a.by.life {
 		return
 	}
 	a.ended = true
--- a/internal/fleetsim/many_test.go
+++ b/internal/fleetsim/many_test.go
@@ -54,3 +54,27 @@
 		}
 	}
 }
+
+// Nine in ten sidecars are killed at once during a release, while discovery can take a call from all in 8 s and turns away what
+// would wait for longer than one; then it is down for 5 s. Starts serve from the list that they had, the calls of each stay few,
+// and all have the list soon after discovery can give it.
+func TestKilledSidecarsBeforeAnOverbookedDiscovery(t *testing.T) {
+	for _, sidecars := range []int{10, 80, 320} {
+		r := thin(sidecars)
+		r.Length, r.Down = 60*time.Second, 500*time.Millisecond
+		r.Discovery = &Discovery{CallLines: 30, Lines: float64(sidecars*(60+30)) / 8, Timeout: time.Second, DownAt: 25 * time.Second, DownFor: 5 * time.Second}
+		r.Faults = []Fault{{Kind: Deploy, Part: 0.3, At: 18 * time.Second, For: 7 * time.Second}, {Kind: Kill, Part: 0.9, At: 20 * time.Second}}
+		got, err := Play(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("%d sidecars: %d calls, %d in vain, %d in one second, the last had the list at %v; %d served of %d, %d sends reached nobody", sidecars,
+			got.Calls, got.CallsTurnedAway, got.MostCalls, got.Listed, got.Served, got.Requests, got.Unreached)
+		if got.Calls > 14*sidecars || got.Listed > 58*time.Second || got.CallsTurnedAway == 0 {
+			t.Errorf("%d sidecars: %d calls, %d in vain, the last has the list at %v", sidecars, got.Calls, got.CallsTurnedAway, got.Listed)
+		}
+		if got.Fell > 0 || got.Violations > 0 || float64(got.Served) < 0.95*float64(got.Requests) {
+			t.Errorf("%d sidecars: %d fell, %v, %d of %d served", sidecars, got.Fell, got.Broken, got.Served, got.Requests)
+		}
+	}
+}
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -39,7 +39,9 @@
 	Load     Load           `toml:"load" doc:"What comes."`
 	Clients  Clients        `toml:"clients" doc:"What clients do on their own."`
 	Classes  []Class        `toml:"class" doc:"Kinds of requests. Absent: one, safe."`
-	Faults   []Fault        `toml:"fault" doc:"What befalls the nodes."`
+	Faults   []Fault        `toml:"fault" doc:"What befalls the nodes, or the sidecars."`
+
+	Discovery Discovery `toml:"discovery" doc:"What sidecars ask for the list. Absent: it reaches all by itself."`
 
 	hash string
 }
@@ -88,12 +90,21 @@
 	Deadline units.Duration `toml:"deadline" default:"2s" doc:"By which it is worth anything."`
 }
 
-// Fault befalls nodes.
+// Discovery is a service of fixed capacity.
+type Discovery struct {
+	AllCalls  units.Duration `toml:"all_calls" doc:"In which it can take one call from each sidecar; 0s: there is none."`
+	CallLines int            `toml:"call_lines" default:"30" doc:"Lines that a call costs beside one for each node."`
+	Timeout   units.Duration `toml:"timeout" default:"1s" doc:"A call that would wait longer is turned away."`
+	DownAt    units.Duration `toml:"down_at" doc:"From then on it takes none."`
+	DownFor   units.Duration `toml:"down_for" doc:"So long; 0s: it is never down."`
+}
+
+// Fault befalls nodes, or sidecars.
 type Fault struct {
-	Kind   string         `toml:"kind" oneof:"slow|freeze|errors|turn away|crash|deploy|cut|lost" doc:"What befalls them."`
+	Kind   string         `toml:"kind" oneof:"slow|freeze|errors|turn away|crash|deploy|cut|lost|kill" doc:"What befalls them."`
 	At     units.Duration `toml:"at" doc:"Since the begin."`
 	For    units.Duration `toml:"for" default:"10s" doc:"How long; deploy: in which all are."`
-	Part   float64        `toml:"part" default:"0.2" doc:"Of the nodes, drawn by the seed."`
+	Part   float64        `toml:"part" default:"0.2" doc:"Of the nodes, or of the sidecars that are killed, drawn by the seed."`
 	Zone   int            `toml:"zone" doc:"That is cut off."`
 	Factor float64        `toml:"factor" default:"5.0" doc:"By which slow ones are slower."`
 }
@@ -192,6 +203,10 @@
 			doc.Report(at+".deadline", "%v is before aim, %v", c.Deadline, c.Aim)
 		}
 	}
+	if d := e.Discovery; d.AllCalls < 0 || d.Timeout < 0 || d.DownAt < 0 || d.DownFor < 0 {
+		doc.Report("discovery", "a time is negative")
+	}
+	bounds("discovery.call_lines", float64(e.Discovery.CallLines), 0, 1e6)
 	for i, f := range e.Faults {
 		at := fmt.Sprintf("fault[%d]", i)
 		if f.Kind == "" {
@@ -257,6 +272,10 @@
 		}
 		r.Settings.Classes, r.Mix = append(r.Settings.Classes, of), append(r.Mix, c.Share/sum)
 	}
+	if d := e.Discovery; d.AllCalls > 0 {
+		r.Discovery = &fleetsim.Discovery{Lines: float64(f.Sidecars*(f.Nodes+d.CallLines)) / d.AllCalls.D().Seconds(), CallLines: d.CallLines,
+			Timeout: d.Timeout.D(), DownAt: d.DownAt.D(), DownFor: d.DownFor.D()}
+	}
 	for _, x := range e.Faults {
 		r.Faults = append(r.Faults, fleetsim.Fault{Kind: fleetsim.FaultKind(x.Kind), At: x.At.D(), For: x.For.D(), Part: x.Part, Zone: x.Zone, Factor: x.Factor})
 	}
