tests: one table for many sidecars; a test that could not fail is dropped

Change: it is dropped; the three shapes in fleetsim are rows of TestFromFewToMany, calls bounded closer.

--- a/balancer/zones_test.go
+++ b/balancer/zones_test.go
@@ -116,24 +116,6 @@
 	}
 }
 
-// An upstream that fails four of five requests, seen about once a second: it is not drawn for long, and good answers
-// between do not bring it back. Guards against one lost request each, again and again, at eighty sidecars.
-func TestMostlyFailingUpstreamSeenSeldom(t *testing.T) {
-	n := 0
-	w := zoned(t, 6, func(u string) (Result, time.Duration) {
-		if u == "a0" {
-			if n++; n%5 != 0 {
-				return ServerError, 5 * ms
-			}
-		}
-		return OK, 20 * ms
-	})
-	w.play(60*time.Second, 10)
-	if w.sends["a0"] > 25 {
-		t.Errorf("%d attempts in a minute at an upstream that fails most", w.sends["a0"])
-	}
-}
-
 // Answers that can't be read come from any upstream alike, spoilt on their way: one in ten ejects nobody. (Forty
 // ejections in half a minute of four sidecars, where the share of errors counted them.)
 func TestSpoiltAnswersEjectNobody(t *testing.T) {
--- a/internal/fleetsim/many_test.go
+++ b/internal/fleetsim/many_test.go
@@ -16,65 +16,48 @@
 	return r
 }
 
-// A zone's machines vanish for 8 s and come back cold. Each sidecar has to find out by itself, which costs a few sends
-// each, not some for each of the zone's nodes. No cold node is pushed over and no rule broken.
-func TestLostZoneFromFewToMany(t *testing.T) {
-	for sidecars, most := range map[int]int{10: 250, 80: 750, 320: 1250} { // by upstream alone: 457, 1,090, 1,456
-		r := thin(sidecars)
-		r.Faults = []Fault{{Kind: Lost, Zone: 1, At: 10 * time.Second, For: 8 * time.Second}}
-		got, err := Play(r)
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Logf("%d sidecars: %d unreached, %d served of %d", sidecars, got.Unreached, got.Served, got.Requests)
-		if got.Unreached == 0 || got.Unreached > most {
-			t.Errorf("%d sidecars: %d sends to a lost zone of 15 nodes, %d at most", sidecars, got.Unreached, most)
-		}
-		if got.Fell > 0 || got.Violations > 0 || float64(got.Served) < 0.9*float64(got.Requests) {
-			t.Errorf("%d sidecars: %d fell, %v, %d of %d served", sidecars, got.Fell, got.Broken, got.Served, got.Requests)
-		}
-	}
-}
-
-// Six in ten nodes are replaced by cold ones within 7 s while some are slow: none is pushed over, whether ten sidecars
-// or 320 send to them, and the cold ones are used: most requests are served.
-func TestSixInTenReplacedFromFewToMany(t *testing.T) {
-	for _, sidecars := range []int{10, 80, 320} {
-		r := thin(sidecars)
-		r.Down = 500 * time.Millisecond
-		r.Faults = []Fault{{Kind: Slow, Part: 0.1, Factor: 4, At: 5 * time.Second, For: 20 * time.Second},
-			{Kind: Deploy, Part: 0.6, At: 10 * time.Second, For: 7 * time.Second}}
-		got, err := Play(r)
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Logf("%d sidecars: %d fell, %d served of %d, %d opened", sidecars, got.Fell, got.Served, got.Requests, got.Opened)
-		if got.Fell > 0 || got.Violations > 0 || float64(got.Served) < 0.87*float64(got.Requests) {
-			t.Errorf("%d sidecars: %d fell, %v, %d of %d served", sidecars, got.Fell, got.Broken, got.Served, got.Requests)
-		}
-	}
-}
-
-// Nine in ten sidecars are killed at once during a release, while discovery can take a call from all in 8 s and turns away what
-// would wait for longer than one; then it is down for 5 s. Starts serve from the list that they had, the calls of each stay few,
-// and all have the list soon after discovery can give it.
-func TestKilledSidecarsBeforeAnOverbookedDiscovery(t *testing.T) {
-	for _, sidecars := range []int{10, 80, 320} {
-		r := thin(sidecars)
-		r.Length, r.Down = 60*time.Second, 500*time.Millisecond
-		r.Discovery = &Discovery{CallLines: 30, Lines: float64(sidecars*(60+30)) / 8, Timeout: time.Second, DownAt: 25 * time.Second, DownFor: 5 * time.Second}
-		r.Faults = []Fault{{Kind: Deploy, Part: 0.3, At: 18 * time.Second, For: 7 * time.Second}, {Kind: Kill, Part: 0.9, At: 20 * time.Second}}
-		got, err := Play(r)
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Logf("%d sidecars: %d calls, %d in vain, %d in one second, the last had the list at %v; %d served of %d, %d sends reached nobody", sidecars,
-			got.Calls, got.CallsTurnedAway, got.MostCalls, got.Listed, got.Served, got.Requests, got.Unreached)
-		if got.Calls > 14*sidecars || got.Listed > 58*time.Second || got.CallsTurnedAway == 0 {
-			t.Errorf("%d sidecars: %d calls, %d in vain, the last has the list at %v", sidecars, got.Calls, got.CallsTurnedAway, got.Listed)
-		}
-		if got.Fell > 0 || got.Violations > 0 || float64(got.Served) < 0.95*float64(got.Requests) {
-			t.Errorf("%d sidecars: %d fell, %v, %d of %d served", sidecars, got.Fell, got.Broken, got.Served, got.Requests)
+// What 10, 80 and 320 sidecars do together, held to bounds on the sums: no cold node is pushed over, no rule broken, and most
+// is served.
+func TestFromFewToMany(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		served  float64 // least, of the requests
+		shape   func(r *Run)
+		bounded func(got *Result, sidecars int) bool // what is particular to the shape
+	}{
+		// Each has to find out by itself, with a few sends and not some for each node: by upstream alone they are 457, 1,090, 1,456.
+		{"a zone of 15 nodes is lost for 8 s", 0.9, func(r *Run) {
+			r.Faults = []Fault{{Kind: Lost, Zone: 1, At: 10 * time.Second, For: 8 * time.Second}}
+		}, func(got *Result, sidecars int) bool {
+			return got.Unreached > 0 && got.Unreached <= map[int]int{10: 250, 80: 750, 320: 1250}[sidecars]
+		}},
+		{"six in ten replaced by cold ones within 7 s, some slow", 0.87, func(r *Run) {
+			r.Faults = []Fault{{Kind: Slow, Part: 0.1, Factor: 4, At: 5 * time.Second, For: 20 * time.Second},
+				{Kind: Deploy, Part: 0.6, At: 10 * time.Second, For: 7 * time.Second}}
+		}, nil},
+		// Discovery takes a call from all in 8 s, turns away what would wait longer than one, and is down for 5 s. Starts serve from
+		// the list that they had, each calls a few times, and all have the list soon after discovery can give it.
+		{"nine in ten sidecars killed at once", 0.95, func(r *Run) {
+			r.Length = 60 * time.Second
+			r.Discovery = &Discovery{CallLines: 30, Lines: float64(r.Sidecars*(60+30)) / 8, Timeout: time.Second, DownAt: 25 * time.Second, DownFor: 5 * time.Second}
+			r.Faults = []Fault{{Kind: Deploy, Part: 0.3, At: 18 * time.Second, For: 7 * time.Second}, {Kind: Kill, Part: 0.9, At: 20 * time.Second}}
+		}, func(got *Result, sidecars int) bool {
+			return got.Calls <= 10*sidecars && got.CallsTurnedAway > 0 && got.Listed > 30*time.Second && got.Listed < 50*time.Second
+		}},
+	} {
+		for _, sidecars := range []int{10, 80, 320} {
+			r := thin(sidecars)
+			r.Down = 500 * time.Millisecond
+			c.shape(&r)
+			got, err := Play(r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Logf("%s, %d sidecars: %d unreached, %d calls, %d in vain, %d in a second, listed at %v, %d served of %d", c.name, sidecars,
+				got.Unreached, got.Calls, got.CallsTurnedAway, got.MostCalls, got.Listed, got.Served, got.Requests)
+			if got.Fell > 0 || got.Violations > 0 || float64(got.Served) < c.served*float64(got.Requests) || c.bounded != nil && !c.bounded(got, sidecars) {
+				t.Errorf("%s, %d sidecars: %+v", c.name, sidecars, got)
+			}
 		}
 	}
 }
