daemon: second address with figures, drain and undrain; its address can be opened twice

Seen on the untouched program: upgrade 'exited with 1' ("listening: address already in use": net.Listen without SO_REUSEPORT in daemon.Run), drain 'told to drain, and 4 s later clients were still sent to it' (nothing listened where control says). Ruled out for upgrade: the first process's memory and descriptors (12 MB of 64, 175 of 384).

internal/control answers calls from its accept loop, internal/figures counts, internal/life decides what a drain or an end closes and when; daemon.drain's fixed sleeps went into it.

--- a/cmd/orchiddrift/serve.go
+++ b/cmd/orchiddrift/serve.go
@@ -12,8 +12,9 @@
 
 // serveCmd runs the daemon until SIGTERM or SIGINT. On SIGHUP it reads its configuration again.
 type serveCmd struct {
-	Config string `env:"GW_CONFIG" placeholder:"FILE" help:"The configuration: the operator's file, or the platform's."`
-	Beside string `name:"file" env:"ORCHIDDRIFT_FILE" placeholder:"FILE" help:"The operator's file beside the platform's."`
+	Config  string `env:"GW_CONFIG" placeholder:"FILE" help:"The configuration: the operator's file, or the platform's."`
+	Beside  string `name:"file" env:"ORCHIDDRIFT_FILE" placeholder:"FILE" help:"The operator's file beside the platform's."`
+	Control string `env:"GW_CONTROL" placeholder:"ADDRESS" help:"Where operators call, where no file says so."`
 }
 
 func (s serveCmd) Run() error {
@@ -22,5 +23,5 @@
 	reload := make(chan os.Signal, 1) // one that waits stands for all: the file is read after it
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
-	return daemon.Run(ctx, config.Sources{Config: s.Config, Beside: s.Beside}, reload)
+	return daemon.Run(ctx, config.Sources{Config: s.Config, Beside: s.Beside, Control: s.Control}, reload)
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -19,6 +19,7 @@
 type Config struct {
 	Name      string
 	Listen    string // where clients connect
+	Control   string // where operators call; empty: nowhere
 	Discovery string
 	Seed      uint64
 	Limits    Limits
@@ -117,6 +118,7 @@
 func parse(text []byte, plugin bool) (*Config, error) {
 	var file struct {
 		Name, Listen, Discovery string
+		Control                 string
 		Seed                    json.RawMessage
 		Limits                  json.RawMessage
 		Known                   json.RawMessage
@@ -132,9 +134,12 @@
 			bad = append(bad, Problem{Key: key, Reason: oneLine(err)})
 		}
 	}
-	c := &Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery}
+	c := &Config{Name: file.Name, Listen: file.Listen, Control: file.Control, Discovery: file.Discovery}
 	if !plugin {
 		add("listen", directory.CheckAddress(c.Listen))
+		if c.Control != "" {
+			add("control", checkControl(c.Control, c.Listen))
+		}
 		bad = append(bad, c.readLimits(file.Limits)...)
 	}
 	if !plugin || c.Discovery != "" {
@@ -183,6 +188,14 @@
 	return c, nil
 }
 
+// checkControl says what is wrong with the operators' address.
+func checkControl(control, listen string) error {
+	if control == listen {
+		return errors.New("clients connect there")
+	}
+	return directory.CheckAddress(control)
+}
+
 func (c *Config) readLimits(text json.RawMessage) (bad Problems) {
 	if len(text) == 0 || string(text) == "null" {
 		return Problems{{Key: "limits", Reason: "missing"}}
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -44,10 +44,11 @@
 
 // Daemon is about the process.
 type Daemon struct {
-	Name   string         `toml:"name" reload:"start" doc:"The process's name, for logs."`
-	Listen string         `toml:"listen" default:"127.0.0.1:8080" reload:"start" doc:"Where clients connect: IP address and port."`
-	Seed   string         `toml:"seed" reload:"start" sample:"\"8c1f30d27a5be964\"" doc:"Where random numbers begin, 64 bits in hexadecimal: the same seed draws the same. Absent: a new one is drawn at each start and logged."`
-	Grace  units.Duration `toml:"grace" default:"0s" reload:"start" doc:"How long what is in hand may take after SIGTERM; 0s: as long as the longest deadline."`
+	Name    string         `toml:"name" reload:"start" doc:"The process's name, for logs."`
+	Listen  string         `toml:"listen" default:"127.0.0.1:8080" reload:"start" doc:"Where clients connect: IP address and port."`
+	Control string         `toml:"control" reload:"start" sample:"\"127.0.0.1:8081\"" doc:"Where operators call: IP address and port. /ready, /metrics, /drain and /undrain answer there. Absent: nowhere."`
+	Seed    string         `toml:"seed" reload:"start" sample:"\"8c1f30d27a5be964\"" doc:"Where random numbers begin, 64 bits in hexadecimal: the same seed draws the same. Absent: a new one is drawn at each start and logged."`
+	Grace   units.Duration `toml:"grace" default:"0s" reload:"start" doc:"How long what is in hand may take after SIGTERM; 0s: as long as the longest deadline."`
 }
 
 // FileLimits is what the process may use.
@@ -93,6 +94,11 @@
 	if err := directory.CheckAddress(d.Listen); err != nil {
 		report("listen", "%v", err)
 	}
+	if d.Control != "" {
+		if err := checkControl(d.Control, d.Listen); err != nil {
+			report("control", "%v", err)
+		}
+	}
 	if d.Seed != "" {
 		if _, err := strconv.ParseUint(d.Seed, 16, 64); err != nil {
 			report("seed", "%q is not a 64-bit hexadecimal number", d.Seed)
--- a/internal/config/file_test.go
+++ b/internal/config/file_test.go
@@ -184,8 +184,8 @@
 	for _, c := range []struct {
 		files    Sources
 		services int // 0: not taken
-	}{{Sources{Config: platform}, 1}, {Sources{Config: file}, 1}, {Sources{Beside: file}, 1}, {Sources{platform, file}, 0},
-		{Sources{file, file}, 0}, {Sources{}, 0}, {Sources{Config: dir + "/missing"}, 0}, {Sources{platform, dir + "/missing"}, 0}} {
+	}{{Sources{Config: platform}, 1}, {Sources{Config: file}, 1}, {Sources{Beside: file}, 1}, {Sources{Config: platform, Beside: file}, 0},
+		{Sources{Config: file, Beside: file}, 0}, {Sources{}, 0}, {Sources{Config: dir + "/missing"}, 0}, {Sources{Config: platform, Beside: dir + "/missing"}, 0}} {
 		p, err := LoadPlan(c.files)
 		if (err == nil) != (c.services > 0) || err == nil && len(p.Services) != c.services {
 			t.Errorf("%+v: %v", c.files, err)
--- a/internal/config/plan.go
+++ b/internal/config/plan.go
@@ -36,6 +36,7 @@
 // Plan is what a daemon runs, from whichever files: the platform's, the operator's, or both.
 type Plan struct {
 	Name, Listen string
+	Control      string // where operators call; empty: nowhere
 	Seed         uint64
 	SeedDrawn    bool // no file has one
 	Limits       Limits
@@ -92,10 +93,24 @@
 type Sources struct {
 	Config string // the platform's JSON or the operator's TOML, told apart by what stands in it
 	Beside string // the operator's file beside the platform's; empty: none
+	// Control is where operators call, where no file says so; empty: nowhere.
+	Control string
 }
 
 // LoadPlan reads the files. An error about what stands in one wraps Problems.
 func LoadPlan(s Sources) (*Plan, error) {
+	p, err := loadPlan(s)
+	if err != nil || p.Control != "" || s.Control == "" {
+		return p, err
+	}
+	if err := checkControl(s.Control, p.Listen); err != nil {
+		return nil, fmt.Errorf("control: %w", err)
+	}
+	p.Control = s.Control
+	return p, nil
+}
+
+func loadPlan(s Sources) (*Plan, error) {
 	switch {
 	case s.Config == "" && s.Beside == "":
 		return nil, errors.New(`no configuration: name one with --config, or GW_CONFIG ("orchiddrift config example" prints one)`)
@@ -150,7 +165,7 @@
 	if len(conflicts) > 0 { // two classes of one name: the settings' check finds that
 		panic("config: the platform's routes conflict")
 	}
-	return &Plan{Name: c.Name, Listen: c.Listen, Seed: c.Seed, Limits: c.Limits, HeadTimeout: platformHead,
+	return &Plan{Name: c.Name, Listen: c.Listen, Control: c.Control, Seed: c.Seed, Limits: c.Limits, HeadTimeout: platformHead,
 		BodyTimeout: platformBody, Grace: min(longest, killLongest) + killMargin, Guaranteed: 1, Table: table,
 		Services: []ServicePlan{c.service()}}
 }
@@ -195,7 +210,7 @@
 
 // plan makes the Plan, and reports what is wrong between the parts.
 func (f *File) plan(beside *Config, doc *tomlfile.Document) *Plan {
-	p := &Plan{Name: f.Daemon.Name, Listen: f.Daemon.Listen, Limits: Limits{Cores: f.Limits.cores(),
+	p := &Plan{Name: f.Daemon.Name, Listen: f.Daemon.Listen, Control: f.Daemon.Control, Limits: Limits{Cores: f.Limits.cores(),
 		MemoryMB: float64(f.Limits.Memory) / float64(units.MiB), Sockets: f.Limits.Descriptors},
 		HeadTimeout: f.Limits.HeadTimeout.D(), BodyTimeout: f.Limits.BodyTimeout.D(), Grace: f.Daemon.Grace.D(),
 		Guaranteed: f.Shares.Guaranteed, TLS: f.TLS, Log: f.Log, File: f}
@@ -205,6 +220,7 @@
 	if beside != nil {
 		of := beside.Plan()
 		p.Name, p.Listen, p.Seed, p.Limits = of.Name, of.Listen, of.Seed, of.Limits
+		p.Control = cmp.Or(of.Control, p.Control)
 		p.HeadTimeout, p.BodyTimeout, p.Grace = of.HeadTimeout, of.BodyTimeout, of.Grace
 		p.Services = of.Services
 		p.Services[0].Subset, p.Services[0].Warm, p.Services[0].Probe = f.Platform.Subset, f.Platform.Warm, f.Platform.Probe
--- /dev/null
+++ b/internal/control/call.go
@@ -0,0 +1,147 @@
+// Package control serves the operators' own address: one HTTP/1.1 call to a connection, answered at once whatever clients and
+// other callers do. call.go reads a call out of bytes, without I/O; server.go holds the connections.
+package control
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httputil"
+	"strconv"
+	"strings"
+)
+
+// Bounds of a call, in bytes. Nothing asked for here needs more.
+const (
+	MaxHead = 8 << 10
+	MaxBody = 4 << 10
+)
+
+// Call is what a caller wants.
+type Call struct {
+	Method, Path string
+	Query        string
+}
+
+// Answer is what it is told. Allow names the methods of a path, where the one asked with is another.
+type Answer struct {
+	Status int
+	Body   string
+	Allow  string
+}
+
+// Progress is what Read makes of the bytes so far.
+type Progress int
+
+// The kinds of Progress.
+const (
+	More  Progress = iota // the call goes on
+	Whole                 // here it is
+	Bad                   // it can't become one: the Answer says why
+)
+
+// Read reads a call out of all bytes of a connection so far. What follows a whole call is not looked at.
+func Read(b []byte) (Call, Progress, Answer) {
+	end := headEnd(b)
+	if end < 0 {
+		if len(b) > MaxHead {
+			return Call{}, Bad, Answer{Status: http.StatusRequestHeaderFieldsTooLarge, Body: "the head is too large"}
+		}
+		if bad := hopeless(b); bad {
+			return Call{}, Bad, malformed("no request line")
+		}
+		return Call{}, More, Answer{}
+	}
+	if end > MaxHead {
+		return Call{}, Bad, Answer{Status: http.StatusRequestHeaderFieldsTooLarge, Body: "the head is too large"}
+	}
+	from := bufio.NewReaderSize(bytes.NewReader(b), len(b)) // holds all of it
+	r, err := http.ReadRequest(from)
+	if err != nil {
+		return Call{}, Bad, malformed("the head can't be read")
+	}
+	if !r.ProtoAtLeast(1, 0) || r.ProtoAtLeast(2, 0) {
+		return Call{}, Bad, Answer{Status: http.StatusHTTPVersionNotSupported, Body: "HTTP/1.1 is spoken here"}
+	}
+	if len(r.TransferEncoding) > 0 && len(r.Header["Content-Length"]) > 0 {
+		return Call{}, Bad, malformed("the body is framed twice")
+	}
+	if r.ContentLength > MaxBody {
+		return Call{}, Bad, tooLarge
+	}
+	body := io.LimitReader(from, max(r.ContentLength, 0))
+	chunked := len(r.TransferEncoding) > 0
+	if chunked {
+		body = httputil.NewChunkedReader(from) // up to the last chunk; the library's Body can't tell a trailer's end from its lack
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(body, MaxBody+1))
+	rest, _ := from.Peek(from.Buffered()) // what is buffered can be had
+	switch {
+	case n > MaxBody || chunked && len(b) > end+2*MaxBody: // of what frames chunks, too
+		return Call{}, Bad, tooLarge
+	case err != nil && !errors.Is(err, io.ErrUnexpectedEOF):
+		return Call{}, Bad, malformed("the body can't be read")
+	case err != nil || !chunked && n < r.ContentLength || chunked && headEnd(rest) < 0:
+		return Call{}, More, Answer{}
+	}
+	return Call{Method: r.Method, Path: r.URL.Path, Query: r.URL.RawQuery}, Whole, Answer{}
+}
+
+func malformed(text string) Answer { return Answer{Status: http.StatusBadRequest, Body: text} }
+
+var tooLarge = Answer{Status: http.StatusRequestEntityTooLarge, Body: "the body is too large"}
+
+// headEnd is where the head ends, behind its empty line, or -1. The library takes bare line feeds, and so does this.
+func headEnd(b []byte) int {
+	for i := 0; ; {
+		n := bytes.IndexByte(b[i:], '\n')
+		if n < 0 {
+			return -1
+		}
+		line := bytes.TrimSuffix(b[i:i+n], []byte{'\r'})
+		i += n + 1
+		if len(line) == 0 {
+			return i
+		}
+	}
+}
+
+// hopeless tells whether the first line, as far as it is there, can't begin a request: there is no use in waiting for more.
+func hopeless(b []byte) bool {
+	line, _, whole := bytes.Cut(b, []byte{'\n'})
+	if whole {
+		line = bytes.TrimSuffix(line, []byte{'\r'})
+		if bytes.Count(line, []byte{' '}) != 2 || !bytes.Contains(line, []byte(" HTTP/")) {
+			return true
+		}
+	}
+	for _, c := range line {
+		if c < ' ' && c != '\r' || c >= 0x7f {
+			return true
+		}
+	}
+	return false
+}
+
+// appendTo appends the answer as it is written. HEAD gets no body.
+func (a Answer) appendTo(out []byte, method string) []byte {
+	body := a.Body
+	if body != "" && !strings.HasSuffix(body, "\n") {
+		body += "\n"
+	}
+	out = append(out, "HTTP/1.1 "...)
+	out = strconv.AppendInt(out, int64(a.Status), 10)
+	out = append(append(append(out, ' '), http.StatusText(a.Status)...), "\r\n"...)
+	if a.Allow != "" {
+		out = append(append(append(out, "Allow: "...), a.Allow...), "\r\n"...)
+	}
+	out = append(out, "Content-Type: text/plain; charset=utf-8\r\nCache-Control: no-store\r\nConnection: close\r\nContent-Length: "...)
+	out = strconv.AppendInt(out, int64(len(body)), 10)
+	out = append(out, "\r\n\r\n"...)
+	if method == http.MethodHead {
+		return out
+	}
+	return append(out, body...)
+}
--- /dev/null
+++ b/internal/daemon/course.go
@@ -0,0 +1,121 @@
+package daemon
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"orchiddrift/internal/clock"
+	"orchiddrift/internal/intake"
+	"orchiddrift/internal/life"
+)
+
+// course drives package life: it closes the connections that are to be closed, and ends once the process has nothing left to do.
+// It is safe for concurrent use.
+type course struct {
+	clock clock.Clock
+	conns *intake.Conns
+
+	wanted   atomic.Bool // clients are to be sent here
+	last     atomic.Bool // answers are the last of their connections
+	stopping atomic.Bool // the process is ending
+
+	mu        sync.Mutex
+	life      *life.Life
+	abandoned bool
+	turned    chan struct{} // holds one: the state is another
+}
+
+func newCourse(c clock.Clock, grace time.Duration, conns *intake.Conns) *course {
+	n := &course{clock: c, conns: conns, life: life.New(grace), turned: make(chan struct{}, 1)}
+	n.wanted.Store(true)
+	return n
+}
+
+// turn changes the state.
+func (c *course) turn(by func(*life.Life, time.Duration) bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ok := by(c.life, c.clock.Now())
+	c.wanted.Store(c.life.Wanted())
+	c.last.Store(c.life.LastAnswers())
+	c.stopping.Store(c.life.Ending())
+	select {
+	case c.turned <- struct{}{}:
+	default:
+	}
+	return ok
+}
+
+func (c *course) drain() bool   { return c.turn((*life.Life).Drain) }
+func (c *course) undrain() bool { return c.turn((*life.Life).Undrain) }
+
+func (c *course) stop(successor bool) {
+	c.turn(func(l *life.Life, now time.Duration) bool {
+		l.Stop(now, successor)
+		return true
+	})
+}
+
+// abandon ends run at once.
+func (c *course) abandon() {
+	c.turn(func(*life.Life, time.Duration) bool {
+		c.abandoned = true
+		return true
+	})
+}
+
+func (c *course) state() life.State {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.life.State()
+}
+
+// look is how often the end of connections is looked for, once nothing new is accepted.
+const look = 10 * time.Millisecond
+
+// run returns once the process ends and all connections of clients have ended, or what they wait for has been failed by abort.
+func (c *course) run(abort func()) {
+	wait := time.NewTimer(time.Hour)
+	defer wait.Stop()
+	accepting := true
+	for {
+		c.mu.Lock()
+		now := c.clock.Now()
+		rest, again, closing := c.life.Rest(now)
+		accepts, ending, abandoned := c.life.Accepts(now), c.life.Ending(), c.abandoned
+		left, over := c.life.Abort(now)
+		c.mu.Unlock()
+		if abandoned {
+			return
+		}
+		if accepting && !accepts {
+			accepting = false
+			c.conns.Close() // its error says that it was closed
+		}
+		if closing {
+			c.conns.CloseQuiet(rest)
+		}
+		if over {
+			abort()
+			return
+		}
+		if !accepting && c.conns.Open() == 0 {
+			return
+		}
+		switch {
+		case !ending && again == 0:
+			again = time.Hour
+		case ending && !accepting:
+			again = min(again, look)
+		}
+		if ending {
+			again = min(again, left)
+		}
+		wait.Reset(again)
+		select {
+		case <-wait.C:
+		case <-c.turned:
+		}
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,8 +24,10 @@
 	"orchiddrift/internal/bulkhead"
 	"orchiddrift/internal/clock"
 	"orchiddrift/internal/config"
+	"orchiddrift/internal/control"
 	"orchiddrift/internal/engine"
 	"orchiddrift/internal/eureka"
+	"orchiddrift/internal/figures"
 	"orchiddrift/internal/httphead"
 	"orchiddrift/internal/intake"
 	"orchiddrift/internal/keys"
@@ -33,17 +35,14 @@
 )
 
 const (
-	ownSockets  = 32   // descriptors that are neither a client's nor an upstream's
-	memoryPart  = 0.75 // of the limit that the heap may use
-	gcLeastMB   = 32   // the memory limit at which the collector works as Go has it; see GCPercent
-	gcMost      = 400
-	answerPart  = 64                     // an answer may have this fraction of the memory: many are in hand at once
-	bytesPart   = 4                      // and all bodies in hand this one, where services share it
-	handSpare   = 8                      // this fraction of clients' connections never carries requests in hand
-	quietAfter  = 450 * time.Millisecond // after SIGTERM: clients use the connections that they have until this
-	acceptAfter = 600 * time.Millisecond // and may come on new ones until this
-	justOpened  = 50 * time.Millisecond  // a connection this young is about to bring its request
-	clientIdle  = 30 * time.Second
+	ownSockets = 32   // descriptors that are neither a client's nor an upstream's
+	memoryPart = 0.75 // of the limit that the heap may use
+	gcLeastMB  = 32   // the memory limit at which the collector works as Go has it; see GCPercent
+	gcMost     = 400
+	answerPart = 64 // an answer may have this fraction of the memory: many are in hand at once
+	bytesPart  = 4  // and all bodies in hand this one, where services share it
+	handSpare  = 8  // this fraction of clients' connections never carries requests in hand
+	clientIdle = 30 * time.Second
 )
 
 // Run serves as the files say until ctx ends, then finishes what it has taken. Whenever reload brings something it reads
@@ -55,7 +54,7 @@
 	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(p.Limits.Cores))))
 	LimitMemory(p)
-	listener, err := net.Listen("tcp", p.Listen)
+	listener, err := listen(p.Listen)
 	if err != nil {
 		return fmt.Errorf("listening: %w", err)
 	}
@@ -97,6 +96,8 @@
 	besides   sync.WaitGroup
 	rest      context.Context // of what runs besides; ends with the daemon
 	listening net.Listener
+	figures   *figures.Counts
+	course    *course
 }
 
 // ServePlan is Run with a plan and a listener at hand; it closes the listener. Where look is not nil it is given the
@@ -134,8 +135,9 @@
 		return err
 	}
 	look(d)
-	s := &server{d: d, ids: newIDs(p.Seed)}
 	conns := intake.NewConns(listener, connections)
+	d.course = newCourse(d.shared.clock, p.Grace, conns)
+	s := &server{d: d, ids: newIDs(p.Seed), course: d.course}
 	srv := &http.Server{Handler: s, ReadHeaderTimeout: p.HeadTimeout, IdleTimeout: clientIdle,
 		MaxHeaderBytes: httphead.MaxBytes, DisableGeneralOptionsHandler: true, ConnState: conns.State,
 		ErrorLog: slog.NewLogLogger(d.log.Handler(), slog.LevelDebug)}
@@ -144,6 +146,14 @@
 		front = tls.NewListener(conns, &tls.Config{MinVersion: tls.VersionTLS12,
 			GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) { return d.tls.Load(), nil }})
 	}
+	if p.Control != "" {
+		operators, err := control.Listen(p.Control, d.operate, d.log)
+		if err != nil {
+			return fmt.Errorf("listening for operators: %w", err)
+		}
+		d.besides.Go(operators.Run)
+		defer operators.Close()
+	}
 	known, err := d.register(p)
 	if err != nil {
 		return err
@@ -152,15 +162,32 @@
 	ended := make(chan error, 1)
 	go func() { ended <- srv.Serve(front) }()
 	d.besides.Go(func() { d.followReloads(rest, files, reload) })
+	over := make(chan struct{}) // all that was taken is finished, or was failed
+	go func() {
+		defer close(over)
+		d.course.run(d.abort)
+	}()
 	select {
 	case err := <-ended:
+		d.course.abandon()
+		<-over
 		return fmt.Errorf("serving: %w", err)
 	case <-ctx.Done():
 	}
 	known.drain()
-	return drain(srv, s, conns, d, p.Grace)
+	d.course.stop(false)
+	<-over
+	last, cancel := context.WithTimeout(context.Background(), lastMoment)
+	defer cancel()
+	if err := srv.Shutdown(last); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		return fmt.Errorf("shutting down: %w", err)
+	}
+	return nil
 }
 
+// lastMoment is what answers that have just been failed may take to be written.
+const lastMoment = 100 * time.Millisecond
+
 // registrations are where the process is known.
 type registrations struct {
 	all  []*eureka.Registration
@@ -200,6 +227,7 @@
 // share makes what services share.
 func (d *daemon) share(connections int) error {
 	p := d.plan
+	d.figures = figures.New()
 	d.shared = &shared{clock: clock.New(), log: d.log, seed: p.Seed, name: p.Name, connections: connections,
 		maxAnswer: int(p.Limits.MemoryMB * (1 << 20) / answerPart)}
 	var err error
@@ -264,22 +292,3 @@
 	d.retiring.Wait()
 	d.shared.closeRepeats()
 }
-
-// drain goes on accepting while clients still come, answers everything that was taken, and ends before the
-// process is killed.
-func drain(srv *http.Server, s *server, conns *intake.Conns, d *daemon, killAfter time.Duration) error {
-	begun := time.Now()
-	s.stopping.Store(true)
-	last := time.AfterFunc(killAfter, d.abort)
-	defer last.Stop()
-	time.Sleep(quietAfter)
-	conns.CloseQuiet(justOpened) // where that crosses a request, the client comes on a new connection
-	time.Sleep(acceptAfter - quietAfter)
-	conns.CloseQuiet(0)
-	ctx, cancel := context.WithTimeout(context.Background(), killAfter+100*time.Millisecond-time.Since(begun))
-	defer cancel()
-	if err := srv.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
-		return fmt.Errorf("shutting down: %w", err)
-	}
-	return nil
-}
--- a/internal/daemon/graphql.go
+++ b/internal/daemon/graphql.go
@@ -14,6 +14,7 @@
 	"orchiddrift/balancer"
 	"orchiddrift/internal/doorkeeper"
 	"orchiddrift/internal/engine"
+	"orchiddrift/internal/figures"
 	"orchiddrift/internal/graphql"
 	"orchiddrift/internal/httphead"
 	"orchiddrift/internal/intake"
@@ -34,6 +35,7 @@
 	begun    time.Duration
 	media    string // of the answer
 	entries  int
+	taken    *[]figures.Taken // of the entries, kept where the request is decided anew
 }
 
 // serve answers the request, or tells that it is to be decided anew: its route ended before anything was sent.
@@ -48,10 +50,13 @@
 	if asked.Batch {
 		header = nil
 	}
+	if len(*c.taken) != c.entries {
+		*c.taken = make([]figures.Taken, c.entries)
+	}
 	entries := make([]*operation, c.entries)
 	problems := asked.Problems
 	for i := range entries {
-		o := &operation{call: c, id: c.id}
+		o := &operation{call: c, id: c.id, taken: &(*c.taken)[i]}
 		if asked.Batch {
 			o.id += "." + strconv.Itoa(i)
 		}
@@ -63,6 +68,9 @@
 	defer func() {
 		for _, o := range entries {
 			o.end()
+			if !again {
+				o.taken.End(endOf(o.answer.Kind))
+			}
 		}
 	}()
 	if asked.Batch {
@@ -134,6 +142,7 @@
 	answer   engine.Answer
 	conflict int  // the status of its key's conflict; 0: there is none
 	unsent   bool // its route ended, and nothing was sent
+	taken    *figures.Taken
 
 	failedMu sync.Mutex
 	failed   *upstream.Reply // the latest attempt's, where that was a node's word of its failure
@@ -142,6 +151,9 @@
 // run has the door and the module decide on the operation.
 func (o *operation) run() {
 	c, d := o.call, &o.decision
+	if !o.taken.Counts() {
+		*o.taken = c.d.figures.Take(d.Class.Name)
+	}
 	req := c.req
 	req.Class, req.Timeout = d.Class, min(req.Timeout, d.Class.Deadline)
 	if req.Hint == 0 {
@@ -167,7 +179,7 @@
 	}
 	o.pool = c.svc.pool
 	o.request = upstream.NewRequest(req.Method, req.Target, req.Host, req.Header, d.Body)
-	o.request.Gate = c.lease
+	o.request.Gate, o.request.Written = c.lease, c.d.figures.Sent
 	pass, refused := c.door(c.r, c.svc, &req, c.begun, len(d.Body))
 	if refused != nil {
 		o.answer = *refused
--- /dev/null
+++ b/internal/daemon/reading.go
@@ -0,0 +1,35 @@
+package daemon
+
+import (
+	"orchiddrift/internal/engine"
+	"orchiddrift/internal/figures"
+)
+
+// read reads the figures. The upstreams are those of all services, and which of them are avoided is the module's own word; those
+// that drain are avoided too.
+func (d *daemon) read() figures.Figures {
+	f := d.figures.Read()
+	for _, s := range d.routing.Load().services {
+		ready, leaving := 0, s.dir.Leaving()
+		for _, u := range s.engine.View() {
+			ready++
+			if u.Avoided {
+				f.Unavailable++
+			}
+		}
+		f.Members += int64(ready + leaving)
+		f.Unavailable += int64(leaving)
+	}
+	return f
+}
+
+// endOf is a final answer as the figures count it.
+func endOf(k engine.Kind) figures.End {
+	switch k {
+	case engine.Served:
+		return figures.Completed
+	case engine.Refused:
+		return figures.Rejected
+	}
+	return figures.Failed
+}
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -23,7 +23,9 @@
 		case <-ctx.Done():
 			return
 		}
-		if err := d.reload(files); err != nil {
+		err := d.reload(files)
+		d.figures.Reloaded(err == nil)
+		if err != nil {
 			d.log.Error("reload: the old configuration stays", "reason", err)
 		}
 	}
@@ -57,6 +59,7 @@
 	}
 	// What counts from the next start stays as it is.
 	next.Name, next.Listen, next.Seed, next.SeedDrawn = was.Name, was.Listen, was.Seed, was.SeedDrawn
+	next.Control = was.Control
 	next.Limits, next.HeadTimeout, next.Grace = was.Limits, was.HeadTimeout, was.Grace
 	if err := d.apply(next); err != nil {
 		return err
@@ -143,6 +146,11 @@
 	}
 
 	// From here on nothing fails.
+	for _, plan := range p.Services {
+		for _, class := range plan.Settings.Classes {
+			d.figures.Add(class.Name)
+		}
+	}
 	next, ended := now.next(p.Table, services, p.Endpoints, p.BodyTimeout)
 	for _, move := range moves {
 		move()
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -12,12 +12,12 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"orchiddrift/balancer"
 	"orchiddrift/internal/doorkeeper"
 	"orchiddrift/internal/engine"
+	"orchiddrift/internal/figures"
 	"orchiddrift/internal/httphead"
 	"orchiddrift/internal/intake"
 	"orchiddrift/internal/upstream"
@@ -29,9 +29,9 @@
 // server takes the clients' requests, has the engine of their service answer them, and words the answers as the
 // platform's protocol says.
 type server struct {
-	d        *daemon
-	ids      *ids
-	stopping atomic.Bool // connections are to end with their next answer
+	d   *daemon
+	ids *ids
+	*course
 }
 
 // Carry is engine.Carrier's.
@@ -47,122 +47,146 @@
 	return engine.Reply{Result: balancer.OK, Value: &rep}
 }
 
+// visit is one request of a client, on its way to its answer.
+type visit struct {
+	*server
+	w     http.ResponseWriter
+	r     *http.Request
+	begun time.Duration // its last byte came; before that, its head
+	body  []byte
+	read  bool // the body has been
+	taken figures.Taken
+
+	entries []figures.Taken // of a GraphQL request's operations
+}
+
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if strings.HasPrefix(r.URL.Path, "/-/") {
 		s.own(w, r)
 		return
 	}
-	var body []byte
-	read := false
-	begun := s.d.shared.clock.Now()
+	v := &visit{server: s, w: w, r: r, begun: s.d.shared.clock.Now()}
 	for {
 		routing := s.d.routing.Load()
 		req, bad := routing.checker.Check(r)
 		if bad != nil {
 			s.turnDown(w, bad)
-			return
+			break
 		}
 		svc := routing.services[req.Route.Service]
 		if !svc.enter() { // a reload has just taken it away: the routing is another one by now
 			continue
 		}
-		again := s.serve(w, r, routing, svc, req, &body, &read, begun)
+		again := v.serve(routing, svc, req)
 		svc.leave()
 		if !again {
-			return
+			break
 		}
 	}
+	v.taken.End(figures.Failed) // where it had no end yet
+	for i := range v.entries {
+		v.entries[i].End(figures.Failed)
+	}
 }
 
 // serve answers a request by its service, or tells that it is to be decided anew: its route ended before anything was
 // sent.
-func (s *server) serve(w http.ResponseWriter, r *http.Request, routing *routing, svc *service, req intake.Request,
-	body *[]byte, read *bool, begun time.Duration) (again bool) {
-	sh := s.d.shared
+func (v *visit) serve(routing *routing, svc *service, req intake.Request) (again bool) {
+	w, r, sh := v.w, v.r, v.d.shared
 	if sh.inHand != nil {
 		if !sh.inHand.TryAcquire(svc.name, 1) {
-			if s.d.routing.Load() != routing { // a reload has just ended the service
+			if v.d.routing.Load() != routing { // a reload has just ended the service
 				return true
 			}
-			s.crowded(w, svc, "requests")
+			v.crowded(svc, &req, "requests")
 			return false
 		}
 		defer sh.inHand.Release(svc.name, 1)
 		if n := r.ContentLength; n > 0 {
 			if !sh.bytes.TryAcquire(svc.name, n) {
-				if s.d.routing.Load() != routing {
+				if v.d.routing.Load() != routing {
 					return true
 				}
-				s.crowded(w, svc, "bytes")
+				v.crowded(svc, &req, "bytes")
 				return false
 			}
 			defer sh.bytes.Release(svc.name, n)
 		}
 	}
-	if !*read {
+	if !v.read {
 		var bad *intake.Rejection
-		if *body, bad = s.read(w, r, routing.body); bad != nil {
-			s.turnDown(w, bad)
+		if v.body, bad = v.takeBody(w, r, routing.body); bad != nil {
+			v.turnDown(w, bad)
 			return false
 		}
-		*read = true
-		begun = sh.clock.Now()
+		v.read = true
+		v.begun = sh.clock.Now()
 	}
 	id := req.ID
 	if id == "" {
-		id = s.ids.next()
+		id = v.ids.next()
 		if len(req.Header[httphead.ID]) == 0 {
 			req.Header[httphead.ID] = []string{id}
 		}
 	}
 	lease := routing.leases[req.Route]
-	if e := routing.graphql[req.Route.Endpoint]; e != nil {
-		c := &graphqlCall{server: s, w: w, r: r, svc: svc, req: req, id: id, endpoint: e, lease: lease, begun: begun}
-		return c.serve(*body)
+	if e := routing.graphql[req.Route.Endpoint]; e != nil { // its operations are counted each
+		c := &graphqlCall{server: v.server, w: w, r: r, svc: svc, req: req, id: id, endpoint: e, lease: lease, begun: v.begun,
+			taken: &v.entries}
+		return c.serve(v.body)
+	}
+	if !v.taken.Counts() {
+		v.taken = v.d.figures.Take(req.Class.Name)
 	}
-	out := upstream.NewRequest(req.Method, req.Target, req.Host, req.Header, *body)
-	out.Gate = lease
+	out := upstream.NewRequest(req.Method, req.Target, req.Host, req.Header, v.body)
+	out.Gate, out.Written = lease, v.d.figures.Sent
 	x := &exchange{pool: svc.pool, request: out}
 	defer x.end()
-	pass, refused := s.door(r, svc, &req, begun, len(*body))
+	pass, refused := v.door(r, svc, &req, v.begun, len(v.body))
 	if refused != nil {
-		if refused.Kind == engine.Refused && lease.ended.Load() && !s.stopping.Load() {
+		if refused.Kind == engine.Refused && lease.ended.Load() && !v.stopping.Load() {
 			return true // its new route may have room
 		}
-		s.finish(w, *refused)
+		v.end(*refused)
 		return false
 	}
-	call := engine.Call{ID: id, Class: req.Class.Name, Tenant: req.Tenant, Hint: req.Hint, Expires: begun + req.Timeout}
+	call := engine.Call{ID: id, Class: req.Class.Name, Tenant: req.Tenant, Hint: req.Hint, Expires: v.begun + req.Timeout}
 	if k := svc.keyed(req.Class, req.Key); k != nil {
-		a, conflict := answerOf(svc.once(r.Context(), k, call, req.Key, req.Method, req.Target, *body, func() (engine.Carrier, func()) {
+		a, conflict := answerOf(svc.once(r.Context(), k, call, req.Key, req.Method, req.Target, v.body, func() (engine.Carrier, func()) {
 			x := &exchange{pool: svc.pool, request: out}
 			return x, x.end
 		}))
 		pass.Done(doorkeeper.Ended(a))
 		switch {
 		case conflict != 0:
-			s.say(w, conflict, conflictText(conflict))
+			v.say(w, conflict, conflictText(conflict))
 			return false
 		case a.Kind == engine.Abandoned:
 			w.Header().Set("Connection", "close")
 		}
-		s.finish(w, a)
+		v.end(a)
 		return false
 	}
 	svc.probes.before(r.Context())
 	a := svc.engine.Do(r.Context(), call, x)
 	pass.Done(doorkeeper.Ended(a))
 	if (a.Kind == engine.Refused || a.Kind == engine.Failed || a.Kind == engine.Closed) && lease.ended.Load() &&
-		x.begun.Load() == 0 && r.Context().Err() == nil && !s.stopping.Load() {
+		x.begun.Load() == 0 && r.Context().Err() == nil && !v.stopping.Load() {
 		return true // nothing was sent: it is as new
 	}
 	if a.Kind == engine.Abandoned { // should the client be there after all, it is told
 		w.Header().Set("Connection", "close")
 	}
-	s.finish(w, a)
+	v.end(a)
 	return false
 }
 
+// end gives the request its final answer.
+func (v *visit) end(a engine.Answer) {
+	v.finish(v.w, a)
+	v.taken.End(endOf(a.Kind))
+}
+
 // turnDown answers a request that is not taken.
 func (s *server) turnDown(w http.ResponseWriter, bad *intake.Rejection) {
 	w.Header().Set("Connection", "close")
@@ -179,11 +203,14 @@
 
 // crowded answers a request whose service holds as much as the bulkhead lets it. The module has not seen it, so that this
 // is no refusal of its.
-func (s *server) crowded(w http.ResponseWriter, svc *service, what string) {
-	s.d.log.Warn("bulkhead", "service", svc.plan.Name, "reason", "no more "+what+" in hand")
-	w.Header().Set("Connection", "close")
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingering))
-	s.say(w, http.StatusInternalServerError, "not done: the service has all that it may hold in hand")
+func (v *visit) crowded(svc *service, req *intake.Request, what string) {
+	if !v.taken.Counts() {
+		v.taken = v.d.figures.Take(req.Class.Name)
+	}
+	v.d.log.Warn("bulkhead", "service", svc.plan.Name, "reason", "no more "+what+" in hand")
+	v.w.Header().Set("Connection", "close")
+	_ = http.NewResponseController(v.w).SetReadDeadline(time.Now().Add(lingering))
+	v.say(v.w, http.StatusInternalServerError, "not done: the service has all that it may hold in hand")
 }
 
 // own serves the sidecar's own pages.
@@ -191,7 +218,7 @@
 	switch {
 	case r.URL.Path != "/-/ready":
 		s.say(w, http.StatusNotFound, "no such page")
-	case s.stopping.Load() || !s.d.ready():
+	case !s.wanted.Load() || !s.d.ready():
 		s.say(w, http.StatusServiceUnavailable, "not ready")
 	default:
 		s.say(w, http.StatusOK, "ready")
@@ -228,7 +255,7 @@
 func (s *server) write(w http.ResponseWriter, status int, body []byte) {
 	// Deadlines can't fail on a server's own connections; should they, the write shows it.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writePatience))
-	if s.stopping.Load() {
+	if s.last.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	if w.Header().Get("Content-Type") == "" {
@@ -244,8 +271,8 @@
 	_, _ = w.Write(body) // a client that does not take its answer has gone
 }
 
-// read takes in a request's body.
-func (s *server) read(w http.ResponseWriter, r *http.Request, patience time.Duration) ([]byte, *intake.Rejection) {
+// takeBody takes in a request's body.
+func (s *server) takeBody(w http.ResponseWriter, r *http.Request, patience time.Duration) ([]byte, *intake.Rejection) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
--- a/internal/daemon/server_test.go
+++ b/internal/daemon/server_test.go
@@ -296,7 +296,7 @@
 		t.Fatal(err)
 	}
 	defer d.end()
-	s := &server{d: d, ids: newIDs(1)}
+	s := &server{d: d, ids: newIDs(1), course: newCourse(d.shared.clock, 0, nil)}
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	req := httptest.NewRequest(http.MethodGet, "/search/1", nil).WithContext(ctx)
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -12,13 +12,14 @@
 	"orchiddrift/internal/clock"
 )
 
-// Directory is safe for concurrent use. It holds one entry for each upstream that wants requests.
+// Directory is safe for concurrent use. It holds one entry for each upstream that is listed.
 type Directory struct {
 	clock  clock.Clock
 	onDrop func(name string)
 
 	mu     sync.RWMutex
 	places map[string]Place // of the upstreams that want requests, by name
+	leaves map[string]bool  // those that are listed and want none
 }
 
 // Place tells the processes of an upstream apart: connections to an earlier one are worth nothing.
@@ -34,7 +35,7 @@
 	if onDrop == nil {
 		onDrop = func(string) {}
 	}
-	return &Directory{clock: c, onDrop: onDrop, places: map[string]Place{}}
+	return &Directory{clock: c, onDrop: onDrop, places: map[string]Place{}, leaves: map[string]bool{}}
 }
 
 // Apply takes in a message and translates it for the module.
@@ -46,6 +47,7 @@
 	if l.Snapshot {
 		m.Kind = balancer.Full
 		before, d.places = d.places, map[string]Place{}
+		clear(d.leaves)
 	}
 	for _, e := range l.Endpoints {
 		if !l.Snapshot {
@@ -54,6 +56,7 @@
 			}
 		}
 		state := balancer.Left
+		delete(d.leaves, e.Name)
 		switch e.Status {
 		case StatusReady:
 			state = balancer.Active
@@ -61,6 +64,7 @@
 		case StatusTerminating:
 			state = balancer.Leaving
 			delete(d.places, e.Name)
+			d.leaves[e.Name] = true
 		default:
 			delete(d.places, e.Name)
 		}
@@ -100,6 +104,13 @@
 	return len(d.places)
 }
 
+// Leaving is how many upstreams are listed and want no requests.
+func (d *Directory) Leaving() int {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return len(d.leaves)
+}
+
 // Process is a number that tells the processes of one upstream apart.
 func (p Place) Process() uint64 {
 	return xxhash.Sum64String(p.Address+"\x00"+p.Identity) ^ uint64(p.SinceMs)
--- a/internal/intake/conns.go
+++ b/internal/intake/conns.go
@@ -84,6 +84,13 @@
 	return c.Listener.Close()
 }
 
+// Open is how many connections there are.
+func (c *Conns) Open() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.conns)
+}
+
 // CloseQuiet closes all connections that have carried no request for that long.
 func (c *Conns) CloseQuiet(least time.Duration) {
 	c.mu.Lock()
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -28,6 +28,8 @@
 	isHead bool // its answer has no body
 	// Gate, where there is one, is asked before each attempt's first byte is written.
 	Gate Gate
+	// Written, where there is one, is called with each attempt whose last byte has been written.
+	Written func()
 }
 
 // Gate lets attempts begin as long as it is open. Whoever shuts it may wait for those that are being written.
@@ -163,6 +165,9 @@
 	if err != nil { // then its last byte was not written, nor its last record whole
 		return ended(balancer.ConnectFailed), false, false
 	}
+	if r.Written != nil {
+		r.Written()
+	}
 	in := newAnswerReader(c)
 	defer in.release()
 	resp, err := in.head(r)
