--- a/balancer/api.go
+++ b/balancer/api.go
@@ -75,7 +75,7 @@
 	FallTime     time.Duration // when kept up for this long
 }
 
-// Event is anything a sidecar reports: Members, Request, FirstByte, Outcome, Gone, Wake, ProbeResult, Peer.
+// Event is anything a sidecar reports: Members, Request, Uploaded, FirstByte, Outcome, Gone, Wake, ProbeResult, Peer.
 type Event interface{ event() }
 
 // State is an upstream's state in the list.
@@ -120,6 +120,14 @@
 	Expires           time.Duration // clock time
 	Hint              time.Duration // expected work; 0: unknown
 	Prior             []Prior       // keyed: sends of its client's earlier tries that may have run
+	Streamed          bool          // its body is passed on as it comes: see Uploaded, and Outcome.Spent
+}
+
+// Uploaded says that the last byte of a streamed request has been written: its time counts from now.
+type Uploaded struct {
+	ID      string
+	Attempt int
+	Expires time.Duration // in place of the request's, which bounds what its body may take
 }
 
 // Prior is a send of an earlier request of the same key: it counts as if it were this one's.
@@ -158,6 +166,7 @@
 	Result   Result
 	Elapsed  time.Duration
 	Finished bool // the request has its final answer
+	Spent    bool // a streamed request's body can't be had again
 }
 
 // Gone says that the client left: no answer is owed any more.
@@ -184,6 +193,7 @@
 
 func (Members) event()     {}
 func (Request) event()     {}
+func (Uploaded) event()    {}
 func (FirstByte) event()   {}
 func (Outcome) event()     {}
 func (Gone) event()        {}
--- a/balancer/attempts.go
+++ b/balancer/attempts.go
@@ -17,7 +17,7 @@
 	sent   time.Duration
 	out    bool
 	mayRun bool // not proved not to have run
-	begun  bool // its streamed answer has begun
+	begun  bool // its streamed answer has begun, or its body has not come whole
 }
 
 type request struct {
@@ -28,6 +28,7 @@
 	expires  time.Duration
 	aim      time.Duration // clock time
 	end      time.Duration // clock time at which we give up
+	stretch  time.Duration // its aim is longer by this for its own work
 	cost     float64       // expected work, relative to the mean request
 	attempts []*attempt
 	prior    []Prior
@@ -36,6 +37,9 @@
 	done     bool
 	hinted   bool          // its work is known: late is late, and not long
 	stream   bool          // the answer has begun
+	body     bool          // it goes on as it comes, and has not come whole
+	single   bool          // it can't be sent again
+	held     bool          // it counts as in hand
 	lateAt   time.Duration // when its latest attempt is late
 }
 
@@ -49,20 +53,25 @@
 		return
 	}
 	r := &request{id: e.ID, class: c, arrived: b.now, expires: e.Expires, cost: b.cost(c, e.Hint)}
-	r.prior, r.hinted = e.Prior, e.Hint > 0
+	r.prior, r.hinted, r.body = e.Prior, e.Hint > 0, e.Streamed
 	r.tenant = slices.IndexFunc(b.set.Tenants, func(t Tenant) bool { return t.Name == e.Tenant })
-	aim := c.Aim + time.Duration(c.AimStretch*float64(e.Hint))
-	r.aim = b.now + min(aim, c.Deadline)
-	worthUntil := r.aim + c.firstTry(b.now, e.Expires, b.set.Tick) - b.now
+	r.stretch = time.Duration(c.AimStretch * float64(e.Hint))
+	r.aim = b.now + min(c.Aim+r.stretch, c.Deadline)
+	worthUntil := r.aim
+	if !r.body { // its time has not begun
+		worthUntil += c.firstTry(b.now, e.Expires, b.set.Tick) - b.now
+	}
 	r.stale = worthUntil <= b.now
 	// The last answer must land before the deadline, also when the next batch comes a tick late. Past its
 	// aim a request without late worth costs work and earns nothing.
 	r.end = r.expires - 2*b.set.Tick
-	if c.LateShare == 0 {
+	if c.LateShare == 0 && !r.body {
 		r.end = min(r.end, worthUntil-b.set.Tick)
 	}
 	b.reqs[r.id] = r
-	b.hold(r, 1)
+	if !r.body {
+		b.hold(r, 1)
+	}
 	b.after(r.end, timerEnd, r)
 	if b.now >= r.end || !b.admit(r) {
 		b.giveUp(r)
@@ -101,7 +110,7 @@
 		b.send(r, u)
 		return
 	}
-	if len(r.attempts) >= b.set.MaxAttempts || b.stuck(r) {
+	if len(r.attempts) >= b.set.MaxAttempts || r.single || b.stuck(r) {
 		b.giveUp(r)
 		return
 	}
@@ -110,10 +119,11 @@
 
 // mayTry is the gate that every attempt passes.
 func (b *Balancer) mayTry(r *request, u *upstream) bool {
-	if r.done || r.stream || len(r.attempts) >= b.set.MaxAttempts || b.now >= r.expires || !u.listed {
+	if r.done || r.stream || r.single || len(r.attempts) >= b.set.MaxAttempts || b.now >= r.expires ||
+		!u.listed {
 		return false
 	}
-	if r.out > 0 && (!b.set.SecondCopies || r.class.Effect == Unsafe) {
+	if r.out > 0 && (!b.set.SecondCopies || r.class.Effect == Unsafe || r.body) {
 		return false
 	}
 	if b.stuck(r) {
@@ -161,13 +171,17 @@
 	}
 	r.attempts = append(r.attempts, a)
 	r.out++
-	u.out = append(u.out, a)
+	if a.begun = r.body; a.begun {
+		u.streams++
+	} else {
+		u.out = append(u.out, a)
+	}
 	u.said.inHand++
 	u.tokens -= r.cost
 	u.in.sends(b.now + b.patience(r))
 	b.act(Action{Kind: Send, ID: r.id, Upstream: u.id, Zone: u.zone, Cell: u.cell,
 		Timeout: max(r.end-b.now, b.set.Tick)})
-	if r.class.Effect != Unsafe {
+	if r.class.Effect != Unsafe && !r.body {
 		r.lateAt = b.now + b.patience(r)
 		b.after(r.lateAt, timerLate, r)
 	}
@@ -208,6 +222,26 @@
 	}
 }
 
+// uploaded begins the time of a request whose body went on as it came. Guards against requests in hand, and
+// upstreams, that seem slow for what their clients take to send.
+func (b *Balancer) uploaded(e Uploaded) {
+	r := b.reqs[e.ID]
+	if r == nil || r.done || !r.body || e.Attempt < 0 || e.Attempt >= len(r.attempts) ||
+		!r.attempts[e.Attempt].out {
+		return
+	}
+	a := r.attempts[e.Attempt]
+	a.u.streams--
+	a.begun, a.sent, a.u.out = false, b.now, append(a.u.out, a)
+	r.body, r.single, r.arrived, r.expires = false, true, b.now, e.Expires
+	r.aim = b.now + min(r.class.Aim+r.stretch, r.class.Deadline)
+	if r.end = e.Expires - 2*b.set.Tick; r.class.LateShare == 0 {
+		r.end = min(r.end, r.aim-b.set.Tick)
+	}
+	b.hold(r, 1)
+	b.after(r.end, timerEnd, r)
+}
+
 // firstByte hands a request's stream to its client. The latency is that of the answer's beginning, and how
 // long it goes on tells nothing: guards against upstreams that look slow, and sidecars that look crowded.
 func (b *Balancer) firstByte(e FirstByte) {
@@ -238,6 +272,7 @@
 	a.out = false
 	r.out--
 	a.mayRun = e.Result != Overloaded && e.Result != ConnectFailed && e.Result != Moot
+	r.single = r.single || e.Spent
 	if a.begun {
 		a.u.streams--
 	} else {
@@ -245,7 +280,7 @@
 		b.observe(a, e.Result, e.Elapsed)
 	}
 	b.health(a, e.Result, e.Elapsed)
-	if e.Finished && !r.done {
+	if e.Finished && !r.done && (!r.stream || a.begun) { // a copy's end is not that of the stream
 		if won := 0.0; r.out > 0 { // two copies raced
 			if e.Attempt > 0 && b.now < r.aim {
 				won = 1
@@ -284,9 +319,7 @@
 		return
 	}
 	r.done = true
-	if !r.stream {
-		b.hold(r, -1)
-	}
+	b.hold(r, -1)
 	b.forget(r)
 }
 
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -155,6 +155,8 @@
 		b.members(e)
 	case Request:
 		b.arrive(e)
+	case Uploaded:
+		b.uploaded(e)
 	case FirstByte:
 		b.firstByte(e)
 	case Outcome:
@@ -185,7 +187,9 @@
 			}
 		case t.r.done || t.r.stream:
 		case t.kind == timerEnd:
-			b.giveUp(t.r)
+			if b.now >= t.r.end { // else its end is another one by now
+				b.giveUp(t.r)
+			}
 		case t.kind == timerLate:
 			b.lateAttempt(t.r)
 		case t.r.out == 0:
--- a/balancer/refusals.go
+++ b/balancer/refusals.go
@@ -72,6 +72,10 @@
 
 // hold counts a request in hand, or with -1 out of it.
 func (b *Balancer) hold(r *request, n int) {
+	if r.held == (n > 0) {
+		return
+	}
+	r.held = n > 0
 	b.waiting += n
 	b.arrivals += time.Duration(n) * r.arrived
 	b.inHand += float64(n) / (r.aim - r.arrived).Seconds()
--- a/balancer/stream_test.go
+++ b/balancer/stream_test.go
@@ -59,3 +59,111 @@
 		t.Errorf("%d requests are not forgotten", len(b.reqs))
 	}
 }
+
+// Guards against a stream that is called off by the end of a copy that lost to it. Seen: "a long answer is cut: context canceled",
+// the copy's outcome came after the request was handed to its client.
+func TestTheEndOfACopyLeavesTheStream(t *testing.T) {
+	r := newRig(t, testSettings())
+	r.fleet(4)
+	r.wantSend(r.request("q", "c", time.Second))
+	q := r.b.reqs["q"]
+	other := r.b.list[0]
+	if other == q.attempts[0].u {
+		other = r.b.list[1]
+	}
+	r.b.send(q, other) // a copy
+	r.now += 5 * ms
+	if c := kinds(r.do(FirstByte{ID: "q", Attempt: 0}), Cancel); len(c) != 1 || c[0].Attempt != 1 {
+		t.Fatalf("the copy is not called off: %+v", c)
+	}
+	acts := r.do(Outcome{ID: "q", Attempt: 1, Result: Cancelled, Elapsed: 5 * ms, Finished: true})
+	if len(kinds(acts, Cancel))+len(finals(acts)) > 0 {
+		t.Errorf("the copy's end: %+v", acts)
+	}
+	r.now += time.Minute
+	if acts := r.do(Outcome{ID: "q", Attempt: 0, Result: OK, Elapsed: 5 * ms, Finished: true}); len(finals(acts)) > 0 {
+		t.Errorf("the stream's end: %+v", acts)
+	}
+	if len(r.b.reqs) != 0 || q.attempts[0].u.streams != 0 {
+		t.Errorf("%d requests are left, %d streams", len(r.b.reqs), q.attempts[0].u.streams)
+	}
+}
+
+// streamedRig has a request of each effect whose body goes on as it comes.
+func streamedRig(t *testing.T, effect Effect) *rig {
+	s := testSettings()
+	s.Classes[0].Effect, s.Classes[0].Window = effect, 5*time.Second
+	r := newRig(t, s)
+	r.fleet(4)
+	r.wantSend(r.do(Request{ID: "q", Class: "c", Expires: r.now + time.Minute, Streamed: true}))
+	return r
+}
+
+// A body that takes its time is no time of its request, of its upstream, nor a request in hand: all of that begins with its last byte.
+func TestTheTimeOfAStreamedRequestBeginsWithItsLastByte(t *testing.T) {
+	r := streamedRig(t, Safe)
+	q := r.b.reqs["q"]
+	u := q.attempts[0].u
+	idle := r.b.load(u)
+	if all := r.pass(20 * time.Second); len(finals(all))+len(kinds(all, Send)) > 0 {
+		t.Fatalf("while its body comes: %+v", all)
+	}
+	if r.b.waiting != 0 || r.b.load(u) > 2*idle {
+		t.Errorf("%d in hand, load %v, was %v", r.b.waiting, r.b.load(u), idle)
+	}
+	r.do(Uploaded{ID: "q", Attempt: 0, Expires: r.now + time.Second})
+	if r.b.waiting != 1 || u.streams != 0 || len(u.out) != 1 {
+		t.Errorf("%d in hand, %d streams, %d out", r.b.waiting, u.streams, len(u.out))
+	}
+	acts := r.pass(190 * ms)
+	if len(kinds(acts, Send))+len(finals(acts)) > 0 {
+		t.Errorf("it is copied, or ended before its aim: %+v", acts)
+	}
+	ends := finals(r.pass(time.Second))
+	if len(ends) != 1 || ends[0].Kind != Refuse { // safe to repeat
+		t.Errorf("after its time: %+v", ends)
+	}
+	r.result("q", 0, Cancelled, time.Second)
+	if r.b.waiting != 0 || len(r.b.reqs) != 0 {
+		t.Errorf("%d in hand, %d known", r.b.waiting, len(r.b.reqs))
+	}
+}
+
+// What becomes of a streamed request whose attempt fails, by its effect, whether its body can be had again, and whether it came whole.
+// Guards against a second send of a body that is no longer there, and a refusal of what may have run.
+func TestStreamedRequestsThatFail(t *testing.T) {
+	for _, effect := range []Effect{Safe, Keyed, Unsafe} {
+		for _, res := range []Result{ServerError, Overloaded, ConnectFailed, Reset, Moot, Garbled} {
+			for _, spent := range []bool{false, true} {
+				for _, whole := range []bool{false, true} {
+					r := streamedRig(t, effect)
+					if whole {
+						r.do(Uploaded{ID: "q", Attempt: 0, Expires: r.now + time.Second})
+					}
+					r.now += 5 * ms
+					acts := r.do(Outcome{ID: "q", Attempt: 0, Result: res, Elapsed: 5 * ms, Spent: spent})
+					unrun := res == Overloaded || res == ConnectFailed || res == Moot
+					sends, ends := len(kinds(acts, Send)), finals(acts)
+					switch {
+					case spent || whole: // nothing is left to send
+						want := Fail
+						if unrun || effect != Unsafe { // all zones are one group here
+							want = Refuse
+						}
+						if sends > 0 || len(ends) != 1 || ends[0].Kind != want {
+							t.Errorf("effect %d, result %d, spent %v, whole %v: %+v", effect, res, spent, whole, acts)
+						}
+					case effect == Unsafe && !unrun:
+						if sends > 0 || len(ends) != 1 || ends[0].Kind != Fail {
+							t.Errorf("effect %d, result %d: %+v", effect, res, acts)
+						}
+					case sends+len(ends) == 0: // it waits for a ready one, or is sent again
+						if len(kinds(r.pass(100*ms), Send)) != 1 {
+							t.Errorf("effect %d, result %d: it is not sent again", effect, res)
+						}
+					}
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/body_test.go
@@ -0,0 +1,318 @@
+package daemon
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"orchiddrift/internal/config"
+	"orchiddrift/internal/standin"
+	"orchiddrift/internal/testkit"
+)
+
+// small is a configuration whose memory holds few bodies.
+func small(t *testing.T, entries ...string) *config.Config {
+	t.Helper()
+	c := testkit.Config(t, testkit.Quiet(t).Address, entries...)
+	c.Limits.MemoryMB = 32
+	return c
+}
+
+// dialRaw opens a connection to a sidecar.
+func dialRaw(t *testing.T, address string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	_ = c.SetDeadline(time.Now().Add(testkit.Patience))
+	return c, bufio.NewReader(c)
+}
+
+// pattern is n bytes that differ from place to place.
+func pattern(n int) []byte {
+	b := make([]byte, n)
+	for i := range b {
+		b[i] = byte(i*7 + i>>9)
+	}
+	return b
+}
+
+// Bodies of every size and framing reach the upstream as they were, and are answered. Guards against bodies that are cut, joined or
+// turned down, those that are kept whole and those that go on as they come.
+func TestBodiesOfAnySize(t *testing.T) {
+	var got atomic.Pointer[standin.Got]
+	s := testkit.Raw(t, func(c net.Conn, g standin.Got) bool {
+		got.Store(&g)
+		return standin.Says(standin.OK200("a"))(c, g)
+	})
+	r := start(t, small(t, testkit.Entry("s", s.Address, "Ready")), "127.0.0.1:0")
+	for _, size := range []int{0, 1, 4095, 4096, 4097, keptAlways - 1, keptAlways, keptAlways + 1, 300 << 10, 1 << 20, 1<<20 + 1, 5 << 20} {
+		for _, framing := range []string{"length", "chunks"} {
+			body := pattern(size)
+			req := testkit.Request(t, r.address, "confirm", "")
+			req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(size)
+			if framing == "chunks" {
+				req.ContentLength = -1
+			}
+			resp, text := r.do(t, req)
+			if resp.StatusCode != 200 || text != "a" {
+				t.Errorf("%d bytes by %s: %s %q", size, framing, resp.Status, text)
+				continue
+			}
+			if g := got.Load(); g.Body != string(body) {
+				t.Errorf("%d bytes by %s: the upstream got %d", size, framing, len(g.Body))
+			}
+		}
+	}
+}
+
+// Guards against slow clients that are cut, and against ones that say nothing and are not: half of 64 kB a second is enough, in
+// whatever pieces, and less is not.
+func TestSlowBodies(t *testing.T) {
+	s := testkit.Raw(t, standin.Says(standin.OK200("a")))
+	r := start(t, small(t, testkit.Entry("s", s.Address, "Ready")), "127.0.0.1:0")
+	const size = 160 << 10
+	var clients sync.WaitGroup
+	defer clients.Wait()
+	for name, c := range map[string]struct {
+		piece int
+		every time.Duration
+		want  int
+	}{
+		"64 kB a second": {3277, 50 * time.Millisecond, 200}, "in drops": {328, 5 * time.Millisecond, 200}, "nothing": {0, time.Second, 408},
+		"a byte now and then": {1, 100 * time.Millisecond, 408},
+	} {
+		clients.Go(func() {
+			conn, in := dialRaw(t, r.address)
+			fmt.Fprintf(conn, "POST /confirm/1 HTTP/1.1\r\nHost: s\r\nX-Request-ID: slow%s\r\nX-Timeout: 9000m\r\nContent-Length: %d\r\n\r\n",
+				strings.ReplaceAll(name, " ", ""), size)
+			go func() {
+				for left := size; left > 0; left -= c.piece {
+					if _, err := conn.Write(make([]byte, min(c.piece, left))); err != nil {
+						return
+					}
+					time.Sleep(c.every)
+				}
+			}()
+			resp, err := http.ReadResponse(in, nil)
+			if err != nil {
+				t.Errorf("%s: %v", name, err)
+				return
+			}
+			if resp.StatusCode != c.want {
+				t.Errorf("%s: %s, want %d", name, resp.Status, c.want)
+			}
+		})
+	}
+}
+
+// Guards against a process that falls over the memory that many large bodies and answers take at once: they go through it in pieces,
+// no faster than the slower side takes them.
+func TestManyLargeOnesAtOnce(t *testing.T) {
+	const size, clients = 8 << 20, 12
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	part := make([]byte, 64<<10)
+	echo := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n, err := io.Copy(io.Discard, r.Body)
+		if err != nil || n != size {
+			w.WriteHeader(500)
+			return
+		}
+		w.Header().Set("Content-Length", fmt.Sprint(size))
+		for range size / len(part) {
+			_, _ = w.Write(part)
+		}
+	})}
+	go echo.Serve(l)
+	defer echo.Close()
+	r := start(t, small(t, testkit.Entry("s", l.Addr().String(), "Ready")), "127.0.0.1:0")
+	var most atomic.Uint64 // bytes of live and not yet collected heap, the clients' and the upstream's included
+	stop := make(chan struct{})
+	var looking sync.WaitGroup
+	looking.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(5 * time.Millisecond):
+				var m runtime.MemStats
+				runtime.ReadMemStats(&m)
+				most.Store(max(most.Load(), m.HeapAlloc))
+			}
+		}
+	})
+	defer func() {
+		close(stop)
+		looking.Wait()
+		if n := most.Load(); n > clients*size/2 { // both ways at once it is twice clients*size
+			t.Errorf("%d MB of heap", n>>20)
+		}
+	}()
+	var all sync.WaitGroup
+	for range clients {
+		req := testkit.Request(t, r.address, "confirm", "")
+		req.Body, req.ContentLength = io.NopCloser(io.LimitReader(zeros{}, size)), size
+		all.Go(func() {
+			resp, err := r.client.Do(req)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer resp.Body.Close()
+			if n, err := io.Copy(io.Discard, resp.Body); err != nil || n != size || resp.StatusCode != 200 {
+				t.Errorf("%s, %d bytes, %v", resp.Status, n, err)
+			}
+		})
+	}
+	all.Wait()
+}
+
+type zeros struct{}
+
+func (zeros) Read(b []byte) (int, error) {
+	clear(b)
+	return len(b), nil
+}
+
+// Guards against a body that is sent again though it can't be had whole: one that went on as it came is sent once, and what is known of
+// it decides between a refusal and a failure.
+func TestAStreamedBodyIsSentOnce(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer func(net.Conn, *bufio.Reader) // with the head read
+		want   int
+	}{
+		"turned away at its head": {func(c net.Conn, _ *bufio.Reader) {
+			_, _ = io.WriteString(c, "HTTP/1.1 503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n")
+			time.Sleep(50 * time.Millisecond)
+		}, 503},
+		"broken off in the middle": {func(c net.Conn, in *bufio.Reader) { _, _ = io.CopyN(io.Discard, in, 2<<20) }, 503},
+		"broken off behind it":     {func(c net.Conn, in *bufio.Reader) { _, _ = io.CopyN(io.Discard, in, 8<<20) }, 502},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			var heads atomic.Int32
+			go func() {
+				for {
+					conn, err := l.Accept()
+					if err != nil {
+						return
+					}
+					in := bufio.NewReader(conn)
+					if _, err := http.ReadRequest(in); err == nil {
+						heads.Add(1)
+						c.answer(conn, in)
+					}
+					conn.Close()
+				}
+			}()
+			r := start(t, small(t, testkit.Entry("s", l.Addr().String(), "Ready")), "127.0.0.1:0")
+			req := testkit.Request(t, r.address, "confirm", "")
+			req.Body, req.ContentLength = io.NopCloser(io.LimitReader(zeros{}, 8<<20)), 8<<20
+			resp, err := r.client.Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp.Body.Close()
+			if resp.StatusCode != c.want {
+				t.Errorf("answered %s, want %d", resp.Status, c.want)
+			}
+			if n := heads.Load(); n != 1 {
+				t.Errorf("sent %d times", n)
+			}
+		})
+	}
+}
+
+// A body that was kept whole is sent again, where its class allows that.
+func TestAKeptBodyIsSentAgain(t *testing.T) {
+	body := string(pattern(200 << 10))
+	var n atomic.Int32
+	s := testkit.Raw(t, func(c net.Conn, g standin.Got) bool {
+		if g.Body != body {
+			t.Errorf("the upstream got %d bytes", len(g.Body))
+		}
+		if n.Add(1) == 1 {
+			return standin.Says("HTTP/1.1 503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n")(c, g)
+		}
+		return standin.Says(standin.OK200("a"))(c, g)
+	})
+	r := start(t, small(t, testkit.Entry("s", s.Address, "Ready")), "127.0.0.1:0")
+	if resp, _ := r.do(t, testkit.Request(t, r.address, "confirm", body)); resp.StatusCode != 200 || n.Load() != 2 {
+		t.Errorf("%s after %d sends", resp.Status, n.Load())
+	}
+}
+
+// Guards against a request that hides in the body of one that is framed twice: neither is passed on.
+func TestFramedTwiceIsRefused(t *testing.T) {
+	s := testkit.Raw(t, standin.Says(standin.OK200("a")))
+	r := start(t, small(t, testkit.Entry("s", s.Address, "Ready")), "127.0.0.1:0")
+	hidden := "POST /confirm/2 HTTP/1.1\r\nHost: s\r\nX-Request-ID: hidden\r\nContent-Length: 0\r\n\r\n"
+	conn, in := dialRaw(t, r.address)
+	fmt.Fprintf(conn, "POST /confirm/1 HTTP/1.1\r\nHost: s\r\nX-Request-ID: shown\r\nContent-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n%s",
+		len(hidden)+5, hidden)
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil || resp.StatusCode != http.StatusLengthRequired || !resp.Close {
+		t.Errorf("%+v, %v", resp, err)
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	if _, err := http.ReadResponse(in, nil); err == nil {
+		t.Error("the hidden one is answered")
+	}
+	if n := len(s.Requests()); n != 0 {
+		t.Errorf("%d of them reached the upstream", n)
+	}
+}
+
+// A long answer that breaks off is cut before its client's eyes, and counts as failed.
+func TestALongAnswerThatBreaksIsCut(t *testing.T) {
+	s := testkit.Raw(t, func(c net.Conn, _ standin.Got) bool {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", 1<<20, pattern(400<<10))
+		return false
+	})
+	r, call := operated(t, small(t, testkit.Entry("s", s.Address, "Ready")))
+	resp, err := r.client.Do(testkit.Request(t, r.address, "confirm", ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if body, err := io.ReadAll(resp.Body); err == nil || !bytes.HasPrefix(pattern(400<<10), body) {
+		t.Errorf("%d bytes, %v", len(body), err)
+	}
+	testkit.Eventually(t, "it has failed", func() bool { return figuresOf(t, call)["downstream_requests.confirm.failed"] == 1 })
+}
+
+// Guards against clients that wait for leave to send their body, for ever.
+func TestExpectContinue(t *testing.T) {
+	s := testkit.Raw(t, standin.Says(standin.OK200("a")))
+	r := start(t, small(t, testkit.Entry("s", s.Address, "Ready")), "127.0.0.1:0")
+	conn, in := dialRaw(t, r.address)
+	_, _ = io.WriteString(conn, "POST /confirm/1 HTTP/1.1\r\nHost: s\r\nX-Request-ID: e\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+	if resp, err := http.ReadResponse(in, nil); err != nil || resp.StatusCode != http.StatusContinue {
+		t.Fatalf("%+v, %v", resp, err)
+	}
+	_, _ = io.WriteString(conn, "ab")
+	if resp, err := http.ReadResponse(in, nil); err != nil || resp.StatusCode != 200 {
+		t.Errorf("%+v, %v", resp, err)
+	}
+	if got := s.Requests(); len(got) != 1 || got[0].Body != "ab" || got[0].Header.Get("Expect") != "" {
+		t.Errorf("%+v", got)
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,6 +21,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"orchiddrift/internal/bulkhead"
 	"orchiddrift/internal/clock"
 	"orchiddrift/internal/config"
@@ -139,7 +141,7 @@
 	d.course = newCourse(d.shared.clock, p.Grace, conns)
 	s := &server{d: d, ids: newIDs(p.Seed), course: d.course}
 	srv := &http.Server{Handler: s, ReadHeaderTimeout: p.HeadTimeout, IdleTimeout: clientIdle,
-		MaxHeaderBytes: httphead.MaxBytes, DisableGeneralOptionsHandler: true, ConnState: conns.State,
+		MaxHeaderBytes: httphead.MaxBytes, DisableGeneralOptionsHandler: true, ConnState: conns.State, ConnContext: conns.Context,
 		ErrorLog: slog.NewLogLogger(d.log.Handler(), slog.LevelDebug)}
 	var front net.Listener = conns
 	if p.TLS.On() {
@@ -229,7 +231,8 @@
 	p := d.plan
 	d.figures = figures.New()
 	d.shared = &shared{clock: clock.New(), log: d.log, seed: p.Seed, name: p.Name, connections: connections,
-		maxAnswer: int(p.Limits.MemoryMB * (1 << 20) / answerPart)}
+		spoolSize: int64(p.Limits.MemoryMB * (1 << 20) / spoolPart), maxAnswer: int(p.Limits.MemoryMB * (1 << 20) / answerPart)}
+	d.shared.spool = semaphore.NewWeighted(d.shared.spoolSize)
 	var err error
 	if d.shared.slots, err = bulkhead.NewSemaphore(int64(connections), p.Guaranteed, nil); err != nil {
 		return err
--- a/internal/daemon/graphql.go
+++ b/internal/daemon/graphql.go
@@ -179,7 +179,7 @@
 	}
 	o.pool = c.svc.pool
 	o.request = upstream.NewRequest(req.Method, req.Target, req.Host, req.Header, d.Body)
-	o.request.Gate, o.request.Written = c.lease, c.d.figures.Sent
+	o.request.Gate, o.request.Written, o.request.Whole = c.lease, c.d.figures.Sent, true
 	pass, refused := c.door(c.r, c.svc, &req, c.begun, len(d.Body))
 	if refused != nil {
 		o.answer = *refused
--- a/internal/daemon/routing.go
+++ b/internal/daemon/routing.go
@@ -114,7 +114,8 @@
 type exchange struct {
 	pool    *upstream.Pool
 	request *upstream.Request
-	begun   atomic.Int32 // attempts that may have sent something
+	engine  *engine.Engine // where Upload is set in the request
+	begun   atomic.Int32   // attempts that may have sent something
 
 	mu   sync.Mutex
 	done bool             // the request has its answer
@@ -123,13 +124,13 @@
 
 // keep holds on to an attempt's reply until the request is done.
 func (x *exchange) keep(r upstream.Reply) {
-	if r.Held == 0 {
+	if r.Held == 0 && r.Rest == nil {
 		return
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.done {
-		x.pool.Free(r)
+		x.letGo(r)
 		return
 	}
 	x.held = append(x.held, r)
@@ -141,9 +142,16 @@
 	defer x.mu.Unlock()
 	x.done = true
 	for _, r := range x.held {
-		x.pool.Free(r)
+		x.letGo(r)
 	}
 	x.held = nil
 }
 
+func (x *exchange) letGo(r upstream.Reply) {
+	if r.Rest != nil {
+		r.Rest.End()
+	}
+	x.pool.Free(r)
+}
+
 var _ engine.Carrier = (*exchange)(nil)
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"maps"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -36,15 +34,18 @@
 
 // Carry is engine.Carrier's.
 func (x *exchange) Carry(ctx context.Context, a engine.Attempt) engine.Reply {
+	if up := x.request.Upload; up != nil { // its one attempt at a time
+		up.Done = func() { x.engine.Uploaded(a, x.engine.Clock().Now()+up.Timeout) }
+	}
 	rep := x.pool.Attempt(ctx, a.Upstream, x.request, a.Deadline)
 	if rep.Result != balancer.Moot && rep.Result != balancer.ConnectFailed {
 		x.begun.Add(1)
 	}
 	if rep.Result != balancer.OK {
-		return engine.Reply{Result: rep.Result}
+		return engine.Reply{Result: rep.Result, Spent: rep.Spent}
 	}
 	x.keep(rep)
-	return engine.Reply{Result: balancer.OK, Value: &rep}
+	return engine.Reply{Result: balancer.OK, Value: &rep, Begun: rep.Rest != nil, Spent: rep.Spent}
 }
 
 // visit is one request of a client, on its way to its answer.
@@ -54,8 +55,13 @@
 	r     *http.Request
 	begun time.Duration // its last byte came; before that, its head
 	body  []byte
-	read  bool // the body has been
+	read  bool // the body has been, or its beginning
+	rest  bool // it goes on
+	paced *paced
 	taken figures.Taken
+	cut   bool // its answer can't be had whole, and its client is to see that
+
+	spooled int64 // of what bodies share
 
 	entries []figures.Taken // of a GraphQL request's operations
 }
@@ -66,9 +72,10 @@
 		return
 	}
 	v := &visit{server: s, w: w, r: r, begun: s.d.shared.clock.Now()}
+	defer v.letGo()
 	for {
 		routing := s.d.routing.Load()
-		req, bad := routing.checker.Check(r)
+		req, bad := routing.checker.Check(r, intake.FramedOnce(r.Context()))
 		if bad != nil {
 			s.turnDown(w, bad)
 			break
@@ -87,6 +94,9 @@
 	for i := range v.entries {
 		v.entries[i].End(figures.Failed)
 	}
+	if v.cut {
+		panic(http.ErrAbortHandler) // has the library reset the connection
+	}
 }
 
 // serve answers a request by its service, or tells that it is to be decided anew: its route ended before anything was
@@ -102,7 +112,10 @@
 			return false
 		}
 		defer sh.inHand.Release(svc.name, 1)
-		if n := r.ContentLength; n > 0 {
+		if n := r.ContentLength; n != 0 {
+			if n = min(n, keptAlways); n < 0 {
+				n = keptAlways
+			}
 			if !sh.bytes.TryAcquire(svc.name, n) {
 				if v.d.routing.Load() != routing {
 					return true
@@ -113,9 +126,9 @@
 			defer sh.bytes.Release(svc.name, n)
 		}
 	}
+	e, keeper := routing.graphql[req.Route.Endpoint], svc.keyed(req.Class, req.Key)
 	if !v.read {
-		var bad *intake.Rejection
-		if v.body, bad = v.takeBody(w, r, routing.body); bad != nil {
+		if bad := v.takeBody(&req, routing.body, e != nil || keeper != nil); bad != nil {
 			v.turnDown(w, bad)
 			return false
 		}
@@ -130,7 +143,7 @@
 		}
 	}
 	lease := routing.leases[req.Route]
-	if e := routing.graphql[req.Route.Endpoint]; e != nil { // its operations are counted each
+	if e != nil { // its operations are counted each
 		c := &graphqlCall{server: v.server, w: w, r: r, svc: svc, req: req, id: id, endpoint: e, lease: lease, begun: v.begun,
 			taken: &v.entries}
 		return c.serve(v.body)
@@ -138,9 +151,16 @@
 	if !v.taken.Counts() {
 		v.taken = v.d.figures.Take(req.Class.Name)
 	}
-	out := upstream.NewRequest(req.Method, req.Target, req.Host, req.Header, v.body)
+	call := engine.Call{ID: id, Class: req.Class.Name, Tenant: req.Tenant, Hint: req.Hint, Expires: v.begun + req.Timeout}
+	ctx := r.Context()
+	var out *upstream.Request
+	if v.rest {
+		out = v.upload(&req, &call)
+	} else {
+		out = upstream.NewRequest(req.Method, req.Target, req.Host, req.Header, v.body)
+	}
 	out.Gate, out.Written = lease, v.d.figures.Sent
-	x := &exchange{pool: svc.pool, request: out}
+	x := &exchange{pool: svc.pool, request: out, engine: svc.engine}
 	defer x.end()
 	pass, refused := v.door(r, svc, &req, v.begun, len(v.body))
 	if refused != nil {
@@ -150,8 +170,8 @@
 		v.end(*refused)
 		return false
 	}
-	call := engine.Call{ID: id, Class: req.Class.Name, Tenant: req.Tenant, Hint: req.Hint, Expires: v.begun + req.Timeout}
-	if k := svc.keyed(req.Class, req.Key); k != nil {
+	if k := keeper; k != nil {
+		out.Whole = true // a repeat is to get it too
 		a, conflict := answerOf(svc.once(r.Context(), k, call, req.Key, req.Method, req.Target, v.body, func() (engine.Carrier, func()) {
 			x := &exchange{pool: svc.pool, request: out}
 			return x, x.end
@@ -168,8 +188,12 @@
 		return false
 	}
 	svc.probes.before(r.Context())
-	a := svc.engine.Do(r.Context(), call, x)
+	a := svc.engine.Do(ctx, call, x)
 	pass.Done(doorkeeper.Ended(a))
+	if v.rest && a.Kind != engine.Served {
+		v.endUpload(a, out.Upload)
+		return false
+	}
 	if (a.Kind == engine.Refused || a.Kind == engine.Failed || a.Kind == engine.Closed) && lease.ended.Load() &&
 		x.begun.Load() == 0 && r.Context().Err() == nil && !v.stopping.Load() {
 		return true // nothing was sent: it is as new
@@ -181,12 +205,82 @@
 	return false
 }
 
+// endUpload gives a request its final answer that has perhaps not come whole, and was not served.
+func (v *visit) endUpload(a engine.Answer, up *upstream.Upload) {
+	if up.Broken() { // no upstream has begun it
+		v.turnDown(v.w, rejected(v.paced.broke))
+		return
+	}
+	v.w.Header().Set("Connection", "close")
+	_ = v.paced.conn.SetReadDeadline(time.Now().Add(lingering)) // see turnDown
+	v.end(a)
+}
+
 // end gives the request its final answer.
 func (v *visit) end(a engine.Answer) {
+	if a.Kind == engine.Served {
+		if rep := a.Value.(*upstream.Reply); rep.Rest != nil {
+			v.passOn(a, rep)
+			return
+		}
+	}
 	v.finish(v.w, a)
 	v.taken.End(endOf(a.Kind))
 }
 
+// passPatience is how long a client may take nothing of an answer that is passed on to it.
+const passPatience = 10 * time.Second
+
+// passed holds buffers for answers that are passed on.
+var passed = sync.Pool{New: func() any { return new([32 << 10]byte) }}
+
+// passOn passes an answer on as it comes, no faster than the client takes it. One that breaks off is cut, so that the client can
+// tell.
+func (v *visit) passOn(a engine.Answer, rep *upstream.Reply) {
+	header, conn := v.w.Header(), http.NewResponseController(v.w)
+	maps.Copy(header, rep.Header)
+	header.Del("Content-Length")
+	if rep.Rest.Length >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(rep.Rest.Length, 10))
+	}
+	if v.last.Load() {
+		header.Set("Connection", "close")
+	}
+	if header.Get("Content-Type") == "" {
+		header["Content-Type"] = nil
+	}
+	write := func(b []byte, more bool) error {
+		_ = conn.SetWriteDeadline(time.Now().Add(passPatience)) // see write
+		if _, err := v.w.Write(b); err != nil || more {
+			return err
+		}
+		return conn.Flush()
+	}
+	v.w.WriteHeader(rep.Status)
+	err := write(rep.Body, false)
+	buffer := passed.Get().(*[32 << 10]byte)
+	defer passed.Put(buffer)
+	for err == nil {
+		n, end := rep.Rest.Read(buffer[:])
+		if n > 0 {
+			if err = write(buffer[:n], rep.Rest.Buffered() > 0); err != nil {
+				break
+			}
+		}
+		if end != nil {
+			err = end
+		}
+	}
+	a.End(rep.Rest.Result())
+	if err != io.EOF {
+		v.d.log.Info("a long answer is cut", "id", v.r.Header.Get(httphead.ID), "path", v.r.URL.Path, "reason", err)
+		v.cut = true
+		v.taken.End(figures.Failed)
+		return
+	}
+	v.taken.End(figures.Completed)
+}
+
 // turnDown answers a request that is not taken.
 func (s *server) turnDown(w http.ResponseWriter, bad *intake.Rejection) {
 	w.Header().Set("Connection", "close")
@@ -271,27 +365,6 @@
 	_, _ = w.Write(body) // a client that does not take its answer has gone
 }
 
-// takeBody takes in a request's body.
-func (s *server) takeBody(w http.ResponseWriter, r *http.Request, patience time.Duration) ([]byte, *intake.Rejection) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	// Without a body the library already reads on, to see whether the client leaves.
-	conn, end := http.NewResponseController(w), time.Now().Add(patience)
-	_ = conn.SetReadDeadline(end)  // see write
-	_ = conn.SetWriteDeadline(end) // reading may first write 100 Continue
-	// It is at most what the head says, and takes memory as it comes: the head may be all that does.
-	body, err := io.ReadAll(r.Body)
-	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, &intake.Rejection{Status: http.StatusRequestTimeout, Text: "the body did not come in time"}
-	case err != nil:
-		return nil, &intake.Rejection{Status: http.StatusBadRequest, Text: fmt.Sprintf("reading the body: %v", err)}
-	}
-	_ = conn.SetReadDeadline(time.Time{})
-	return body, nil
-}
-
 // ready tells whether some service has an upstream.
 func (d *daemon) ready() bool {
 	for _, s := range d.routing.Load().services {
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sync/semaphore"
 
 	"orchiddrift/balancer"
 	"orchiddrift/internal/bulkhead"
@@ -38,6 +39,8 @@
 	slots       *bulkhead.Semaphore // connections to upstreams
 	inHand      *bulkhead.Semaphore // requests; nil: only the connections bound them
 	bytes       *bulkhead.Semaphore // of bodies, both ways; nil: not counted
+	spool       *semaphore.Weighted // bytes of bodies beyond keptAlways
+	spoolSize   int64
 	maxAnswer   int
 	seed        uint64
 	name        string // the process's
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -30,6 +30,9 @@
 	Expires time.Duration // on the engine's clock: when the caller stops waiting
 	Hint    time.Duration // expected work; 0: unknown
 	Prior   []balancer.Prior
+	// Streamed says that the body is passed on as it comes: Expires bounds what that may take, and Uploaded brings the time from
+	// which the caller waits. Such a call is not copied, and not sent again once a Reply says Spent.
+	Streamed bool
 }
 
 // Attempt is one send that the module has decided on.
@@ -51,6 +54,7 @@
 	// Begun says that a streamed answer has begun and goes on: Result does not count yet. The attempt's context then
 	// loses its time-out, and whoever gets the Answer must call Answer.End.
 	Begun bool
+	Spent bool // of a streamed call: its body can't be had again
 }
 
 // Carrier carries out attempts of one call. Carry sends the request to the upstream once, waits for the end, and
@@ -228,7 +232,7 @@
 	}
 	e.flights[c.ID] = f
 	e.handle(balancer.Request{ID: c.ID, Class: c.Class, Tenant: c.Tenant, Expires: c.Expires, Hint: c.Hint,
-		Prior: c.Prior})
+		Prior: c.Prior, Streamed: c.Streamed})
 	// Attempts that end with their caller bring the news themselves.
 	if !f.done && !e.cancelAll && ctx.Done() != nil {
 		defer context.AfterFunc(ctx, func() { e.leave(f) })()
@@ -277,6 +281,20 @@
 	}
 }
 
+// Uploaded says that the last byte of a streamed call has been written by this attempt: what is left until expires is its time.
+func (e *Engine) Uploaded(at Attempt, expires time.Duration) {
+	e.lock()
+	defer e.unlock()
+	f := e.flights[at.ID]
+	if f == nil || f.done || at.Number >= len(f.attempts) || f.attempts[at.Number].ended {
+		return
+	}
+	a := f.attempts[at.Number]
+	f.call.Expires, a.sent = expires, e.clock.Now()
+	a.timer.Reset(expires - a.sent)
+	e.handle(balancer.Uploaded{ID: at.ID, Attempt: at.Number, Expires: expires})
+}
+
 // Abort fails every call in hand: the process is about to be killed.
 func (e *Engine) Abort() {
 	e.lock()
@@ -504,7 +522,7 @@
 		e.finish(f, Answer{Kind: Served, Value: r.Value})
 	}
 	e.handle(balancer.Outcome{ID: f.call.ID, Attempt: a.at.Number, Result: r.Result,
-		Elapsed: at - a.sent, Finished: f.done})
+		Elapsed: at - a.sent, Finished: f.done, Spent: r.Spent})
 	e.forget(f)
 }
 
--- a/internal/graphql/options.go
+++ b/internal/graphql/options.go
@@ -93,6 +93,9 @@
 		Deadline: o.Deadline, MaxBody: int64(o.MaxBody), Endpoint: fingerprint}, nil
 }
 
+// maxMaxBody bounds max_body: a body is held whole, to be read.
+const maxMaxBody = 16 * units.MiB
+
 // Check is tomlfile.Checker's.
 func (o *Options) Check(report func(key, format string, args ...any)) {
 	if p, err := routes.ParsePattern(o.Match, nil); err != nil {
@@ -102,8 +105,8 @@
 	} else if strings.HasPrefix(strings.TrimPrefix(o.Match, p.Host), "/-/") {
 		report("match", "/-/ is the daemon's own")
 	}
-	if o.MaxBody > routes.MaxMaxBody {
-		report("max_body", "%v is over %v", o.MaxBody, routes.MaxMaxBody)
+	if o.MaxBody > maxMaxBody {
+		report("max_body", "%v is over %v", o.MaxBody, maxMaxBody)
 	}
 	if (o.Known != "") != (o.Persist == "known") {
 		report("known", "it belongs to persisted = \"known\"")
--- a/internal/intake/conns.go
+++ b/internal/intake/conns.go
@@ -1,10 +1,15 @@
 package intake
 
 import (
+	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"orchiddrift/internal/framing"
 )
 
 const (
@@ -42,7 +47,50 @@
 		c.room.Wait()
 	}
 	c.mu.Unlock()
-	return c.Listener.Accept()
+	conn, err := c.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &watched{Conn: conn}, nil
+}
+
+// watched is a connection whose requests' framing is followed.
+type watched struct {
+	net.Conn
+	watch framing.Watch // of who reads; the library has one reader at a time
+	twice atomic.Bool
+}
+
+func (w *watched) Read(p []byte) (int, error) {
+	n, err := w.Conn.Read(p)
+	if w.watch.Feed(p[:n]); w.watch.Twice() {
+		w.twice.Store(true)
+	}
+	return n, err
+}
+
+// CloseWrite is for the library, which so has a client read its last answer.
+func (w *watched) CloseWrite() error {
+	if c, ok := w.Conn.(interface{ CloseWrite() error }); ok {
+		return c.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
+type watchedKey struct{}
+
+// Context keeps the connection for FramedOnce.
+func (c *Conns) Context(ctx context.Context, conn net.Conn) context.Context {
+	if w, ok := conn.(*watched); ok {
+		return context.WithValue(ctx, watchedKey{}, w)
+	}
+	return ctx // encrypted: what is framed can't be seen here
+}
+
+// FramedOnce tells whether the requests of ctx's connection are known to frame their bodies in one way each.
+func FramedOnce(ctx context.Context) bool {
+	w, ok := ctx.Value(watchedKey{}).(*watched)
+	return ok && !w.twice.Load()
 }
 
 // closeOne makes room. Guards against clients that connect by hundreds and say nothing, at the cost of those that
@@ -78,8 +126,12 @@
 
 func (c *Conns) Close() error {
 	c.mu.Lock()
+	was := c.closed
 	c.closed = true
 	c.mu.Unlock()
+	if was {
+		return nil
+	}
 	c.room.Broadcast()
 	return c.Listener.Close()
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -36,11 +36,12 @@
 	return NewChecker(t)
 }
 
-// Check looks at a request's head. The body is still to be read, and may hold r.ContentLength bytes.
-func (c *Checker) Check(r *http.Request) (Request, *Rejection) {
+// Check looks at a request's head. The body is still to be read, and may hold r.ContentLength bytes, or where that is -1 as many as
+// its route allows. chunks says that a body in chunks is framed by nothing else.
+func (c *Checker) Check(r *http.Request, chunks bool) (Request, *Rejection) {
 	// Guards against requests hidden in a body: two framings at once may be read in two ways, and of two the
-	// library shows only the chunks. No client needs them, so none are taken.
-	if len(r.TransferEncoding) > 0 {
+	// library shows only the chunks.
+	if len(r.TransferEncoding) > 0 && !chunks {
 		return Request{}, &Rejection{Status: http.StatusLengthRequired,
 			Text: "the body needs a Content-Length, without Transfer-Encoding"}
 	}
--- a/internal/routes/declaration.go
+++ b/internal/routes/declaration.go
@@ -25,7 +25,7 @@
 }
 
 // MaxMaxBody bounds max_body.
-const MaxMaxBody = 16 * units.MiB
+const MaxMaxBody = 64 * units.MiB
 
 // Check is tomlfile.Checker's.
 func (d *Declaration) Check(report func(key, format string, args ...any)) {
--- a/internal/routes/platform.go
+++ b/internal/routes/platform.go
@@ -9,7 +9,7 @@
 )
 
 // PlatformBody bounds a request's body by the platform's protocol, in bytes.
-const PlatformBody = 64 << 10
+const PlatformBody = 32 << 20
 
 // Platform is the platform's header rules as routes: the class is the path's first segment, its effect tells the method,
 // and what is said in headers must agree. A class whose name is no segment of a path has no route.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -26,10 +26,14 @@
 	head   []byte // up to the attempt's own header
 	body   []byte
 	isHead bool // its answer has no body
+	// Upload, where there is one, brings what follows the body.
+	Upload *Upload
 	// Gate, where there is one, is asked before each attempt's first byte is written.
 	Gate Gate
 	// Written, where there is one, is called with each attempt whose last byte has been written.
 	Written func()
+	// Whole has each answer taken whole, as far as Options.MaxAnswer; else a long one is passed on as it comes, as Reply.Rest.
+	Whole bool
 }
 
 // Gate lets attempts begin as long as it is open. Whoever shuts it may wait for those that are being written.
@@ -39,7 +43,7 @@
 }
 
 // notCopied headers are written from what a Request is told elsewhere.
-var notCopied = []string{"Host", "Content-Length", "Transfer-Encoding", "Trailer", httphead.Timeout}
+var notCopied = []string{"Host", "Content-Length", "Transfer-Encoding", "Trailer", "Expect", httphead.Timeout}
 
 // NewRequest keeps method, target and body byte for byte, and of the header what belongs end to end: that is for the
 // caller to pick, see httphead.EndToEnd. All of them come from a request that a server has read, so that none holds a
@@ -57,19 +61,45 @@
 		}
 	}
 	if method != http.MethodGet || len(body) > 0 {
-		head = append(strconv.AppendInt(append(head, "Content-Length: "...), int64(len(body)), 10), '\r', '\n')
+		head = appendLength(head, int64(len(body)))
 	}
 	return &Request{head: head, body: body, isHead: method == http.MethodHead}
 }
 
-// appendTo appends the request as an attempt sends it that ends at deadline.
+// NewUpload is NewRequest for a body that is passed on as it comes; first is what has come of it.
+func NewUpload(method, target, host string, header http.Header, first []byte, rest *Upload) *Request {
+	r := NewRequest(method, target, host, header, nil)
+	if method != http.MethodGet { // it says that there is none
+		r.head = r.head[:len(r.head)-len("Content-Length: 0\r\n")]
+	}
+	if rest.Length >= 0 {
+		r.head = appendLength(r.head, rest.Length)
+	} else {
+		r.head = append(r.head, "Transfer-Encoding: chunked\r\n"...)
+	}
+	r.body, r.Upload = first, rest
+	return r
+}
+
+func appendLength(head []byte, n int64) []byte {
+	return append(strconv.AppendInt(append(head, "Content-Length: "...), n, 10), '\r', '\n')
+}
+
+// appendTo appends the request as an attempt sends it that ends at deadline; without the body, where that is long.
 func (r *Request) appendTo(out []byte, deadline time.Time) []byte {
 	out = append(out, r.head...)
 	if !deadline.IsZero() {
 		left := max(time.Until(deadline).Microseconds(), 1)
+		if r.Upload != nil {
+			left = r.Upload.Timeout.Microseconds()
+		}
 		out = append(strconv.AppendInt(append(out, httphead.Timeout+": "...), left, 10), "u\r\n"...)
 	}
-	return append(append(out, '\r', '\n'), r.body...)
+	out = append(out, '\r', '\n')
+	if r.long() {
+		return out
+	}
+	return append(out, r.body...)
 }
 
 // Reply is how an attempt ended; the rest belongs to an answer.
@@ -79,6 +109,8 @@
 	Header http.Header
 	Body   []byte
 	Held   int64 // of Pool.Bytes, which whoever has the Reply gives back by Free
+	Rest   *Rest // what follows Body, to be ended by its End; nil: nothing
+	Spent  bool  // the request's body can't be had again
 }
 
 // Free gives back what a Reply holds.
@@ -107,13 +139,13 @@
 		}
 		rep, reusable, lingers := u.exchange(ctx, c, r, deadline)
 		switch {
-		case lingers: // it is put back, or closed, by itself
+		case lingers: // it is put back, or closed, by itself, or by whoever ends the Reply's Rest
 		case reusable:
 			u.put(c)
 		default:
 			u.discard(c)
 		}
-		if reused && rep.Result == balancer.ConnectFailed {
+		if reused && rep.Result == balancer.ConnectFailed && !rep.Spent {
 			continue // closed as the request was written: not sent whole, and says nothing of the upstream
 		}
 		return rep
@@ -133,9 +165,10 @@
 			close(gaveUp)
 		}
 	})
+	settle := func() bool { return running() || c.secure != nil && c.takeBack(ctx, gaveUp) }
 	defer func() {
-		if !running() && reusable { // called off as its answer came
-			reusable = c.secure != nil && c.takeBack(ctx, gaveUp)
+		if rep.Rest == nil && !settle() { // called off as its answer came
+			reusable = false
 		}
 	}()
 	ended := func(otherwise balancer.Result) Reply {
@@ -158,19 +191,48 @@
 	if r.Gate != nil && !r.Gate.Enter() {
 		return Reply{Result: balancer.Moot}, true, false
 	}
-	_, err := c.Write(*buffer)
-	if r.Gate != nil {
-		r.Gate.Leave()
-	}
-	if err != nil { // then its last byte was not written, nor its last record whole
-		return ended(balancer.ConnectFailed), false, false
-	}
-	if r.Written != nil {
-		r.Written()
+	var up *upload // a long body's
+	if r.long() {
+		up = r.start(c, *buffer)
+		defer func() {
+			whole := up.stop()
+			reusable = c.SetWriteDeadline(time.Time{}) == nil && whole && reusable
+		}()
+	} else {
+		_, err := c.Write(*buffer)
+		if r.Gate != nil {
+			r.Gate.Leave()
+		}
+		if err != nil { // then its last byte was not written, nor its last record whole
+			return ended(balancer.ConnectFailed), false, false
+		}
+		if r.Written != nil {
+			r.Written()
+		}
 	}
 	in := newAnswerReader(c)
-	defer in.release()
+	defer func() {
+		if rep.Rest == nil {
+			in.release()
+		}
+	}()
 	resp, err := in.head(r)
+	if up != nil {
+		whole := false
+		if err == nil && u.answers.Has(resp.StatusCode) {
+			whole = up.wait() // it answers what it has not read to the end; the rest is owed to it
+		} else {
+			whole = up.stop()
+		}
+		if !whole && !turnedAway(resp, err) {
+			result := balancer.ConnectFailed
+			if ctx.Err() != nil {
+				result = balancer.Moot
+			}
+			return r.unsent(result), false, false
+		}
+		defer func() { rep.Spent = r.Upload != nil && r.Upload.Spent() }()
+	}
 	if err != nil {
 		if c.secure != nil && in.limited.left == httphead.MaxBytes && errors.Is(err, os.ErrDeadlineExceeded) {
 			go u.linger(c, r)
@@ -187,6 +249,18 @@
 	switch {
 	case r.isHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified:
 		whole = resp.StatusCode >= 200
+	case served && !r.Whole && resp.StatusCode >= 200 && (resp.ContentLength < 0 || resp.ContentLength > keptWhole && resp.ContentLength <= MaxPassed):
+		if held = u.holdPart(); held < 0 {
+			return Reply{Result: balancer.Cancelled}, false, false
+		}
+		first, rest, err := u.passOn(ctx, c, in, resp, settle)
+		if err != nil {
+			u.Free(Reply{Held: held})
+			return ended(in.failure()), false, false
+		}
+		header := httphead.EndToEnd(resp.Header)
+		delete(header, httphead.Load)
+		return Reply{balancer.OK, resp.StatusCode, header, first, held, rest, false}, rest == nil && !resp.Close && in.Buffered() == 0, rest != nil
 	case whole:
 		if held = u.hold(resp); held < 0 { // of ours, and says nothing of the upstream; it has run
 			return Reply{Result: balancer.Cancelled}, false, false
@@ -204,19 +278,24 @@
 	}
 	reusable = whole && !resp.Close && in.Buffered() == 0
 	switch status := resp.StatusCode; {
-	case (status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout) &&
-		resp.Header.Get(httphead.NotProcessed) == "1":
+	case turnedAway(resp, nil):
 		return Reply{Result: balancer.Overloaded}, reusable, false
 	case served && !whole: // of no end, or of too much: what came is not served in parts
 		return Reply{Result: balancer.Garbled}, false, false
 	case served:
 		header := httphead.EndToEnd(resp.Header)
 		delete(header, httphead.Load)
-		return Reply{balancer.OK, status, header, body, held}, reusable, false
+		return Reply{balancer.OK, status, header, body, held, nil, false}, reusable, false
 	}
 	return Reply{Result: balancer.ServerError}, reusable, false
 }
 
+// turnedAway tells whether the upstream says that it has not begun the request.
+func turnedAway(resp *http.Response, err error) bool {
+	return err == nil && (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
+		resp.Header.Get(httphead.NotProcessed) == "1"
+}
+
 // lingerFor is how long an encrypted connection is kept for the answer of an attempt that was called off, and lingerMost
 // what that may have: a handshake costs both sides more than a short answer that nobody waits for. Without encryption the
 // connection is closed at once.
@@ -278,6 +357,17 @@
 	return n
 }
 
+// holdPart is hold for an answer that is passed on.
+func (u *Pool) holdPart() int64 {
+	if u.bytes == nil {
+		return 0
+	}
+	if !u.bytes.TryAcquire(u.service, keptWhole) {
+		return -1
+	}
+	return keptWhole
+}
+
 // answerReader reads one answer. It never takes in more than an answer may have.
 type answerReader struct {
 	*bufio.Reader
--- /dev/null
+++ b/internal/upstream/rest.go
@@ -0,0 +1,119 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"orchiddrift/balancer"
+)
+
+// Sizes of answers, in bytes.
+const (
+	keptWhole = 64 << 10 // taken whole before any of it is passed on
+	MaxPassed = 64 << 20 // an answer that says it has more is spoilt
+	firstPart = 16 << 10 // what is read of a longer one before it is passed on, at most
+)
+
+// restIdle is how long an upstream may give nothing of an answer that is being passed on.
+const restIdle = 10 * time.Second
+
+// Rest is what is still to come of an answer that is passed on as it comes. It is for one goroutine, but for End.
+type Rest struct {
+	pool   *Pool
+	c      *poolConn
+	in     *answerReader
+	body   io.Reader
+	ctx    context.Context
+	settle func() bool // ends what calls the connection off; false: it has been
+	whole  bool        // all of it has come
+	close  bool        // the connection ends with it
+	Length int64       // of the whole body, -1: not known
+
+	err   error
+	ended atomic.Bool
+}
+
+// ErrCut says that an answer ends before it is whole.
+var ErrCut = errors.New("the answer is cut")
+
+// Read reads on. Any error but io.EOF says that the answer can't be had whole.
+func (s *Rest) Read(p []byte) (int, error) {
+	if s.err != nil {
+		return 0, s.err
+	}
+	if err := s.c.SetReadDeadline(time.Now().Add(restIdle)); err != nil {
+		s.err = fmt.Errorf("%w: %w", ErrCut, err)
+		return 0, s.err
+	}
+	if s.ctx.Err() != nil { // after the deadline, which calling off sets too where the connection is encrypted
+		s.err = fmt.Errorf("%w: %w", ErrCut, context.Cause(s.ctx))
+		return 0, s.err
+	}
+	n, err := s.body.Read(p)
+	if err != nil {
+		s.err = fmt.Errorf("%w: %w", ErrCut, err)
+		if err == io.EOF {
+			s.whole, s.err = true, io.EOF
+		}
+	}
+	if n > 0 {
+		return n, nil
+	}
+	return 0, s.err
+}
+
+// Buffered is how much can be read without waiting.
+func (s *Rest) Buffered() int { return s.in.Buffered() }
+
+// Result is how the attempt ended: an answer that is not whole by the upstream's doing has broken, one that nobody took was
+// called off.
+func (s *Rest) Result() balancer.Result {
+	switch {
+	case s.whole:
+		return balancer.OK
+	case s.err == nil || s.ctx.Err() != nil:
+		return balancer.Cancelled
+	}
+	return s.in.failure()
+}
+
+// End lets go of the connection: it goes on where the answer has come whole. Only the first call counts.
+func (s *Rest) End() {
+	if s.ended.Swap(true) {
+		return
+	}
+	calm := s.settle()
+	reusable := calm && s.whole && !s.close && s.in.Buffered() == 0 && s.c.SetReadDeadline(time.Time{}) == nil
+	s.in.release()
+	if reusable {
+		s.pool.put(s.c)
+	} else {
+		s.pool.discard(s.c)
+	}
+}
+
+// passOn begins an answer that is passed on as it comes: resp's body is longer than keptWhole, or of unknown length. It reads what
+// is to be there first; nil, nil: the body is whole and stands in first.
+func (u *Pool) passOn(ctx context.Context, c *poolConn, in *answerReader, resp *http.Response, settle func() bool) (first []byte, rest *Rest, err error) {
+	in.limited.left = MaxPassed + MaxPassed/4
+	if resp.ContentLength >= 0 {
+		in.limited.left = int(resp.ContentLength) + in.Size()
+		first = make([]byte, firstPart)
+		n, err := io.ReadAtLeast(resp.Body, first, 1) // a head alone is not yet an answer
+		if err != nil {
+			return nil, nil, err
+		}
+		first = first[:n]
+	} else {
+		first, err = io.ReadAll(io.LimitReader(resp.Body, keptWhole+1))
+		if err != nil || len(first) <= keptWhole {
+			return first, nil, err
+		}
+	}
+	return first, &Rest{pool: u, c: c, in: in, body: resp.Body, ctx: ctx, settle: settle, close: resp.Close, Length: resp.ContentLength}, nil
+}
