daemon: a successor gets the listening socket, the list, what was learnt and the drain

Need: two processes are one sidecar. With SO_REUSEPORT alone what waits in the old one's queue is reset (20 of 20 in the probe, none where the socket is passed on), the new one knows neither the list's news nor who fails, and sheds for lack of a rate: 'shedding begins: 12 in hand, 10 answers a second' right after 'the successor serves'.

internal/handover (frames with version, length, checksum; SCM_RIGHTS over $TMPDIR), balancer.Knowledge, Limiter.Resize; both keep to half of the limits while both run. Tests with real processes: replaced twice under load, a successor and a predecessor killed, leftovers, a drain meanwhile.

--- a/internal/bulkhead/bulkhead.go
+++ b/internal/bulkhead/bulkhead.go
@@ -15,6 +15,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 )
 
 // Share is one service's.
@@ -28,6 +29,8 @@
 	limit, common int64
 	over          int64 // held of the common part
 	by            map[string]*holder
+	part          float64
+	shares        []Share
 }
 
 type holder struct {
@@ -67,7 +70,7 @@
 	if set > limit {
 		return errors.New("the limit is too low for so many services")
 	}
-	l.common = limit - set
+	l.common, l.part, l.shares = limit-set, part, slices.Clone(shares)
 	for name, h := range l.by {
 		if _, stays := own[name]; !stays {
 			if h.own, h.leaving = 0, true; h.used == 0 {
@@ -88,6 +91,25 @@
 	return nil
 }
 
+// Resize changes the limit. What is held stays held, also beyond it. An error leaves all as it was.
+func (l *Limiter) Resize(limit int64) error {
+	was := l.limit
+	l.limit = limit
+	err := l.Set(l.part, l.shares)
+	if err != nil {
+		l.limit = was
+	}
+	return err
+}
+
+// Held is what all services hold.
+func (l *Limiter) Held() (n int64) {
+	for _, h := range l.by {
+		n += h.used
+	}
+	return n
+}
+
 // Take takes n for a service, or nothing. One that has no share is given nothing.
 func (l *Limiter) Take(name string, n int64) bool {
 	h := l.by[name]
--- a/internal/bulkhead/semaphore.go
+++ b/internal/bulkhead/semaphore.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 )
@@ -35,6 +36,26 @@
 	return err
 }
 
+// Resize is Limiter.Resize; what services hold beyond the limit without need is asked back.
+func (s *Semaphore) Resize(limit int64) error {
+	s.mu.Lock()
+	err := s.l.Resize(limit)
+	s.grant()
+	gives := slices.Collect(maps.Values(s.wanted))
+	s.mu.Unlock()
+	for _, give := range gives { // without the lock: giving takes it
+		for {
+			s.mu.Lock()
+			over := s.l.Held() > limit
+			s.mu.Unlock()
+			if err != nil || !over || !give() {
+				break
+			}
+		}
+	}
+	return err
+}
+
 // OnWanted names what gives back one that a service holds without need, if it does; nil takes that away. It is called
 // without the lock when somebody has to wait: the service's own first, then those of the others that hold of the common
 // part, until one has given.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -30,6 +30,7 @@
 	"orchiddrift/internal/engine"
 	"orchiddrift/internal/eureka"
 	"orchiddrift/internal/figures"
+	"orchiddrift/internal/handover"
 	"orchiddrift/internal/httphead"
 	"orchiddrift/internal/intake"
 	"orchiddrift/internal/keys"
@@ -56,11 +57,16 @@
 	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(p.Limits.Cores))))
 	LimitMemory(p)
-	listener, err := listen(p.Listen)
+	listener, from, err := inherit(p, sharedFolder())
 	if err != nil {
-		return fmt.Errorf("listening: %w", err)
+		slog.Warn("hand-over: the address is opened beside the process that has it", "reason", err)
 	}
-	return ServePlan(ctx, p, listener, files, reload, nil)
+	if listener == nil {
+		if listener, err = listen(p.Listen); err != nil {
+			return fmt.Errorf("listening: %w", err)
+		}
+	}
+	return serve(ctx, p, listener, from, files, reload, func(*daemon) {})
 }
 
 // LimitMemory has the process's collector keep to the plan's limit.
@@ -98,26 +104,29 @@
 	besides   sync.WaitGroup
 	rest      context.Context // of what runs besides; ends with the daemon
 	listening net.Listener
+	limits    config.Limits
 	figures   *figures.Counts
 	course    *course
+
+	succession *succession
 }
 
 // ServePlan is Run with a plan and a listener at hand; it closes the listener. Where look is not nil it is given the
 // first service's engine, to look on, before the first request.
 func ServePlan(ctx context.Context, p *config.Plan, listener net.Listener, files config.Sources, reload <-chan os.Signal,
 	look func(*engine.Engine)) error {
-	return serve(ctx, p, listener, files, reload, func(d *daemon) {
+	return serve(ctx, p, listener, nil, files, reload, func(d *daemon) {
 		if look != nil {
 			look(d.routing.Load().services[p.Services[0].Name].engine)
 		}
 	})
 }
 
-func serve(ctx context.Context, p *config.Plan, listener net.Listener, files config.Sources, reload <-chan os.Signal,
+func serve(ctx context.Context, p *config.Plan, listener net.Listener, from *inherited, files config.Sources, reload <-chan os.Signal,
 	look func(*daemon)) error {
 	defer listener.Close()
 	rest, stop := context.WithCancel(context.Background())
-	d := &daemon{plan: p, log: slog.Default(), rest: rest, listening: listener}
+	d := &daemon{plan: p, log: slog.Default(), rest: rest, listening: listener, limits: p.Limits}
 	defer d.besides.Wait()
 	defer stop()
 	if p.File != nil {
@@ -128,7 +137,8 @@
 	if p.SeedDrawn {
 		d.log.Info("seed drawn", "seed", fmt.Sprintf("%016x", p.Seed))
 	}
-	connections := (p.Limits.Sockets - ownSockets) / 2
+	d.succession = &succession{who: handover.Who{Name: p.Name, Listen: p.Listen}}
+	connections := connectionsOf(p.Limits)
 	if err := d.share(connections); err != nil {
 		return err
 	}
@@ -155,6 +165,10 @@
 		}
 		d.besides.Go(operators.Run)
 		defer operators.Close()
+		if from != nil {
+			d.recall(from)
+		}
+		d.besides.Go(func() { d.succeed(rest, from, sharedFolder(), listener) })
 	}
 	known, err := d.register(p)
 	if err != nil {
@@ -177,7 +191,7 @@
 	case <-ctx.Done():
 	}
 	known.drain()
-	d.course.stop(false)
+	d.course.stop(d.succession.succeeded())
 	<-over
 	last, cancel := context.WithTimeout(context.Background(), lastMoment)
 	defer cancel()
--- a/internal/daemon/file_test.go
+++ b/internal/daemon/file_test.go
@@ -50,7 +50,7 @@
 	r.stop = cancel
 	p, up := plan(t, text), make(chan *daemon, 1)
 	go func() {
-		r.err = serve(ctx, p, l, config.Sources{Config: r.path}, nil, func(d *daemon) { up <- d })
+		r.err = serve(ctx, p, l, nil, config.Sources{Config: r.path}, nil, func(d *daemon) { up <- d })
 		close(r.ended)
 	}()
 	t.Cleanup(func() {
@@ -78,7 +78,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	over, up := make(chan error, 1), make(chan *daemon, 1)
-	go func() { over <- serve(ctx, p, l, config.Sources{}, nil, func(d *daemon) { up <- d }) }()
+	go func() { over <- serve(ctx, p, l, nil, config.Sources{}, nil, func(d *daemon) { up <- d }) }()
 	t.Cleanup(func() {
 		stop()
 		if err := <-over; err != nil {
--- a/internal/daemon/operate.go
+++ b/internal/daemon/operate.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"orchiddrift/internal/control"
+	"orchiddrift/internal/handover"
 )
 
 // operate answers the operators' calls. Nothing in it waits for traffic: the figures are counters, and the module's lock is held
@@ -35,11 +36,13 @@
 		if !post {
 			return wrong("POST")
 		}
+		defer d.succession.tell(handover.Drain)
 		return say(d.course.drain(), "draining", "no: "+d.why())
 	case "/undrain":
 		if !post {
 			return wrong("POST")
 		}
+		defer d.succession.tell(handover.Undrain)
 		return say(d.course.undrain(), "serving", "no: "+d.why())
 	}
 	return control.Answer{Status: http.StatusNotFound, Body: "known here: GET /ready, GET /metrics, POST /drain, POST /undrain"}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -335,6 +335,20 @@
 	return e.b.View(e.clock.Now())
 }
 
+// Know is what the module has learnt, and Recall has it take over what a predecessor had, before the first call.
+func (e *Engine) Know() *balancer.Knowledge {
+	e.lock()
+	defer e.unlock()
+	return e.b.Know(e.clock.Now())
+}
+
+// Recall is Know's counterpart.
+func (e *Engine) Recall(k *balancer.Knowledge) {
+	e.lock()
+	defer e.unlock()
+	e.b.Recall(e.clock.Now(), k)
+}
+
 // lock takes the Balancer, and first handles what is new of the list.
 func (e *Engine) lock() {
 	e.mu.Lock()
--- /dev/null
+++ b/internal/handover/state.go
@@ -0,0 +1,75 @@
+package handover
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"orchiddrift/balancer"
+	"orchiddrift/internal/directory"
+)
+
+// Who names a sidecar: successor and predecessor are of one.
+type Who struct {
+	Name   string `json:"name"`
+	Listen string `json:"listen"`
+}
+
+// State is what a process has to pass on.
+type State struct {
+	Who
+	Draining bool               `json:"draining"`
+	Services map[string]Service `json:"services"`
+}
+
+// Service is a service's part of it. A list counts only where it is still followed at the same address: its index is that one's.
+type Service struct {
+	Discovery string              `json:"discovery,omitempty"`
+	List      *directory.Listing  `json:"list,omitempty"`
+	Learnt    *balancer.Knowledge `json:"learnt,omitempty"`
+}
+
+// Encode is a State as a Welcome's payload. Where it is too large, what was learnt stays behind, and then the lists.
+func (s State) Encode() ([]byte, error) {
+	for _, without := range []func(*Service){func(*Service) {}, func(s *Service) { s.Learnt = nil }, func(s *Service) { s.List = nil }} {
+		part := make(map[string]Service, len(s.Services))
+		for name, one := range s.Services {
+			without(&one)
+			part[name] = one
+		}
+		s.Services = part
+		text, err := json.Marshal(s)
+		if err != nil || len(text) <= MaxPayload {
+			return text, err
+		}
+	}
+	return nil, errors.New("too many services to pass on")
+}
+
+// Decode reads a Welcome's payload, and turns down what is not this sidecar's or can't be used.
+func Decode(payload []byte, own Who) (State, error) {
+	var s State
+	if err := json.Unmarshal(payload, &s); err != nil {
+		return State{}, fmt.Errorf("what was passed on can't be read: %w", err)
+	}
+	if s.Who != own {
+		return State{}, fmt.Errorf("it is of %q at %s", s.Name, s.Listen)
+	}
+	for name, one := range s.Services {
+		if one.List != nil {
+			text, err := json.Marshal(one.List)
+			if err == nil {
+				_, err = directory.ParseListing(text)
+			}
+			if err != nil {
+				return State{}, fmt.Errorf("service %s: its list: %w", name, err)
+			}
+		}
+		if one.Learnt != nil {
+			if err := one.Learnt.Check(); err != nil {
+				return State{}, fmt.Errorf("service %s: what was learnt: %w", name, err)
+			}
+		}
+	}
+	return s, nil
+}
--- a/internal/intake/conns.go
+++ b/internal/intake/conns.go
@@ -136,6 +136,17 @@
 	return c.Listener.Close()
 }
 
+// Resize changes how many connections there may be; those that are needed least are closed beyond that.
+func (c *Conns) Resize(most int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for n := len(c.conns) - most; n > 0; n-- {
+		c.closeOne()
+	}
+	c.most = most
+	c.room.Broadcast()
+}
+
 // Open is how many connections there are.
 func (c *Conns) Open() int {
 	c.mu.Lock()
--- a/internal/suite/child_test.go
+++ b/internal/suite/child_test.go
@@ -8,9 +8,11 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -32,7 +34,9 @@
 	}
 	var err error
 	if os.Getenv("SUITE_FRONT") == string(overHTTP) {
-		err = daemon.Run(context.Background(), config.Sources{Config: path}, nil)
+		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+		defer stop()
+		err = daemon.Run(ctx, config.Sources{Config: path, Control: os.Getenv("SUITE_CONTROL")}, nil)
 	} else {
 		err = callingProcess(path, os.Getenv("SUITE_PREFIX"))
 	}
--- /dev/null
+++ b/internal/suite/replace_test.go
@@ -0,0 +1,231 @@
+package suite
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"orchiddrift/internal/standin"
+	"orchiddrift/internal/testkit"
+)
+
+// replaced is one sidecar whose process is replaced: real processes that share an address and a folder.
+type replaced struct {
+	t              *testing.T
+	config, folder string
+	listen         string
+	client         *http.Client
+}
+
+// process is one of them.
+type process struct {
+	*exec.Cmd
+	control string
+	over    chan struct{}
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func newReplaced(t *testing.T) *replaced {
+	node := standin.NodeOptions{Cores: 8, Work: 5 * time.Millisecond}
+	w := newWorld(t, node, node, node)
+	listen := freeAddress(t)
+	return &replaced{t: t, config: configFile(t, w, overHTTP, listen), folder: t.TempDir(), listen: listen,
+		client: &http.Client{Timeout: testkit.Patience, Transport: &http.Transport{DisableKeepAlives: true}}}
+}
+
+// start starts a process, and waits until it can serve.
+func (r *replaced) start() *process {
+	r.t.Helper()
+	p := &process{control: freeAddress(r.t), over: make(chan struct{})}
+	p.Cmd = exec.Command(os.Args[0])
+	p.Env = append(os.Environ(), "SUITE_CONFIG="+r.config, "SUITE_FRONT="+string(overHTTP), "SUITE_CONTROL="+p.control, "TMPDIR="+r.folder)
+	if err := p.Start(); err != nil {
+		r.t.Fatal(err)
+	}
+	go func() {
+		_ = p.Wait() // its state tells
+		close(p.over)
+	}()
+	r.t.Cleanup(func() {
+		_ = p.Process.Kill() // it may have ended
+		<-p.over
+	})
+	testkit.Eventually(r.t, "it can serve", func() bool { return r.call("GET", "http://"+p.control+"/ready") == 200 })
+	return p
+}
+
+func (r *replaced) call(method, url string) int {
+	req, err := http.NewRequest(method, url, nil)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
+}
+
+func (r *replaced) end(p *process) {
+	r.t.Helper()
+	if err := p.Process.Signal(syscall.SIGTERM); err != nil {
+		r.t.Fatal(err)
+	}
+	<-p.over
+	if code := p.ProcessState.ExitCode(); code != 0 {
+		r.t.Errorf("it ended with %d", code)
+	}
+}
+
+// load sends requests until stopped, some clients on kept connections and some on new ones, and counts what was not served.
+func (r *replaced) load() (stop func() (served int64)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var clients sync.WaitGroup
+	var served, unheard atomic.Int64
+	for n := range 6 {
+		client := &http.Client{Timeout: testkit.Patience, Transport: &http.Transport{DisableKeepAlives: n%2 == 0}}
+		clients.Go(func() {
+			defer client.CloseIdleConnections()
+			for ctx.Err() == nil {
+				resp, err := client.Do(testkit.Request(r.t, r.listen, "search", ""))
+				if err != nil {
+					unheard.Add(1)
+					r.t.Error(err)
+					continue
+				}
+				body, err := io.ReadAll(resp.Body)
+				resp.Body.Close()
+				if err != nil || resp.StatusCode != 200 {
+					r.t.Errorf("%s %q %v", resp.Status, body, err)
+				}
+				served.Add(1)
+			}
+		})
+	}
+	return func() int64 {
+		cancel()
+		clients.Wait()
+		return served.Load()
+	}
+}
+
+// Guards against requests that a replacement costs: under load, twice in a row, none is turned back unheard, none fails, and each old
+// process ends with 0.
+func TestReplacedUnderLoad(t *testing.T) {
+	r := newReplaced(t)
+	first := r.start()
+	stop := r.load()
+	second := r.start()
+	r.end(first)
+	third := r.start()
+	r.end(second)
+	if n := stop(); n == 0 {
+		t.Error("nothing was served meanwhile")
+	}
+	if r.call("GET", "http://"+third.control+"/ready") != 200 {
+		t.Error("the last one does not serve")
+	}
+}
+
+// A successor that dies, at whatever moment, costs the old process nothing: it serves on, and can be replaced by another one.
+func TestASuccessorThatDies(t *testing.T) {
+	r := newReplaced(t)
+	old := r.start()
+	second := r.start()
+	_ = second.Process.Kill() // with what it had taken: no load beside it
+	<-second.over
+	stop := r.load()
+	if got := r.call("GET", "http://"+old.control+"/ready"); got != 200 {
+		t.Errorf("the old one: %d", got)
+	}
+	third := r.start()
+	r.end(old)
+	stop()
+	if got := r.call("GET", "http://"+third.control+"/ready"); got != 200 {
+		t.Errorf("the new one: %d", got)
+	}
+}
+
+// An old process that is killed leaves its path behind, and costs the next one nothing but what it knew. So does a path of something else.
+func TestLeftovers(t *testing.T) {
+	r := newReplaced(t)
+	old := r.start()
+	_ = old.Process.Kill()
+	<-old.over
+	left, err := filepath.Glob(filepath.Join(r.folder, "orchiddrift-*.sock"))
+	if err != nil || len(left) != 1 {
+		t.Fatalf("%v, %v", left, err)
+	}
+	second := r.start()
+	if got := r.call("GET", "http://"+r.listen+"/-/ready"); got != 200 {
+		t.Errorf("behind a dead one's path: %d", got)
+	}
+	if err := os.Remove(left[0]); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(left[0], []byte("no socket"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	stop := r.load() // beside the one that can't be asked any more
+	third := r.start()
+	stop()
+	for _, p := range []*process{second, third} {
+		if got := r.call("GET", "http://"+p.control+"/ready"); got != 200 {
+			t.Errorf("%d", got)
+		}
+	}
+}
+
+// A drain goes on in the process that comes, and either one's call ends it for both.
+func TestReplacedWhileItDrains(t *testing.T) {
+	r := newReplaced(t)
+	old := r.start()
+	ready := func() int { return r.call("GET", "http://"+r.listen+"/-/ready") }
+	if r.call("POST", "http://"+old.control+"/drain") != 200 || ready() == 200 {
+		t.Fatal("it does not drain")
+	}
+	second := r.start()
+	for range 20 { // either one may be asked
+		if ready() == 200 {
+			t.Fatal("the drain is forgotten")
+		}
+	}
+	if r.call("POST", "http://"+second.control+"/undrain") != 200 {
+		t.Error("it does not take clients again")
+	}
+	testkit.Eventually(t, "both serve", func() bool {
+		for range 20 {
+			if ready() != 200 {
+				return false
+			}
+		}
+		return true
+	})
+	r.end(old)
+	if ready() != 200 {
+		t.Error("the one that is left does not serve")
+	}
+	if got := r.call("GET", "http://"+second.control+"/metrics"); got != 200 {
+		t.Errorf("figures: %d", got)
+	}
+}
