daemon: a successor gets the descriptors that the old process leaves, and SIGTERM finds it known

Seen: with half of the limits for each, 64 descriptors left a successor 1 connection, 384 left 80 where clients may hold 128; and a SIGTERM right after the new one's yes found the old one without its word ('http: server closed idle connection' in TestASuccessorThatDies): /ready said yes before Ready was told.

The old one pauses accepting, keeps what it holds and says how much; /ready is yes once the old one has answered Ready.

--- a/internal/bulkhead/semaphore.go
+++ b/internal/bulkhead/semaphore.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"sync"
 )
@@ -36,26 +35,22 @@
 	return err
 }
 
-// Resize is Limiter.Resize; what services hold beyond the limit without need is asked back.
+// Resize is Limiter.Resize.
 func (s *Semaphore) Resize(limit int64) error {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	err := s.l.Resize(limit)
 	s.grant()
-	gives := slices.Collect(maps.Values(s.wanted))
-	s.mu.Unlock()
-	for _, give := range gives { // without the lock: giving takes it
-		for {
-			s.mu.Lock()
-			over := s.l.Held() > limit
-			s.mu.Unlock()
-			if err != nil || !over || !give() {
-				break
-			}
-		}
-	}
 	return err
 }
 
+// Held is Limiter.Held.
+func (s *Semaphore) Held() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.l.Held()
+}
+
 // OnWanted names what gives back one that a service holds without need, if it does; nil takes that away. It is called
 // without the lock when somebody has to wait: the service's own first, then those of the others that hold of the common
 // part, until one has given.
--- a/internal/daemon/operate.go
+++ b/internal/daemon/operate.go
@@ -26,7 +26,7 @@
 		if !get {
 			return wrong("GET, HEAD")
 		}
-		return say(!d.course.stopping.Load() && d.ready(), "yes: "+d.course.state().String(), "no: "+d.why())
+		return say(!d.course.stopping.Load() && d.ready() && d.succession.placed.Load(), "yes: "+d.course.state().String(), "no: "+d.why())
 	case "/metrics":
 		if !get {
 			return wrong("GET, HEAD")
@@ -53,5 +53,8 @@
 	if d.course.stopping.Load() {
 		return d.course.state().String()
 	}
+	if d.ready() {
+		return "its predecessor has not heard of it yet"
+	}
 	return "no upstream is known"
 }
--- a/internal/daemon/succession.go
+++ b/internal/daemon/succession.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -25,6 +26,8 @@
 	predecessor *handover.Link // nil: none runs any more
 	successor   *handover.Link
 	ready       bool // the successor serves
+
+	placed atomic.Bool // the predecessor knows that this process serves, or there is none: that one may be ended
 }
 
 // inherited is what a process got from its predecessor.
@@ -78,7 +81,7 @@
 
 // state is what a successor gets.
 func (d *daemon) state() handover.State {
-	s := handover.State{Who: d.succession.who, Draining: d.course.state() == life.Draining, Services: map[string]handover.Service{}}
+	s := handover.State{Who: d.succession.who, Draining: d.course.state() == life.Draining, Held: d.held(), Services: map[string]handover.Service{}}
 	for name, one := range d.routing.Load().services {
 		of := handover.Service{Learnt: one.engine.Know()}
 		if d, list := one.followed(); d != "" {
@@ -105,7 +108,8 @@
 // succeed has the process take its place: it tells its predecessor once it serves, and then waits for a successor of its own.
 func (d *daemon) succeed(ctx context.Context, from *inherited, folder string, clients net.Listener) {
 	if from != nil {
-		d.halve(true)
+		d.halveMemory()
+		d.keepBeside(from.state.Held)
 		d.besides.Go(func() { d.hear(from.link, true) })
 		stop := context.AfterFunc(ctx, func() { from.link.Close() })
 		defer stop()
@@ -121,6 +125,9 @@
 		if err := from.link.Tell(handover.Ready); err != nil {
 			d.log.Warn("hand-over: the predecessor has gone", "reason", err)
 		}
+		defer time.AfterFunc(placedAfter, func() { d.succession.placed.Store(true) }).Stop()
+	} else {
+		d.succession.placed.Store(true)
 	}
 	offer, err := handover.Wait(handover.Path(folder, d.succession.who))
 	if err != nil {
@@ -146,7 +153,6 @@
 			before.Close()
 		}
 		d.log.Info("hand-over: a successor has the clients' socket")
-		d.halve(true)
 		d.besides.Go(func() { d.hear(link, false) })
 		defer context.AfterFunc(ctx, func() { link.Close() })()
 	}
@@ -162,16 +168,27 @@
 	}
 	defer link.Close()
 	for {
-		k, err := link.Next()
+		k, held, err := link.Next()
 		if err != nil {
 			break
 		}
 		switch k {
+		case handover.Room: // the first one answers Ready
+			if predecessor {
+				d.keepBeside(held)
+				n.placed.Store(true)
+			}
 		case handover.Ready:
 			n.mu.Lock()
+			first := n.successor == link && !n.ready
 			n.ready = n.successor == link
 			n.mu.Unlock()
-			d.log.Info("hand-over: the successor serves")
+			if first {
+				d.log.Info("hand-over: the successor serves")
+				d.course.conns.Pause(true) // it has the socket too
+				d.halveMemory()
+				d.besides.Go(func() { d.giveRoom(link) })
+			}
 		case handover.Drain:
 			d.course.drain()
 		case handover.Undrain:
@@ -182,14 +199,16 @@
 	switch link {
 	case n.predecessor:
 		n.predecessor = nil
+		n.placed.Store(true)
 	case n.successor:
 		n.successor, n.ready = nil, false
 	}
-	alone := n.predecessor == nil && n.successor == nil
-	n.mu.Unlock()
-	if alone {
-		d.halve(false)
+	if n.predecessor == nil && n.successor == nil {
+		LimitMemory(&config.Plan{Limits: d.limits})
+		d.resize(connectionsOf(d.limits), connectionsOf(d.limits))
+		d.course.conns.Pause(false)
 	}
+	n.mu.Unlock()
 }
 
 // tell has the other processes of this sidecar drain or serve too.
@@ -211,17 +230,61 @@
 	return n.ready
 }
 
-// halve has the process use half of its limits, or all of them again: two processes of one sidecar share them.
-func (d *daemon) halve(half bool) {
+// halveMemory has the process's collector keep to half of the limit: another one has the other half.
+func (d *daemon) halveMemory() {
 	limits := d.limits
-	if half {
-		limits.MemoryMB /= 2
-		limits.Sockets /= 2
-	}
+	limits.MemoryMB /= 2
 	LimitMemory(&config.Plan{Limits: limits})
-	connections := connectionsOf(limits)
-	d.course.conns.Resize(connections)
-	if err := d.shared.slots.Resize(int64(connections)); err != nil { // more services than half the connections
+}
+
+// keepBeside has a successor keep to what its predecessor, which holds that many descriptors, leaves of the limits.
+func (d *daemon) keepBeside(held int) {
+	limits := d.limits
+	limits.Sockets -= held
+	most := connectionsOf(limits)
+	d.resize(most, most)
+}
+
+// placedAfter is how long a successor waits for its predecessor's word that it has heard of it.
+const placedAfter = 500 * time.Millisecond
+
+// keptLeast is how many connections of each side a process with a successor may open all the same, and giveRoomEvery how often it tells
+// what it holds.
+const (
+	keptLeast     = 4
+	giveRoomEvery = 100 * time.Millisecond
+)
+
+// held is how many descriptors the process holds, and those that it may open without a look.
+func (d *daemon) held() int {
+	return ownSockets + max(keptLeast, d.course.conns.Open()) + max(keptLeast, int(d.shared.slots.Held()))
+}
+
+// giveRoom tells a successor what this process holds, as it lets go, until the link has ended.
+func (d *daemon) giveRoom(link *handover.Link) {
+	tick := time.NewTicker(giveRoomEvery)
+	defer tick.Stop()
+	for {
+		d.succession.mu.Lock()
+		goes := d.succession.ready
+		if goes { // else it has gone, and all is this process's again
+			d.resize(connectionsOf(d.limits), max(keptLeast, int(d.shared.slots.Held())))
+		}
+		d.succession.mu.Unlock()
+		if !goes {
+			return
+		}
+		if link.TellRoom(d.held()) != nil {
+			return
+		}
+		<-tick.C
+	}
+}
+
+// resize sets how many connections there may be to clients and upstreams.
+func (d *daemon) resize(clients, upstreams int) {
+	d.course.conns.Resize(clients)
+	if err := d.shared.slots.Resize(int64(upstreams)); err != nil { // fewer than there are services: all stays
 		d.log.Warn("hand-over", "reason", err)
 	}
 }
--- a/internal/handover/frame.go
+++ b/internal/handover/frame.go
@@ -26,6 +26,7 @@
 	Ready                   // it serves
 	Drain                   // the sidecar is to drain: told to either, done by both
 	Undrain
+	Room // how many descriptors the predecessor holds yet; 4 bytes, big-endian
 	kinds
 )
 
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -262,11 +262,17 @@
 		t.Error(err)
 	}
 	old := <-links
-	if k, err := old.Next(); err != nil || k != Ready {
+	if k, _, err := old.Next(); err != nil || k != Ready {
 		t.Errorf("%v, %v", k, err)
 	}
+	if err := old.TellRoom(77); err != nil {
+		t.Error(err)
+	}
+	if k, held, err := link.Next(); err != nil || k != Room || held != 77 {
+		t.Errorf("%v, %v, %v", k, held, err)
+	}
 	link.Close()
-	if _, err := old.Next(); err == nil {
+	if _, _, err := old.Next(); err == nil {
 		t.Error("the successor's end is not seen")
 	}
 	old.Close()
--- a/internal/handover/socket.go
+++ b/internal/handover/socket.go
@@ -1,6 +1,7 @@
 package handover
 
 import (
+	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -38,10 +39,23 @@
 	return err
 }
 
-// Next waits for the next message. Any error says that the other process has gone, or is a stranger.
-func (l *Link) Next() (Kind, error) {
-	k, _, err := Read(l.conn)
-	return k, err
+// TellRoom says how many descriptors this process holds yet.
+func (l *Link) TellRoom(held int) error {
+	return l.send(Room, binary.BigEndian.AppendUint32(nil, uint32(held)))
+}
+
+// Next waits for the next message; held is a Room's. Any error says that the other process has gone, or is a stranger.
+func (l *Link) Next() (k Kind, held int, err error) {
+	k, payload, err := Read(l.conn)
+	switch {
+	case err != nil:
+		return 0, 0, err
+	case k == Room && len(payload) != 4:
+		return 0, 0, ErrForeign
+	case k == Room:
+		held = int(binary.BigEndian.Uint32(payload))
+	}
+	return k, held, nil
 }
 
 // Close ends it.
--- a/internal/handover/state.go
+++ b/internal/handover/state.go
@@ -19,6 +19,7 @@
 type State struct {
 	Who
 	Draining bool               `json:"draining"`
+	Held     int                `json:"held"` // descriptors
 	Services map[string]Service `json:"services"`
 }
 
@@ -52,6 +53,9 @@
 	if err := json.Unmarshal(payload, &s); err != nil {
 		return State{}, fmt.Errorf("what was passed on can't be read: %w", err)
 	}
+	if s.Held < 0 {
+		return State{}, fmt.Errorf("%d descriptors are held", s.Held)
+	}
 	if s.Who != own {
 		return State{}, fmt.Errorf("it is of %q at %s", s.Name, s.Listen)
 	}
--- a/internal/intake/conns.go
+++ b/internal/intake/conns.go
@@ -23,6 +23,7 @@
 	net.Listener
 	most int
 
+	paused bool // under mu: what waits is left to another process
 	mu     sync.Mutex
 	room   *sync.Cond
 	closed bool
@@ -42,8 +43,10 @@
 
 func (c *Conns) Accept() (net.Conn, error) {
 	c.mu.Lock()
-	for len(c.conns) >= c.most && !c.closed {
-		c.closeOne()
+	for (c.paused || len(c.conns) >= c.most) && !c.closed {
+		if !c.paused {
+			c.closeOne()
+		}
 		c.room.Wait()
 	}
 	c.mu.Unlock()
@@ -136,17 +139,22 @@
 	return c.Listener.Close()
 }
 
-// Resize changes how many connections there may be; those that are needed least are closed beyond that.
+// Resize changes how many connections there may be. Those that there are stay, also beyond it.
 func (c *Conns) Resize(most int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for n := len(c.conns) - most; n > 0; n-- {
-		c.closeOne()
-	}
 	c.most = most
 	c.room.Broadcast()
 }
 
+// Pause leaves new connections to another process that has the listener too, or takes them again.
+func (c *Conns) Pause(on bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.paused = on
+	c.room.Broadcast()
+}
+
 // Open is how many connections there are.
 func (c *Conns) Open() int {
 	c.mu.Lock()
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -9,6 +10,8 @@
 
 	"orchiddrift/balancer"
 	"orchiddrift/internal/httphead"
+
+	"orchiddrift/internal/testkit/base"
 )
 
 func testChecker() *Checker {
@@ -138,3 +141,60 @@
 		t.Errorf("%+v", req)
 	}
 }
+
+// Guards against a paused listener that takes a connection, or closes those that there are, and against one that stays paused.
+func TestPausedConnsLeaveTheQueueAlone(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := NewConns(l, 2)
+	defer c.Close()
+	took := make(chan net.Conn, 4)
+	go func() {
+		for {
+			conn, err := c.Accept()
+			if err != nil {
+				return
+			}
+			c.State(conn, http.StateNew)
+			c.State(conn, http.StateIdle)
+			took <- conn
+		}
+	}()
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return conn
+	}
+	defer dial().Close()
+	<-took
+	c.Pause(true)
+	defer dial().Close() // the Accept that waits already takes this one
+	<-took
+	third := dial()
+	defer third.Close()
+	select {
+	case <-took:
+		t.Error("a paused one takes a third")
+	case <-time.After(50 * time.Millisecond):
+	}
+	if n := c.Open(); n != 2 {
+		t.Errorf("%d are open", n)
+	}
+	c.Pause(false) // there is room for two: the one that is needed least gives way
+	base.Eventually(t, "one gives way", func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for conn, is := range c.conns {
+			if is.quiet.IsZero() {
+				go c.State(conn, http.StateClosed)
+				return true
+			}
+		}
+		return false
+	})
+	<-took
+}
