--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -12,6 +12,7 @@
 //	go run ./cmd/measure probes    # whether probes would help sidecars that send little, in virtual time
 //	go run ./cmd/measure graphql   # operations beside plain requests, in the daemon
 //	go run ./cmd/measure repeats   # keyed requests without a store of keys, in memory, on the disk
+//	go run ./cmd/measure size      # small requests beside large answers
 //	go run ./cmd/measure grpc      # beside grpc-go's round_robin, weighted_round_robin and least_request
 package main
 
@@ -37,6 +38,10 @@
 
 func (c daemonCmd) Run() error { return measure.Daemon(c.options.options()) }
 
+type sizeCmd struct{ options }
+
+func (c sizeCmd) Run() error { return measure.Size(c.options.options()) }
+
 type tlsCmd struct{ options }
 
 func (c tlsCmd) Run() error { return measure.TLS(c.options.options()) }
@@ -103,6 +108,7 @@
 	var cli struct {
 		Daemon   daemonCmd   `cmd:"" help:"The daemon beside ReverseProxy."`
 		TLS      tlsCmd      `cmd:"" name:"tls" help:"The daemon beside ReverseProxy, with encryption on both sides."`
+		Size     sizeCmd     `cmd:"" help:"Small requests beside large answers, through the daemon and ReverseProxy."`
 		Routes   routesCmd   `cmd:"" help:"The daemon with 1, 100 and 10,000 routes."`
 		Eureka   eurekaCmd   `cmd:"" help:"From a flip in an Eureka registry to the last request; memory with 5,000 instances."`
 		Subset   subsetCmd   `cmd:"" help:"Ways to choose a part of 5,000 upstreams."`
--- /dev/null
+++ b/internal/measure/size.go
@@ -0,0 +1,123 @@
+package measure
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+)
+
+const (
+	largeAnswer  = 8 << 20 // bytes
+	largeClients = 4       // that ask for one after another
+	smallClients = 16
+)
+
+// Size prints what small requests take beside large answers through the same proxy: the daemon and ReverseProxy, each on one core.
+func Size(o Options) error {
+	var addresses []string
+	part := make([]byte, 64<<10)
+	for range 4 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		srv := &http.Server{ReadHeaderTimeout: 10 * time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if !strings.HasSuffix(r.URL.Path, "/large") {
+				_, _ = io.WriteString(w, "ok") // a client that has left
+				return
+			}
+			w.Header().Set("Content-Length", fmt.Sprint(largeAnswer))
+			for range largeAnswer / len(part) {
+				if _, err := w.Write(part); err != nil {
+					return
+				}
+			}
+		})}
+		go func() { _ = srv.Serve(l) }() // ends with Close
+		defer srv.Close()
+		addresses = append(addresses, l.Addr().String())
+	}
+	w := tabwriter.NewWriter(o.Out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "peer\tp50 alone\tp99 alone\tp50 beside large ones\tp99 beside large ones\tp99 ratio\tlarge ones a second\t")
+	for _, peer := range []string{"reverseproxy", "daemon"} {
+		var alone, beside []Figures
+		var rate []float64
+		for range o.Rounds {
+			f, _, err := sizeRound(role{Part: peer, Addresses: addresses}, 0, o.Calls)
+			if err != nil {
+				return err
+			}
+			g, r, err := sizeRound(role{Part: peer, Addresses: addresses}, largeClients, o.Calls)
+			if err != nil {
+				return err
+			}
+			alone, beside, rate = append(alone, f), append(beside, g), append(rate, r)
+		}
+		a, b := median(alone), median(beside)
+		fmt.Fprintf(w, "%s\t%v\t%v\t%v\t%v\t%.2f\t%.0f\t\n", peer, a.P50.Round(time.Microsecond), a.P99.Round(time.Microsecond),
+			b.P50.Round(time.Microsecond), b.P99.Round(time.Microsecond), float64(b.P99)/float64(a.P99),
+			medianBy(rate, func(x float64) float64 { return x }))
+	}
+	return w.Flush()
+}
+
+// sizeRound asks for small answers in a closed loop, beside clients that ask for large ones; rate is how many of those came a second.
+func sizeRound(r role, large, calls int) (f Figures, rate float64, err error) {
+	var address string
+	r.Listen, r.GC = "127.0.0.1:0", 100
+	proxy, err := start(r, &address)
+	if err != nil {
+		return Figures{}, 0, err
+	}
+	client := &http.Client{Timeout: time.Minute, Transport: &http.Transport{MaxIdleConnsPerHost: smallClients + large}}
+	defer client.CloseIdleConnections()
+	get := func(ctx context.Context, path, id string) error {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/search/"+path, nil)
+		if err != nil {
+			return err
+		}
+		req.Header.Set("X-Request-ID", id)
+		resp, err := client.Do(req)
+		if err != nil {
+			return err
+		}
+		defer resp.Body.Close()
+		n, err := io.Copy(io.Discard, resp.Body)
+		if err == nil && (resp.StatusCode != http.StatusOK || path == "large" && n != largeAnswer) {
+			err = fmt.Errorf("%s answered %s with %d bytes", r.Part, resp.Status, n)
+		}
+		return err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	var downloads sync.WaitGroup
+	var mu sync.Mutex
+	var failed error
+	came, begun := 0, time.Now()
+	for n := range large {
+		downloads.Go(func() {
+			for i := 0; ctx.Err() == nil; i++ {
+				err := get(ctx, "large", fmt.Sprintf("large-%d-%d", n, i))
+				mu.Lock()
+				if came++; err != nil && ctx.Err() == nil {
+					failed = errors.Join(failed, err)
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	took, err := closedLoop(smallClients, calls/5, calls, func(worker, n int) error {
+		return get(context.Background(), "small", fmt.Sprintf("%d-%d", worker, n))
+	}, func() error { return nil })
+	rate = float64(came) / time.Since(begun).Seconds()
+	stop()
+	downloads.Wait()
+	return figures(usage{}, usage{}, took), rate, errors.Join(err, failed, proxy.stop())
+}
