daemon: a process can be asked by a successor before it says yes, and again after one died

Seen in two landed tests under load: TestLeftovers '[], <nil>' (a process killed right after its yes had no path yet: succeed set placed before handover.Wait), TestASuccessorThatDies 'connection reset by peer' (the dead successor had taken the path, so the third process opened the address beside the old one, whose queue was reset). Ruled out: the tests' own waits; the product's order is at fault.

The path stands before /ready says yes, and the old process takes it back when its successor's link ends.

--- a/internal/daemon/succession.go
+++ b/internal/daemon/succession.go
@@ -26,6 +26,7 @@
 	predecessor *handover.Link // nil: none runs any more
 	successor   *handover.Link
 	ready       bool // the successor serves
+	offer       *handover.Offer
 
 	placed atomic.Bool // the predecessor knows that this process serves, or there is none: that one may be ended
 }
@@ -126,16 +127,31 @@
 			d.log.Warn("hand-over: the predecessor has gone", "reason", err)
 		}
 		defer time.AfterFunc(placedAfter, func() { d.succession.placed.Store(true) }).Stop()
-	} else {
-		d.succession.placed.Store(true)
 	}
-	offer, err := handover.Wait(handover.Path(folder, d.succession.who))
-	if err != nil {
-		d.log.Warn("hand-over: no successor can ask here; it will open the address beside this process", "reason", err)
-		return
+	defer context.AfterFunc(ctx, d.succession.closeOffer)()
+	for ctx.Err() == nil {
+		offer, err := handover.Wait(handover.Path(folder, d.succession.who))
+		if err != nil {
+			d.log.Warn("hand-over: no successor can ask here; it will open the address beside this process", "reason", err)
+			d.succession.placed.Store(true)
+			return
+		}
+		d.succession.mu.Lock()
+		d.succession.offer = offer
+		d.succession.mu.Unlock()
+		if from == nil { // nobody is to be ended, and a successor can ask from now on
+			d.succession.placed.Store(true)
+		}
+		if ctx.Err() != nil { // before it could be closed
+			offer.Close()
+			return
+		}
+		d.offer(ctx, offer, clients)
 	}
-	defer context.AfterFunc(ctx, func() { offer.Close() })()
-	defer offer.Close()
+}
+
+// offer waits for successors until the offer is closed.
+func (d *daemon) offer(ctx context.Context, offer *handover.Offer, clients net.Listener) {
 	for {
 		link, err := offer.Next(d.succession.who, clients, d.state)
 		switch {
@@ -153,8 +169,20 @@
 			before.Close()
 		}
 		d.log.Info("hand-over: a successor has the clients' socket")
-		d.besides.Go(func() { d.hear(link, false) })
-		defer context.AfterFunc(ctx, func() { link.Close() })()
+		stop := context.AfterFunc(ctx, func() { link.Close() })
+		d.besides.Go(func() {
+			defer stop()
+			d.hear(link, false)
+		})
+	}
+}
+
+// closeOffer ends the offer that stands; where the process goes on, it makes another one.
+func (n *succession) closeOffer() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.offer != nil {
+		n.offer.Close()
 	}
 }
 
@@ -202,6 +230,9 @@
 		n.placed.Store(true)
 	case n.successor:
 		n.successor, n.ready = nil, false
+		if n.offer != nil { // the one that has gone may have taken the path: the next one is to ask here again
+			n.offer.Close()
+		}
 	}
 	if n.predecessor == nil && n.successor == nil {
 		LimitMemory(&config.Plan{Limits: d.limits})
--- a/internal/testkit/base/base.go
+++ b/internal/testkit/base/base.go
@@ -29,6 +29,29 @@
 	}
 }
 
+// FreeAddress is one that nobody listens at.
+func FreeAddress(t testing.TB) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// Dial connects; the connection ends with the test, or with Patience.
+func Dial(t testing.TB, address string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	_ = c.SetDeadline(time.Now().Add(Patience)) // should it fail, reads show it
+	return c
+}
+
 // CA makes an authority.
 func CA(t testing.TB, name string) *standin.CA {
 	t.Helper()
