daemon: an early answer no longer ends the reading of a body that may be sent again

Seen: TestAStreamedBodyIsSentOnce answered 400 for 503 in 25 of 100 runs with 16 busy loops beside it, and 502 in 18. Traced there: HEAD whole=false (503 read) BROKEN nothing more of the body is wanted 65536 END Abandoned, broken, 0.65 ms after the body's beginning had come The upstream's 503 came before any of the rest of the body was read, so that it could be had again and the module tried again, as it may. But upload.stop had broken off the client's read for good (paced.interrupt): the second attempt took that for a client that had left (400). And net/http cancels the request's context on any error of a read, so that the request could end as abandoned (502). Ruled out: the client's patience (it had 2.9 s left), the library's watch for a client that leaves (it clears the deadline itself).

Change: upstream.pump reads the rest on a goroutine of its own and leaves a wait to the next attempt; it is interrupted once the final answer is out. What the client still sends is read for 0.9 s (lingering) behind an early answer, in either framing. The old test turned away at the head, where both ends were right; it now does so behind the kept part.

--- a/internal/daemon/body.go
+++ b/internal/daemon/body.go
@@ -24,20 +24,18 @@
 	slowUpstreams = time.Minute
 )
 
-var (
-	errBodyLarge   = errors.New("the body is too large")
-	errInterrupted = errors.New("nothing more of the body is wanted")
-)
+var errBodyLarge = errors.New("the body is too large")
 
 // paced reads a client's body. The client may be waited for as long as patience and leastRate give; what is spent between reads is
 // not its time.
 type paced struct {
-	body    io.Reader
-	conn    *http.ResponseController
-	left    time.Duration // that the client may be waited for
-	room    int64         // bytes that it may still send
-	broke   error         // why the body can't be had whole
-	stopped atomic.Bool
+	body  io.Reader
+	conn  *http.ResponseController
+	left  time.Duration // that the client may be waited for
+	room  int64         // bytes that it may still send
+	broke error         // why the body can't be had whole
+	asked bool          // something was read: the library has said 100 Continue where that was due
+	until atomic.Pointer[time.Time]
 }
 
 func (p *paced) Read(b []byte) (int, error) {
@@ -46,28 +44,34 @@
 	}
 	begun := time.Now()
 	end := begun.Add(p.left)
-	_ = p.conn.SetReadDeadline(end)  // can't fail on a server's own connections; should it, the read shows it
-	_ = p.conn.SetWriteDeadline(end) // reading may first write 100 Continue
-	if p.stopped.Load() {            // after the deadline, which interrupt sets too
-		return 0, errInterrupted
+	_ = p.conn.SetReadDeadline(end) // can't fail on a server's own connections; should it, the read shows it
+	if !p.asked {
+		p.asked = true
+		_ = p.conn.SetWriteDeadline(end)
+	}
+	if by := p.until.Load(); by != nil && by.Before(end) { // after the deadline, which hurry sets too
+		_ = p.conn.SetReadDeadline(*by)
 	}
 	n, err := p.body.Read(b)
 	p.left += time.Duration(n)*time.Second/leastRate - time.Since(begun)
 	if p.room -= int64(n); p.room < 0 {
 		err = errBodyLarge
 	}
-	if err != nil && err != io.EOF && !p.stopped.Load() {
+	if err != nil && err != io.EOF && p.until.Load() == nil {
 		p.broke = err
 	}
 	return n, err
 }
 
-// interrupt has a Read that waits return.
-func (p *paced) interrupt() {
-	p.stopped.Store(true)
-	_ = p.conn.SetReadDeadline(time.Unix(1, 0)) // see Read
+// hurry has reads end by then, also one that waits.
+func (p *paced) hurry(by time.Time) {
+	p.until.Store(&by)
+	_ = p.conn.SetReadDeadline(by) // see Read
 }
 
+// interrupt has a Read that waits return.
+func (p *paced) interrupt() { p.hurry(time.Unix(1, 0)) }
+
 // rejected says how a client is told that its body could not be taken.
 func rejected(err error) *intake.Rejection {
 	switch {
--- a/internal/daemon/body_test.go
+++ b/internal/daemon/body_test.go
@@ -190,7 +190,8 @@
 		answer func(net.Conn, *bufio.Reader) // with the head read
 		want   int
 	}{
-		"turned away at its head": {func(c net.Conn, _ *bufio.Reader) {
+		"turned away at its beginning": {func(c net.Conn, in *bufio.Reader) {
+			_, _ = io.CopyN(io.Discard, in, 2*keptAlways)
 			_, _ = io.WriteString(c, "HTTP/1.1 503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n")
 			time.Sleep(50 * time.Millisecond)
 		}, 503},
@@ -236,6 +237,64 @@
 	}
 }
 
+// Guards against an early answer that ends the client's sending for good: a body of which nothing was passed on yet is sent again, and
+// what comes of it later still comes. Breaking off the read made the second attempt look like a client that had left (400), or
+// cancelled the request (502).
+func TestTurnedAwayBeforeTheRestCame(t *testing.T) {
+	for _, framing := range []string{"length", "chunks"} {
+		t.Run(framing, func(t *testing.T) {
+			const rest = 2 << 20
+			first := keptAlways // what is taken before an upstream is chosen
+			if framing == "chunks" {
+				first = 1 << 20
+			}
+			var n atomic.Int32
+			again := make(chan struct{})
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			up := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if n.Add(1) == 1 {
+					w.Header().Set("X-Not-Processed", "1")
+					w.Header().Set("Connection", "close")
+					w.WriteHeader(503)
+					return
+				}
+				close(again)
+				if size, err := io.Copy(io.Discard, r.Body); err != nil || size != int64(first+rest) {
+					t.Errorf("the upstream got %d bytes, %v", size, err)
+				}
+			})}
+			go up.Serve(l)
+			defer up.Close()
+			r := start(t, small(t, testkit.Entry("s", l.Addr().String(), "Ready")), "127.0.0.1:0")
+			conn, in := dialRaw(t, r.address)
+			defer conn.Close()
+			framed := fmt.Sprintf("Content-Length: %d", first+rest)
+			piece := func(b []byte) { _, _ = conn.Write(b) }
+			if framing == "chunks" {
+				framed = "Transfer-Encoding: chunked"
+				piece = func(b []byte) { fmt.Fprintf(conn, "%x\r\n%s\r\n", len(b), b) }
+			}
+			fmt.Fprintf(conn, "POST /confirm/1 HTTP/1.1\r\nHost: s\r\nX-Request-ID: again\r\nX-Timeout: 9000m\r\n%s\r\n\r\n", framed)
+			piece(pattern(first))
+			select {
+			case <-again:
+			case <-time.After(testkit.Patience):
+				t.Fatalf("sent %d times", n.Load())
+			}
+			piece(pattern(rest))
+			if framing == "chunks" {
+				_, _ = io.WriteString(conn, "0\r\n\r\n")
+			}
+			if resp, err := http.ReadResponse(in, nil); err != nil || resp.StatusCode != 200 {
+				t.Errorf("%+v, %v", resp, err)
+			}
+		})
+	}
+}
+
 // A body that was kept whole is sent again, where its class allows that.
 func TestAKeptBodyIsSentAgain(t *testing.T) {
 	body := string(pattern(200 << 10))
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -156,6 +156,7 @@
 	var out *upstream.Request
 	if v.rest {
 		out = v.upload(&req, &call)
+		defer out.Upload.End()
 	} else {
 		out = upstream.NewRequest(req.Method, req.Target, req.Host, req.Header, v.body)
 	}
@@ -167,7 +168,7 @@
 		if refused.Kind == engine.Refused && lease.ended.Load() && !v.stopping.Load() {
 			return true // its new route may have room
 		}
-		v.end(*refused)
+		v.endEarly(*refused, out.Upload)
 		return false
 	}
 	if k := keeper; k != nil {
@@ -191,7 +192,7 @@
 	a := svc.engine.Do(ctx, call, x)
 	pass.Done(doorkeeper.Ended(a))
 	if v.rest && a.Kind != engine.Served {
-		v.endUpload(a, out.Upload)
+		v.endEarly(a, out.Upload)
 		return false
 	}
 	if (a.Kind == engine.Refused || a.Kind == engine.Failed || a.Kind == engine.Closed) && lease.ended.Load() &&
@@ -205,15 +206,22 @@
 	return false
 }
 
-// endUpload gives a request its final answer that has perhaps not come whole, and was not served.
-func (v *visit) endUpload(a engine.Answer, up *upstream.Upload) {
-	if up.Broken() { // no upstream has begun it
+// endEarly gives a request its final answer whose body may not have come whole, and that was not served; up is nil where it has.
+// What the client still sends is read for a while, so that a reset does not take the answer from it.
+func (v *visit) endEarly(a engine.Answer, up *upstream.Upload) {
+	switch {
+	case up == nil:
+		v.end(a)
+	case up.Broken(): // no upstream has begun it
 		v.turnDown(v.w, rejected(v.paced.broke))
-		return
+	default:
+		v.letGo()
+		v.w.Header().Set("Connection", "close")
+		v.paced.hurry(time.Now().Add(lingering))
+		v.end(a)
+		_ = http.NewResponseController(v.w).Flush() // a client that does not take its answer has gone
+		up.Drain()
 	}
-	v.w.Header().Set("Connection", "close")
-	_ = v.paced.conn.SetReadDeadline(time.Now().Add(lingering)) // see turnDown
-	v.end(a)
 }
 
 // end gives the request its final answer.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -77,7 +77,7 @@
 	} else {
 		r.head = append(r.head, "Transfer-Encoding: chunked\r\n"...)
 	}
-	r.body, r.Upload = first, rest
+	r.body, r.Upload, rest.pump = first, rest, newPump()
 	return r
 }
 
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -10,20 +10,29 @@
 	"orchiddrift/balancer"
 )
 
-// Upload is the part of a request's body that is passed on as it comes, behind Request.body. It can be read once.
+// Upload is the part of a request's body that is passed on as it comes, behind Request.body. It can be read once: an attempt that
+// ends before any of it was taken leaves all of it to the next one. Whoever made it ends it by End.
 type Upload struct {
 	Rest    io.Reader
 	Length  int64         // of the whole body; -1: not known, it goes on in chunks
 	Timeout time.Duration // what the client waits once its last byte has come
-	// Interrupt has a Read of Rest that waits return. It may be called at any time.
+	// Interrupt has a Read of Rest that waits return. It is called by End alone.
 	Interrupt func()
 	// Done, where there is one, is called as the last byte has been written.
 	Done func()
 
-	begun  atomic.Bool // something of Rest was read: the body can't be had again
+	pump   *pump
+	begun  atomic.Bool // something of Rest was taken: the body can't be had again
 	broken atomic.Bool // the client broke off: no attempt can be whole
 }
 
+// Drain reads what is left of the body and drops it, until the body ends or Rest fails: so a client that still writes reads an early
+// answer, and no reset. Nothing may be sent after it.
+func (l *Upload) Drain() { l.pump.drain() }
+
+// End ends the reading. Rest is not read any more once it returns; it may be called more than once.
+func (l *Upload) End() { l.pump.end(l.Interrupt) }
+
 // Spent tells whether the body can't be had again.
 func (l *Upload) Spent() bool { return l.begun.Load() || l.broken.Load() }
 
@@ -45,6 +54,7 @@
 	done  chan struct{}
 	whole atomic.Bool // the last byte has been written
 	ended atomic.Bool
+	off   chan struct{} // closed as it is ended
 }
 
 // long tells whether the body is written beside the reader of its answer.
@@ -52,7 +62,7 @@
 
 // start writes the head and whatever follows.
 func (r *Request) start(c *poolConn, head []byte) *upload {
-	l := &upload{c: c, r: r, done: make(chan struct{})}
+	l := &upload{c: c, r: r, done: make(chan struct{}), off: make(chan struct{})}
 	go func() {
 		defer close(l.done)
 		err := l.put(head)
@@ -116,26 +126,25 @@
 		}
 		b = b[n:]
 	}
-	buffer, came := make([]byte, uploadPiece), int64(len(l.r.body))
-	for {
-		n, err := more.Rest.Read(buffer)
-		if n > 0 {
+	for came, again := int64(len(l.r.body)), false; ; again = true {
+		b, err := more.pump.next(more.Rest, again, l.off)
+		if err == nil {
 			more.begun.Store(true)
-			came += int64(n)
-			if err := say(buffer[:n]); err != nil {
-				return err
+			came += int64(len(b))
+			err = say(b)
+			if err == nil {
+				continue
 			}
+			return err
 		}
 		if err == io.EOF && (chunked || came == more.Length) {
 			break
 		}
-		if err != nil {
-			if !l.ended.Load() { // else it was interrupted
-				more.broken.Store(true)
-				l.c.end() // the answer's reader waits for nothing more
-			}
-			return err
+		if err != errStopped && err != errOver { // the client's
+			more.broken.Store(true)
+			l.c.end() // the answer's reader waits for nothing more
 		}
+		return err
 	}
 	if chunked {
 		return l.put([]byte("0\r\n\r\n"))
@@ -145,13 +154,12 @@
 
 // stop ends the upload, and tells whether its last byte was written.
 func (l *upload) stop() bool {
-	l.ended.Store(true)
+	if l.ended.CompareAndSwap(false, true) {
+		close(l.off)
+	}
 	select {
 	case <-l.done:
 	default:
-		if l.r.Upload != nil && l.r.Upload.Interrupt != nil {
-			l.r.Upload.Interrupt()
-		}
 		_ = l.c.SetWriteDeadline(time.Unix(1, 0)) // it may be closed
 		<-l.done
 	}
