balancer: an attempt that was never sent uses up none of a request's attempts

Seen: TestSourcesChangeUnderLoad failed in the whole check and in 2 of 120 plays of five at once: "503 refused". Traced there: NOTREADY a / NOTREADY a / NOTREADY a GIVEUP 3 attempts, end in 9.99 s, pressure 0.001; at 0 a Moot, at 1 a Moot, at 2 a Moot; listed: b, a The list changed under each of the three attempts within 1.3 ms: what had been decided was stopped at its write each time, as it must be, and each took one of the request's three attempts. Ruled out: the module hearing late (Settle waits for it), shedding, the route's end. At fault: move and mayTry counted moot attempts, and outcome asked the budget for repeats before the next one.

Change: up to MaxAttempts moot attempts are none, as the protocol counts an attempt by its last byte. Bounded by twice as many in all.

--- a/balancer/attempts.go
+++ b/balancer/attempts.go
@@ -32,6 +32,7 @@
 	cost     float64       // expected work, relative to the mean request
 	attempts []*attempt
 	prior    []Prior
+	moot     int // of attempts: they were never sent
 	out      int
 	stale    bool // a repeat whose aim has passed
 	done     bool
@@ -110,16 +111,22 @@
 		b.send(r, u)
 		return
 	}
-	if len(r.attempts) >= b.set.MaxAttempts || r.single || b.stuck(r) {
+	if b.usedUp(r) || r.single || b.stuck(r) {
 		b.giveUp(r)
 		return
 	}
 	b.after(b.now+2*b.set.Tick, timerHeld, r)
 }
 
+// usedUp: no attempt is left. One that was never sent is none, up to as many again. Guards against refusals
+// where the list changes faster than attempts are made.
+func (b *Balancer) usedUp(r *request) bool {
+	return len(r.attempts)-min(r.moot, b.set.MaxAttempts) >= b.set.MaxAttempts
+}
+
 // mayTry is the gate that every attempt passes.
 func (b *Balancer) mayTry(r *request, u *upstream) bool {
-	if r.done || r.stream || r.single || len(r.attempts) >= b.set.MaxAttempts || b.now >= r.expires ||
+	if r.done || r.stream || r.single || b.usedUp(r) || b.now >= r.expires ||
 		!u.listed {
 		return false
 	}
@@ -273,6 +280,9 @@
 	r.out--
 	a.mayRun = e.Result != Overloaded && e.Result != ConnectFailed && e.Result != Moot
 	r.single = r.single || e.Spent
+	if e.Result == Moot {
+		r.moot++
+	}
 	if a.begun {
 		a.u.streams--
 	} else {
@@ -298,7 +308,7 @@
 	if r.out > 0 || r.stream {
 		return // another copy is still out, or the stream's end is the client's
 	}
-	if e.Result != ConnectFailed && b.retries < 1 {
+	if e.Result != ConnectFailed && e.Result != Moot && b.retries < 1 {
 		b.giveUp(r)
 		return
 	}
--- a/balancer/rules_test.go
+++ b/balancer/rules_test.go
@@ -93,6 +93,29 @@
 	r.wantFinal(r.result("1", 0, ConnectFailed, ms), Refuse)
 }
 
+// Guards against a refusal where the list changes under each attempt: one that was never sent uses up none, nor of what is kept for
+// repeats. It is bounded all the same.
+func TestMootAttemptsUseUpNone(t *testing.T) {
+	for moot, final := range map[int]bool{1: false, 2: false, 3: true} {
+		s := unsafeSettings()
+		s.MaxAttempts = 2
+		r := newRig(t, s)
+		r.fleet(3)
+		r.b.retries = 0
+		acts := r.request("1", "x", time.Second)
+		for n := range moot {
+			r.wantSend(acts)
+			acts = r.result("1", n, Moot, ms)
+		}
+		r.wantSend(acts)
+		if acts = r.result("1", moot, ConnectFailed, ms); final {
+			r.wantFinal(acts, Refuse)
+		} else {
+			r.wantSend(acts)
+		}
+	}
+}
+
 // Once it may have run, a keyed request stays in its group; before that it may go anywhere.
 func TestKeyedStaysInItsGroup(t *testing.T) {
 	for group, same := range map[Group]func(a, b Member) bool{
