intake: bodies in chunks are taken behind TLS; replacement tested in a reload and an outage

Need: behind TLS a chunked body was turned down (411), since the framing was followed on the raw connection, which shows only records. The watch now reads what was decrypted: Conns makes the encrypted connection itself (intake.Secure), and net/http has its state from ConnectionState. Not taken: a second watch in front of tls.Listener; its connections would have to be found again by the server's. Tests: TestFramingBehindTLS (chunks served, two framings 411, who does not encrypt 400), TestReplacedDuringAReload (discovery moves while two processes serve), TestReplacedWhileDiscoveryIsDown (the successor knows no list but the one handed over); each under load.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -147,17 +147,17 @@
 		return err
 	}
 	look(d)
-	conns := intake.NewConns(listener, connections)
+	var secure *intake.Secure
+	if p.TLS.On() {
+		secure = &intake.Secure{Handshake: p.HeadTimeout, Config: &tls.Config{MinVersion: tls.VersionTLS12,
+			GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) { return d.tls.Load(), nil }}}
+	}
+	conns := intake.NewConns(listener, connections, secure)
 	d.course = newCourse(d.shared.clock, p.Grace, conns)
 	s := &server{d: d, ids: newIDs(p.Seed), course: d.course}
 	srv := &http.Server{Handler: s, ReadHeaderTimeout: p.HeadTimeout, IdleTimeout: clientIdle,
 		MaxHeaderBytes: httphead.MaxBytes, DisableGeneralOptionsHandler: true, ConnState: conns.State, ConnContext: conns.Context,
 		ErrorLog: slog.NewLogLogger(d.log.Handler(), slog.LevelDebug)}
-	var front net.Listener = conns
-	if p.TLS.On() {
-		front = tls.NewListener(conns, &tls.Config{MinVersion: tls.VersionTLS12,
-			GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) { return d.tls.Load(), nil }})
-	}
 	if p.Control != "" {
 		operators, err := control.Listen(p.Control, d.operate, d.log)
 		if err != nil {
@@ -176,7 +176,7 @@
 	}
 	defer known.end()
 	ended := make(chan error, 1)
-	go func() { ended <- srv.Serve(front) }()
+	go func() { ended <- srv.Serve(conns) }()
 	d.besides.Go(func() { d.followReloads(rest, files, reload) })
 	over := make(chan struct{}) // all that was taken is finished, or was failed
 	go func() {
--- a/internal/daemon/tls_test.go
+++ b/internal/daemon/tls_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"bufio"
 	"context"
 	"crypto/tls"
 	"crypto/x509"
@@ -245,3 +246,38 @@
 		t.Errorf("%d %q beside it", status, body)
 	}
 }
+
+// Guards against bodies in chunks that are turned down because they came encrypted, and against a request that hides behind two
+// framings there; who does not encrypt is told so.
+func TestFramingBehindTLS(t *testing.T) {
+	e := startEncrypted(t, "node7.example")
+	resp, err := e.client.Post("https://"+e.address+"/", "", io.LimitReader(zeros{}, 300<<10)) // in chunks: its length isn't known
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.Body.Close(); resp.StatusCode != 200 || e.asked.Load() != 1 {
+		t.Errorf("in chunks: %s, %d reached the upstream", resp.Status, e.asked.Load())
+	}
+	roots := x509.NewCertPool()
+	roots.AppendCertsFromPEM(e.ca.PEM)
+	for name, c := range map[string]struct {
+		over func(net.Conn) net.Conn
+		want int
+	}{
+		"two framings": {func(c net.Conn) net.Conn {
+			return tls.Client(c, &tls.Config{RootCAs: roots, ServerName: "127.0.0.1"})
+		}, http.StatusLengthRequired},
+		"plain": {func(c net.Conn) net.Conn { return c }, http.StatusBadRequest},
+	} {
+		conn := c.over(base.Dial(t, e.address))
+		_, _ = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: s\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil || resp.StatusCode != c.want {
+			t.Errorf("%s: %+v, %v", name, resp, err)
+		}
+		conn.Close()
+	}
+	if n := e.asked.Load(); n != 1 {
+		t.Errorf("%d reached the upstream", n)
+	}
+}
--- a/internal/intake/conns.go
+++ b/internal/intake/conns.go
@@ -21,7 +21,8 @@
 // is needed least, and accepts no more until there is room.
 type Conns struct {
 	net.Listener
-	most int
+	most   int
+	secure *Secure // nil: connections are not encrypted
 
 	paused bool // under mu: what waits is left to another process
 	mu     sync.Mutex
@@ -35,8 +36,9 @@
 	asked bool      // it has brought a request
 }
 
-func NewConns(l net.Listener, most int) *Conns {
-	c := &Conns{Listener: l, most: most, conns: map[net.Conn]clientConn{}}
+// NewConns bounds l's connections to most; they are encrypted where secure is not nil.
+func NewConns(l net.Listener, most int, secure *Secure) *Conns {
+	c := &Conns{Listener: l, most: most, secure: secure, conns: map[net.Conn]clientConn{}}
 	c.room = sync.NewCond(&c.mu)
 	return c
 }
@@ -54,6 +56,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if c.secure != nil {
+		return c.secure.over(conn), nil
+	}
 	return &watched{Conn: conn}, nil
 }
 
@@ -84,10 +89,14 @@
 
 // Context keeps the connection for FramedOnce.
 func (c *Conns) Context(ctx context.Context, conn net.Conn) context.Context {
-	if w, ok := conn.(*watched); ok {
-		return context.WithValue(ctx, watchedKey{}, w)
+	w, ok := conn.(*watched)
+	if s, is := conn.(*secured); is {
+		w, ok = s.watched, true
+	}
+	if !ok {
+		return ctx
 	}
-	return ctx // encrypted: what is framed can't be seen here
+	return context.WithValue(ctx, watchedKey{}, w)
 }
 
 // FramedOnce tells whether the requests of ctx's connection are known to frame their bodies in one way each.
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -148,7 +148,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := NewConns(l, 2)
+	c := NewConns(l, 2, nil)
 	defer c.Close()
 	took := make(chan net.Conn, 4)
 	go func() {
--- a/internal/suite/child_test.go
+++ b/internal/suite/child_test.go
@@ -21,8 +21,10 @@
 
 	"orchiddrift/internal/config"
 	"orchiddrift/internal/daemon"
+	"orchiddrift/internal/directory"
 	"orchiddrift/internal/standin"
 	"orchiddrift/internal/testkit"
+	"orchiddrift/internal/testkit/base"
 	"orchiddrift/orchidgrpc"
 )
 
@@ -36,7 +38,9 @@
 	if os.Getenv("SUITE_FRONT") == string(overHTTP) {
 		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 		defer stop()
-		err = daemon.Run(ctx, config.Sources{Config: path, Control: os.Getenv("SUITE_CONTROL")}, nil)
+		reload := make(chan os.Signal, 1)
+		signal.Notify(reload, syscall.SIGHUP)
+		err = daemon.Run(ctx, config.Sources{Config: path, Control: os.Getenv("SUITE_CONTROL")}, reload)
 	} else {
 		err = callingProcess(path, os.Getenv("SUITE_PREFIX"))
 	}
@@ -79,11 +83,17 @@
 // configFile writes what a child is told.
 func configFile(t *testing.T, w *world, p protocol, listen string) string {
 	t.Helper()
-	known, err := json.Marshal(w.discovery[p].Listing())
+	return writeConfig(t, filepath.Join(t.TempDir(), "config.json"), w.discovery[p], p, listen, w.discovery[p].Listing())
+}
+
+// writeConfig is configFile at a path, with the list that the child is to know from before.
+func writeConfig(t *testing.T, path string, d *standin.Discovery, p protocol, listen string, list *directory.Listing) string {
+	t.Helper()
+	known, err := json.Marshal(list)
 	if err != nil {
 		t.Fatal(err)
 	}
-	file := map[string]any{"name": "child", "discovery": w.discovery[p].Address(), "seed": "1f",
+	file := map[string]any{"name": "child", "discovery": d.Address(), "seed": "1f",
 		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024}, "known": json.RawMessage(known),
 		"settings": json.RawMessage(testkit.Settings)}
 	if p == overHTTP {
@@ -95,8 +105,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	path := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(path, text, 0o600); err != nil {
+	if _, err := os.Stat(path); err == nil {
+		base.Replace(t, path, text)
+	} else if err := os.WriteFile(path, text, 0o600); err != nil {
 		t.Fatal(err)
 	}
 	return path
--- a/internal/suite/replace_test.go
+++ b/internal/suite/replace_test.go
@@ -2,18 +2,21 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"orchiddrift/internal/directory"
 	"orchiddrift/internal/standin"
 	"orchiddrift/internal/testkit"
 	"orchiddrift/internal/testkit/base"
@@ -22,6 +25,7 @@
 // replaced is one sidecar whose process is replaced: real processes that share an address and a folder.
 type replaced struct {
 	t              *testing.T
+	discovery      *standin.Discovery
 	config, folder string
 	listen         string
 	client         *http.Client
@@ -38,12 +42,41 @@
 	node := standin.NodeOptions{Cores: 8, Work: 5 * time.Millisecond}
 	w := newWorld(t, node, node, node)
 	listen := base.FreeAddress(t)
-	return &replaced{t: t, config: configFile(t, w, overHTTP, listen), folder: t.TempDir(), listen: listen,
+	return &replaced{t: t, discovery: w.discovery[overHTTP], config: configFile(t, w, overHTTP, listen), folder: t.TempDir(), listen: listen,
 		client: &http.Client{Timeout: testkit.Patience, Transport: &http.Transport{DisableKeepAlives: true}}}
 }
 
 // start starts a process, and waits until it can serve.
 func (r *replaced) start() *process {
+	r.t.Helper()
+	p := r.begin()
+	r.wait(p)
+	return p
+}
+
+func (r *replaced) wait(p *process) {
+	r.t.Helper()
+	testkit.Eventually(r.t, "it can serve", func() bool { return r.call("GET", "http://"+p.control+"/ready") == 200 })
+}
+
+// figure is one of a process's figures; -1: it can't be had.
+func (r *replaced) figure(p *process, name string) (n int) {
+	resp, err := r.client.Get("http://" + p.control + "/metrics")
+	if err != nil {
+		return -1
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(resp.Body) // cut, it lacks the line
+	for line := range strings.Lines(string(text)) {
+		if _, err := fmt.Sscanf(line, name+"=%d", &n); err == nil {
+			return n
+		}
+	}
+	return -1
+}
+
+// begin starts a process.
+func (r *replaced) begin() *process {
 	r.t.Helper()
 	p := &process{control: base.FreeAddress(r.t), over: make(chan struct{})}
 	p.Cmd = exec.Command(os.Args[0])
@@ -59,7 +92,6 @@
 		_ = p.Process.Kill() // it may have ended
 		<-p.over
 	})
-	testkit.Eventually(r.t, "it can serve", func() bool { return r.call("GET", "http://"+p.control+"/ready") == 200 })
 	return p
 }
 
@@ -232,3 +264,50 @@
 		t.Errorf("figures: %d", got)
 	}
 }
+
+// Guards against a successor that begins with an old list, and against requests that a new configuration costs while two processes
+// serve: discovery moves as the second one starts, both get the signal at once, and what the old address never said is heard by the new.
+func TestReplacedDuringAReload(t *testing.T) {
+	r := newReplaced(t)
+	old := r.start()
+	stop := r.load()
+	second := r.begin()
+	if _, err := r.discovery.Listen("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	writeConfig(t, r.config, r.discovery, overHTTP, r.listen, r.discovery.Listing())
+	_ = old.Process.Signal(syscall.SIGHUP)
+	r.wait(second)
+	_ = second.Process.Signal(syscall.SIGHUP) // before it is ready it would end it, as it does any program
+	r.end(old)
+	r.discovery.Drain("n0")
+	testkit.Eventually(t, "the drain is heard", func() bool { return r.figure(second, "members_unavailable") == 1 })
+	stop()
+	if n := r.figure(second, "members"); n != 3 {
+		t.Errorf("%d members", n)
+	}
+}
+
+// Guards against a successor that needs discovery: while that is down it serves by the list that it got, also where its own
+// configuration knows none.
+func TestReplacedWhileDiscoveryIsDown(t *testing.T) {
+	r := newReplaced(t)
+	old := r.start()
+	r.discovery.Drain("n0")
+	testkit.Eventually(t, "the drain is heard", func() bool { return r.figure(old, "members_unavailable") == 1 })
+	r.discovery.Down(true)
+	index := int64(0)
+	writeConfig(t, r.config, r.discovery, overHTTP, r.listen, &directory.Listing{Index: &index, Snapshot: true, Endpoints: []directory.Endpoint{}})
+	stop := r.load()
+	second := r.start()
+	r.end(old)
+	if n := stop(); n == 0 {
+		t.Error("nothing was served meanwhile")
+	}
+	if all, leaves := r.figure(second, "members"), r.figure(second, "members_unavailable"); all != 3 || leaves != 1 {
+		t.Errorf("%d members, %d of them drain", all, leaves)
+	}
+	r.discovery.Down(false)
+	r.discovery.Drain("n1")
+	testkit.Eventually(t, "it is followed again", func() bool { return r.figure(second, "members_unavailable") == 2 })
+}
--- a/internal/warm/warm.go
+++ b/internal/warm/warm.go
@@ -12,6 +12,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"orchiddrift/internal/priority"
@@ -90,13 +91,18 @@
 			delete(w.members, name)
 		}
 	}
-	for name, process := range ready {
+	var fresh []string
+	for name := range ready {
 		if w.members[name] == nil {
-			m := &member{name: name, process: process, at: -1, fresh: true}
-			w.members[name] = m
-			w.schedule(m, now+w.within(w.o.Spread.D()))
+			fresh = append(fresh, name)
 		}
 	}
+	slices.Sort(fresh) // the same seed gives them the same times
+	for _, name := range fresh {
+		m := &member{name: name, process: ready[name], at: -1, fresh: true}
+		w.members[name] = m
+		w.schedule(m, now+w.within(w.o.Spread.D()))
+	}
 }
 
 // within is a random time below d.
--- a/internal/warm/warm_test.go
+++ b/internal/warm/warm_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -159,3 +160,22 @@
 		t.Errorf("next at %v, %v", at, ok)
 	}
 }
+
+// Guards against plays of one seed that differ, since members came in a map's order.
+func TestSameSeedSameTimes(t *testing.T) {
+	play := func() (order []string) {
+		w := New(Default(), 1000, rand.New(rand.NewPCG(1, 2)))
+		ready := map[string]uint64{}
+		for i := range 50 {
+			ready[fmt.Sprint("u", i)] = 1
+		}
+		w.Members(0, ready)
+		for now := time.Duration(0); now < time.Minute; now += 100 * time.Millisecond {
+			order = append(order, w.Tick(now, func(string) int { return 0 }, 0)...)
+		}
+		return order
+	}
+	if a, b := play(), play(); len(a) < 50 || !slices.Equal(a, b) {
+		t.Errorf("%d and %d opened, in another order", len(a), len(b))
+	}
+}
