balancer: bytes that go by are no load of their upstream

Ruled out before: stalls, uploads in Little's law, answers in hand (docs/design/operations.md). At fault: firstByte and send counted u.streams for answers that are passed on and bodies that still come. DESIGN's upstream counts a request as pending until its first data, and the protocol's upstream begins with a request's last byte.

Change: FirstByte.Passed (the daemon's long answers) and bodies on their way leave the load. A stream of the plug-in, on which its upstream still works, counts as before. TestAnswersThatArePassedOnAreNoLoad, TestTheTimeOfAStreamedRequestBeginsWithItsLastByte.

--- a/balancer/api.go
+++ b/balancer/api.go
@@ -141,6 +141,7 @@
 type FirstByte struct {
 	ID      string
 	Attempt int
+	Passed  bool // what follows is only passed on: its upstream works on it no more
 }
 
 // Result is how an attempt ended.
--- a/balancer/attempts.go
+++ b/balancer/attempts.go
@@ -18,6 +18,7 @@
 	out    bool
 	mayRun bool // not proved not to have run
 	begun  bool // its streamed answer has begun, or its body has not come whole
+	passed bool // then: its upstream does not work on it, the bytes only go by
 }
 
 type request struct {
@@ -178,9 +179,7 @@
 	}
 	r.attempts = append(r.attempts, a)
 	r.out++
-	if a.begun = r.body; a.begun {
-		u.streams++
-	} else {
+	if a.begun, a.passed = r.body, r.body; !r.body { // upstreams begin with a request's last byte
 		u.out = append(u.out, a)
 	}
 	u.said.inHand++
@@ -238,8 +237,7 @@
 		return
 	}
 	a := r.attempts[e.Attempt]
-	a.u.streams--
-	a.begun, a.sent, a.u.out = false, b.now, append(a.u.out, a)
+	a.begun, a.passed, a.sent, a.u.out = false, false, b.now, append(a.u.out, a)
 	r.body, r.single, r.arrived, r.expires = false, true, b.now, e.Expires
 	r.aim = b.now + min(r.class.Aim+r.stretch, r.class.Deadline)
 	if r.end = e.Expires - 2*b.set.Tick; r.class.LateShare == 0 {
@@ -260,9 +258,11 @@
 		return
 	}
 	a := r.attempts[e.Attempt]
-	r.stream, a.begun = true, true
+	r.stream, a.begun, a.passed = true, true, e.Passed
 	a.u.out = slices.DeleteFunc(a.u.out, func(x *attempt) bool { return x == a })
-	a.u.streams++
+	if !a.passed { // else it is pending until its first data, as upstream in DESIGN: then its work is done
+		a.u.streams++
+	}
 	b.observe(a, OK, b.now-a.sent)
 	b.health(a, OK, b.now-a.sent)
 	b.learnLimit(r)
@@ -283,9 +283,11 @@
 	if e.Result == Moot {
 		r.moot++
 	}
-	if a.begun {
+	switch {
+	case a.passed:
+	case a.begun:
 		a.u.streams--
-	} else {
+	default:
 		a.u.out = slices.DeleteFunc(a.u.out, func(x *attempt) bool { return x == a })
 		b.observe(a, e.Result, e.Elapsed)
 	}
--- a/balancer/stream_test.go
+++ b/balancer/stream_test.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -99,6 +100,31 @@
 	return r
 }
 
+// Guards against upstreams that are passed over for answers that only their clients still take: an answer that is passed on is no load
+// of its upstream, one that its upstream still works on is.
+func TestAnswersThatArePassedOnAreNoLoad(t *testing.T) {
+	for _, passed := range []bool{true, false} {
+		s := testSettings()
+		s.Classes[0].Deadline = time.Minute
+		r := newRig(t, s)
+		r.fleet(1)
+		for i := range 5 {
+			id := fmt.Sprint(i)
+			r.wantSend(r.request(id, "c", time.Minute))
+			r.now += 10 * ms
+			r.do(FirstByte{ID: id, Passed: passed})
+		}
+		u := r.b.list[0]
+		first := r.b.load(u)
+		for i := range 5 {
+			r.result(fmt.Sprint(i), 0, OK, time.Second)
+		}
+		if last := r.b.load(u); passed != (first == last) || u.streams != 0 || len(r.b.reqs) != 0 {
+			t.Errorf("passed %v: load %v with five of them, %v with none; %d streams, %d requests left", passed, first, last, u.streams, len(r.b.reqs))
+		}
+	}
+}
+
 // A body that takes its time is no time of its request, of its upstream, nor a request in hand: all of that begins with its last byte.
 func TestTheTimeOfAStreamedRequestBeginsWithItsLastByte(t *testing.T) {
 	r := streamedRig(t, Safe)
@@ -108,7 +134,7 @@
 	if all := r.pass(20 * time.Second); len(finals(all))+len(kinds(all, Send)) > 0 {
 		t.Fatalf("while its body comes: %+v", all)
 	}
-	if r.b.waiting != 0 || r.b.load(u) > 2*idle {
+	if r.b.waiting != 0 || r.b.load(u) > idle {
 		t.Errorf("%d in hand, load %v, was %v", r.b.waiting, r.b.load(u), idle)
 	}
 	r.do(Uploaded{ID: "q", Attempt: 0, Expires: r.now + time.Second})
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -45,7 +45,7 @@
 		return engine.Reply{Result: rep.Result, Spent: rep.Spent}
 	}
 	x.keep(rep)
-	return engine.Reply{Result: balancer.OK, Value: &rep, Begun: rep.Rest != nil, Spent: rep.Spent}
+	return engine.Reply{Result: balancer.OK, Value: &rep, Begun: rep.Rest != nil, Passed: true, Spent: rep.Spent}
 }
 
 // visit is one request of a client, on its way to its answer.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -53,8 +53,9 @@
 	Value  any
 	// Begun says that a streamed answer has begun and goes on: Result does not count yet. The attempt's context then
 	// loses its time-out, and whoever gets the Answer must call Answer.End.
-	Begun bool
-	Spent bool // of a streamed call: its body can't be had again
+	Begun  bool
+	Passed bool // with Begun: the answer is there, and only its bytes go on
+	Spent  bool // of a streamed call: its body can't be had again
 }
 
 // Carrier carries out attempts of one call. Carry sends the request to the upstream once, waits for the end, and
@@ -520,7 +521,7 @@
 			r = Reply{Result: balancer.Cancelled}
 		} else {
 			a.begun = e.clock.Now()
-			e.handle(balancer.FirstByte{ID: f.call.ID, Attempt: a.at.Number})
+			e.handle(balancer.FirstByte{ID: f.call.ID, Attempt: a.at.Number, Passed: r.Passed})
 			e.finish(f, Answer{Kind: Served, Value: r.Value, stream: a, f: f, e: e})
 			return
 		}
