interlude: long transfers rest together, so that small requests get the core

Cause: transfers that never wait keep the run queue full; Go's scheduler polls the network only where its queues are empty, else the monitor does every 10 ms. One transfer's sleep does not empty them, which is why the sleep tried before changed nothing. Change: internal/interlude counts what all of them pass on and has all rest until one moment, 100 us in 2 MiB; decisions pure, the clock is the caller's.

--- a/internal/daemon/body.go
+++ b/internal/daemon/body.go
@@ -35,6 +35,7 @@
 	room  int64         // bytes that it may still send
 	broke error         // why the body can't be had whole
 	asked bool          // something was read: the library has said 100 Continue where that was due
+	rest  func(n int)   // so many bytes have been passed on
 	until atomic.Pointer[time.Time]
 }
 
@@ -60,6 +61,7 @@
 	if err != nil && err != io.EOF && p.until.Load() == nil {
 		p.broke = err
 	}
+	p.rest(n)
 	return n, err
 }
 
@@ -89,7 +91,8 @@
 	if length == 0 {
 		return nil
 	}
-	v.paced = &paced{body: v.r.Body, conn: http.NewResponseController(v.w), left: patience, room: req.Route.MaxBody}
+	v.paced = &paced{body: v.r.Body, conn: http.NewResponseController(v.w), left: patience, room: req.Route.MaxBody,
+		rest: v.d.shared.rest}
 	most := v.d.shared.spoolSize / spoolMost
 	if hold {
 		most = req.Route.MaxBody
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -274,6 +274,7 @@
 			if err = write(buffer[:n], rep.Rest.Buffered() > 0); err != nil {
 				break
 			}
+			v.d.shared.rest(n)
 		}
 		if end != nil {
 			err = end
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -25,6 +25,7 @@
 	"orchiddrift/internal/engine"
 	"orchiddrift/internal/eureka"
 	"orchiddrift/internal/filewatch"
+	"orchiddrift/internal/interlude"
 	"orchiddrift/internal/keys"
 	"orchiddrift/internal/repeatkeeper"
 	"orchiddrift/internal/subset"
@@ -46,10 +47,19 @@
 	name        string // the process's
 	connections int    // to upstreams, at most
 
+	interlude interlude.Interlude // of long bodies and answers
+
 	repeatsMu sync.Mutex
 	repeats   map[string]*repeatkeeper.Keeper // by service
 }
 
+// rest notes what of a long body or answer has been passed on, and has its transfer rest where that is due.
+func (s *shared) rest(n int) {
+	if d := s.interlude.Passed(s.clock.Now(), n); d > 0 {
+		time.Sleep(d)
+	}
+}
+
 // service is one service's module, list and connections. It is used by requests that hold it (enter) and ended by
 // retire, once none does.
 type service struct {
--- /dev/null
+++ b/internal/interlude/interlude.go
@@ -0,0 +1,32 @@
+// Package interlude has long transfers rest together now and then, so that whoever waits for the processor gets it.
+//
+// With one processor and transfers that never wait, Go's scheduler does not look at the network by itself: runnable goroutines, also
+// those that yield, come before that (runtime, findRunnable: own queue, global queue, then netpoll), and the monitor looks once in 10 ms,
+// behind them. A transfer that rests alone changes nothing while another one is runnable; where all rest at once the queues run empty.
+package interlude
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Every is how many bytes all transfers together pass on between two rests, and Rest how long one is: long enough for all to come to the
+// end of a piece, a twentieth of the time that one core takes for so many bytes, or less.
+const (
+	Every = 2 << 20
+	Rest  = 100 * time.Microsecond
+)
+
+// Interlude counts what transfers pass on. The zero one is ready. It is safe for concurrent use.
+type Interlude struct {
+	passed atomic.Int64 // bytes since the latest rest began
+	until  atomic.Int64 // when that ends, on the caller's clock
+}
+
+// Passed notes n bytes at now, and tells how long who passed them on is to rest.
+func (i *Interlude) Passed(now time.Duration, n int) time.Duration {
+	if total := i.passed.Add(int64(n)); total >= Every && i.passed.CompareAndSwap(total, 0) {
+		i.until.Store(int64(now + Rest))
+	}
+	return max(0, time.Duration(i.until.Load())-now)
+}
