upstream: a repeat that is not written in its window is not sent

Seen: TestRepeatsNothingRecordedTwice under -race on two cores: "2 payments are recorded twice: [18-39 56-1]" of 3,640. Cause: the module held a keyed repeat against its window as it decided (stuck); what waited for a connection after that, or for its upstream to take its body, was written when its group may have forgotten. The test's nodes also forgot 300 ms after they had come to a request, the very window that was configured, so that any delay of theirs broke what the sidecar had kept. Ruled out: the store (its records are written before the first send), the two clients of one key (they wait for one run).

Change: Send.By, from the first send that may have run; the engine and the pool carry it to the write. Later than that the attempt is Moot, and so is one whose last byte was not written by then; the plug-in checks it at its pick. An upstream that takes no byte of a body for 10 s, or till then, has its connection ended: before, the attempt waited for an answer until its own end.

--- a/balancer/api.go
+++ b/balancer/api.go
@@ -225,6 +225,7 @@
 	Cell     int    // the same
 	Attempt  int
 	Timeout  time.Duration
+	By       time.Duration // clock time, with Send: its last byte is to be written before, or it is Moot; 0: at any time
 	RetryIn  time.Duration
 	At       time.Duration
 	Text     string
--- a/balancer/attempts.go
+++ b/balancer/attempts.go
@@ -158,18 +158,39 @@
 
 // stuck: an attempt may have run, and nothing may follow it any more.
 func (b *Balancer) stuck(r *request) bool {
+	since, ran := r.mayRunSince()
+	return ran && (r.class.Effect == Unsafe || r.class.Effect == Keyed && b.now > b.repeatBy(r, since))
+}
+
+// mayRunSince is when the first send that may have run was made; false: there is none.
+func (r *request) mayRunSince() (since time.Duration, ran bool) {
+	note := func(sent time.Duration) {
+		if !ran || sent < since {
+			since, ran = sent, true
+		}
+	}
 	for _, p := range r.prior {
-		if r.class.Effect == Unsafe || r.class.Effect == Keyed && b.now-p.Sent > r.class.Window-2*b.set.Tick {
-			return true
+		note(p.Sent)
+	}
+	for _, a := range r.attempts {
+		if a.mayRun {
+			note(a.sent)
 		}
 	}
-	return r.class.Effect != Safe && slices.ContainsFunc(r.attempts, func(a *attempt) bool {
-		return a.mayRun && (r.class.Effect == Unsafe || b.now-a.sent > r.class.Window-2*b.set.Tick)
-	})
+	return since, ran
+}
+
+// repeatBy is when a keyed request that may have run is to be with its group again at the latest.
+func (b *Balancer) repeatBy(r *request, since time.Duration) time.Duration {
+	return since + r.class.Window - 2*b.set.Tick
 }
 
 // send starts the next attempt. Its caller asked mayTry, through pick.
 func (b *Balancer) send(r *request, u *upstream) {
+	by := time.Duration(0) // guards against repeats that wait for a connection until their group has forgotten
+	if since, ran := r.mayRunSince(); ran && r.class.Effect == Keyed {
+		by = b.repeatBy(r, since)
+	}
 	a := &attempt{r: r, n: len(r.attempts), u: u, zone: u.zone, cell: u.cell, sent: b.now}
 	a.out, a.mayRun = true, true
 	if a.n == 0 {
@@ -186,7 +207,7 @@
 	u.tokens -= r.cost
 	u.in.sends(b.now + b.patience(r))
 	b.act(Action{Kind: Send, ID: r.id, Upstream: u.id, Zone: u.zone, Cell: u.cell,
-		Timeout: max(r.end-b.now, b.set.Tick)})
+		Timeout: max(r.end-b.now, b.set.Tick), By: by})
 	if r.class.Effect != Unsafe && !r.body {
 		r.lateAt = b.now + b.patience(r)
 		b.after(r.lateAt, timerLate, r)
--- a/balancer/rules_test.go
+++ b/balancer/rules_test.go
@@ -476,3 +476,27 @@
 		}
 	}
 }
+
+// A repeat of a keyed request that may have run says by when it is to be with its group; what was never sent before, or may run at any
+// time, does not.
+func TestRepeatsSayByWhen(t *testing.T) {
+	for effect, bound := range map[Effect]bool{Keyed: true, Safe: false} {
+		s := testSettings()
+		s.Classes[0].Effect, s.Classes[0].Group, s.Classes[0].Window, s.Classes[0].Deadline = effect, GroupAll, 5*time.Second, time.Minute
+		r := newRig(t, s)
+		r.fleet(3)
+		sent := r.now
+		first := kinds(r.request("1", "c", time.Minute), Send)
+		r.now += 30 * ms
+		unrun := kinds(r.result("1", 0, ConnectFailed, 30*ms), Send)
+		second := r.now
+		r.now += 10 * ms
+		repeat := kinds(r.result("1", 1, Reset, 10*ms), Send)
+		if len(first) != 1 || len(unrun) != 1 || len(repeat) != 1 || first[0].By != 0 || unrun[0].By != 0 {
+			t.Fatalf("%+v, %+v, %+v", first, unrun, repeat)
+		}
+		if want := second + 5*time.Second - 2*s.Tick; bound != (repeat[0].By == want) || !bound && repeat[0].By != 0 {
+			t.Errorf("sent at %v and %v, the repeat by %v, want %v", sent, second, repeat[0].By, want)
+		}
+	}
+}
--- a/internal/daemon/graphql.go
+++ b/internal/daemon/graphql.go
@@ -206,7 +206,7 @@
 // Carry is engine.Carrier's: what a node answers is judged before the module hears of it.
 func (o *operation) Carry(ctx context.Context, a engine.Attempt) engine.Reply {
 	begun := time.Now()
-	rep := o.pool.Attempt(ctx, a.Upstream, o.request, a.Deadline)
+	rep := o.pool.AttemptBy(ctx, a.Upstream, o.request, a.Deadline, a.By)
 	if rep.Result != balancer.Moot && rep.Result != balancer.ConnectFailed {
 		o.begun.Add(1)
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -43,6 +43,7 @@
 	Zone     string // the upstream's
 	Cell     int
 	Deadline time.Time // when its context ends
+	By       time.Time // its last byte is to be written before, or it is Moot: a repeat whose group forgets; zero: at any time
 	Inline   bool      // the caller of Do carries it out: Do does not return before it has ended
 	Cancel   context.CancelCauseFunc
 }
@@ -473,6 +474,9 @@
 	a.Context, a.cancel = context.WithCancelCause(parent)
 	a.at = Attempt{ID: f.call.ID, Number: len(f.attempts), Upstream: s.Upstream, Zone: s.Zone, Cell: s.Cell, Deadline: time.Now().Add(limit),
 		Cancel: a.cancel}
+	if s.By > 0 {
+		a.at.By = time.Now().Add(s.By - now)
+	}
 	a.sent = now
 	a.timer = time.AfterFunc(limit, a.expire)
 	f.attempts = append(f.attempts, a)
--- /dev/null
+++ b/internal/upstream/by_test.go
@@ -0,0 +1,72 @@
+package upstream
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"orchiddrift/balancer"
+	"orchiddrift/internal/standin"
+	"orchiddrift/internal/testkit"
+)
+
+// Guards against a repeat that reaches its group when that has forgotten it: one that waited for its connection, or whose upstream took
+// its body too slowly, is not sent, and says nothing of the upstream.
+func TestWrittenByThenOrNotAtAll(t *testing.T) {
+	release := make(chan struct{})
+	s := testkit.Raw(t, func(c net.Conn, g standin.Got) bool {
+		if g.Body == "first" {
+			<-release
+		}
+		return standin.Says(standin.OK200("a"))(c, g)
+	})
+	u := testPool(t, 1, testkit.Entry("s", s.Address, "Ready"))
+	first := make(chan balancer.Result, 1)
+	go func() { first <- u.Attempt(t.Context(), "s", testRequest("POST", "first"), time.Time{}).Result }()
+	testkit.Eventually(t, "it has the one connection", func() bool { return len(s.Requests()) == 1 })
+	by := time.Now().Add(20 * time.Millisecond)
+	repeat := make(chan balancer.Result, 1)
+	go func() {
+		repeat <- u.AttemptBy(t.Context(), "s", testRequest("POST", "repeat"), time.Time{}, by).Result
+	}()
+	time.Sleep(time.Until(by.Add(time.Millisecond)))
+	close(release)
+	if got := <-first; got != balancer.OK {
+		t.Errorf("the first: %v", got)
+	}
+	if got := <-repeat; got != balancer.Moot {
+		t.Errorf("the repeat: %v", got)
+	}
+	if got := u.AttemptBy(t.Context(), "s", testRequest("POST", "in time"), time.Time{}, time.Now().Add(time.Minute)).Result; got != balancer.OK {
+		t.Errorf("one in time: %v", got)
+	}
+	if n := len(s.Requests()); n != 2 {
+		t.Errorf("%d requests came", n)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	whole := make(chan error, 1)
+	go func() { // it reads nothing before the repeat is late
+		c, err := l.Accept()
+		if err != nil {
+			whole <- err
+			return
+		}
+		defer c.Close()
+		<-repeat
+		_, err = io.Copy(io.Discard, io.LimitReader(c, 64<<20))
+		whole <- err
+	}()
+	slow := testPool(t, 1, testkit.Entry("s", l.Addr().String(), "Ready"))
+	large := NewRequest(http.MethodPost, "/record/1", "s", nil, make([]byte, 32<<20))
+	if got := slow.AttemptBy(t.Context(), "s", large, time.Time{}, time.Now().Add(50*time.Millisecond)).Result; got != balancer.Moot {
+		t.Errorf("a body that is taken too slowly: %v", got)
+	}
+	close(repeat)
+	<-whole
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -123,6 +123,11 @@
 // Attempt sends a request to an upstream once, and waits for its end or that of ctx. The upstream is told to answer
 // until deadline; zero: it is told nothing.
 func (u *Pool) Attempt(ctx context.Context, name string, r *Request, deadline time.Time) Reply {
+	return u.AttemptBy(ctx, name, r, deadline, time.Time{})
+}
+
+// AttemptBy is Attempt for a request whose last byte is to be written before by; what is not has not been sent. Zero: at any time.
+func (u *Pool) AttemptBy(ctx context.Context, name string, r *Request, deadline, by time.Time) Reply {
 	at, ok := u.dir.Place(name)
 	if !ok {
 		return Reply{Result: balancer.Moot}
@@ -137,7 +142,7 @@
 		case err != nil:
 			return Reply{Result: balancer.ConnectFailed}
 		}
-		rep, reusable, lingers := u.exchange(ctx, c, r, deadline)
+		rep, reusable, lingers := u.exchange(ctx, c, r, deadline, by)
 		switch {
 		case lingers: // it is put back, or closed, by itself, or by whoever ends the Reply's Rest
 		case reusable:
@@ -154,7 +159,7 @@
 
 // exchange writes the request and reads its answer, with nothing else of the connection's running beside it: what
 // was written and what came is known here to the byte. A connection is reusable only if nothing is left of it.
-func (u *Pool) exchange(ctx context.Context, c *poolConn, r *Request, deadline time.Time) (rep Reply, reusable, lingers bool) {
+func (u *Pool) exchange(ctx context.Context, c *poolConn, r *Request, deadline, by time.Time) (rep Reply, reusable, lingers bool) {
 	var gaveUp chan struct{} // closed once giveUp has ended
 	if c.secure != nil {
 		gaveUp = make(chan struct{})
@@ -188,24 +193,37 @@
 	if !u.dir.Ready(c.name, c.at) {
 		return Reply{Result: balancer.Moot}, false, false
 	}
+	late := func() bool { return !by.IsZero() && !time.Now().Before(by) }
+	if late() { // it waited for its connection, say
+		return Reply{Result: balancer.Moot}, true, false
+	}
 	if r.Gate != nil && !r.Gate.Enter() {
 		return Reply{Result: balancer.Moot}, true, false
 	}
 	var up *upload // a long body's
 	if r.long() {
-		up = r.start(c, *buffer)
+		up = r.start(c, *buffer, by)
 		defer func() {
 			whole := up.stop()
 			reusable = c.SetWriteDeadline(time.Time{}) == nil && whole && reusable
 		}()
 	} else {
+		if !by.IsZero() {
+			_ = c.SetWriteDeadline(by) // the write shows it
+		}
 		_, err := c.Write(*buffer)
 		if r.Gate != nil {
 			r.Gate.Leave()
 		}
 		if err != nil { // then its last byte was not written, nor its last record whole
+			if late() {
+				return Reply{Result: balancer.Moot}, false, false
+			}
 			return ended(balancer.ConnectFailed), false, false
 		}
+		if !by.IsZero() {
+			_ = c.SetWriteDeadline(time.Time{})
+		}
 		if r.Written != nil {
 			r.Written()
 		}
@@ -226,7 +244,7 @@
 		}
 		if !whole && !turnedAway(resp, err) {
 			result := balancer.ConnectFailed
-			if ctx.Err() != nil {
+			if ctx.Err() != nil || late() {
 				result = balancer.Moot
 			}
 			return r.unsent(result), false, false
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -55,21 +56,28 @@
 	whole atomic.Bool // the last byte has been written
 	ended atomic.Bool
 	off   chan struct{} // closed as it is ended
+	by    time.Time     // its last byte is to be written before; zero: at any time
 }
 
 // long tells whether the body is written beside the reader of its answer.
 func (r *Request) long() bool { return r.Upload != nil || len(r.body) > keptWhole }
 
 // start writes the head and whatever follows.
-func (r *Request) start(c *poolConn, head []byte) *upload {
-	l := &upload{c: c, r: r, done: make(chan struct{}), off: make(chan struct{})}
+func (r *Request) start(c *poolConn, head []byte, by time.Time) *upload {
+	l := &upload{c: c, r: r, by: by, done: make(chan struct{}), off: make(chan struct{})}
 	go func() {
 		defer close(l.done)
 		err := l.put(head)
 		if r.Gate != nil { // its first byte is out
 			r.Gate.Leave()
 		}
-		if err != nil || l.write() != nil {
+		if err == nil {
+			err = l.write()
+		}
+		if errors.Is(err, os.ErrDeadlineExceeded) && !l.ended.Load() {
+			l.c.end() // its upstream takes nothing, and may answer nothing either
+		}
+		if err != nil {
 			return
 		}
 		l.whole.Store(true)
@@ -88,7 +96,11 @@
 // put writes one piece.
 func (l *upload) put(b []byte) error {
 	for len(b) > 0 { // an upstream that takes some of it goes on
-		if err := l.c.SetWriteDeadline(time.Now().Add(writeIdle)); err != nil {
+		end := time.Now().Add(writeIdle)
+		if !l.by.IsZero() && l.by.Before(end) {
+			end = l.by
+		}
+		if err := l.c.SetWriteDeadline(end); err != nil {
 			return err
 		}
 		if l.ended.Load() { // after the deadline, which stop sets too
--- a/orchidgrpc/attempt.go
+++ b/orchidgrpc/attempt.go
@@ -20,6 +20,7 @@
 	plugin   *Plugin
 	upstream string
 	place    directory.Place
+	by       time.Time               // its pick is to come before; zero: at any time
 	cancel   context.CancelCauseFunc // ends the RPC
 
 	mu       sync.Mutex
@@ -64,7 +65,8 @@
 		return errUnprocessed
 	case a.denied:
 		return errNoConnect
-	case !a.plugin.directory.Ready(a.upstream, a.place): // drained or gone since the decision
+	case !a.plugin.directory.Ready(a.upstream, a.place), // drained or gone since the decision
+		!a.by.IsZero() && !time.Now().Before(a.by): // or a repeat that came too late
 		a.denied, a.evidence.drained = true, true
 		return errDrained
 	}
