balancer: a zone is left only where none of it serves as well

Change: zonePick draws as before; where the draw would cross, it looks for the least loaded of the home zone first.

--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -110,8 +110,16 @@
 	if len(home) == 0 || len(away) == 0 || cross < b.fleet/4 {
 		return b.twoChoices(append(home, away...))
 	}
-	near := b.twoChoices(home)
-	if far := b.twoChoices(away); b.load(far)+cross < b.load(near) {
+	near, far := b.twoChoices(home), b.twoChoices(away)
+	if b.load(far)+cross >= b.load(near) {
+		return near
+	}
+	for _, u := range home { // two of it may stand high by a failure each
+		if b.load(u) < b.load(near) {
+			near = u
+		}
+	}
+	if b.load(far)+cross < b.load(near) {
 		return far
 	}
 	return near
