balancer: the least of a zone is looked for only where each upstream is heard often

Cause: an upstream not heard for a while looks as idle as its kind (load's decay), so that in a full zone there always is one that seems to serve, and nobody leaves it. Change: zonePick looks beyond the draw where the sidecar's traffic reaches all of the list every subsetEvery, as DESIGN presumes.

--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -114,8 +114,8 @@
 	if b.load(far)+cross >= b.load(near) {
 		return near
 	}
-	for _, u := range home { // two of it may stand high by a failure each
-		if b.load(u) < b.load(near) {
+	for _, u := range home { // two of it may stand high by a failure each; what is not heard looks idle
+		if b.subset() >= len(b.list) && b.load(u) < b.load(near) {
 			near = u
 		}
 	}
