balancer: overtaken attempts count again; where all are slow they tell it first

Seen: ./test.sh red, TestSlowerByEight of doorsim: 17 answers a second for 71 where all nodes are slower by eight. Each half was tried alone: without the age from an upstream's latest answer 71, without the sample 18. With queues at nodes that work on several requests, short ones overtake long ones though the node is slow, and nothing told it in time.

--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -151,8 +151,8 @@
 	w := u.est.weight(b.now, b.decay)
 	latency := u.est.value*w + *u.mean*(1-w)
 	if len(u.out) > 0 {
-		a := u.out[0] // where others have overtaken it, it is lost and its upstream answers
-		latency = max(latency, (b.now-max(a.sent, u.heard)).Seconds()/a.r.cost)
+		a := u.out[0]
+		latency = max(latency, (b.now-a.sent).Seconds()/a.r.cost)
 	}
 	pending := len(u.out) + u.streams
 	if b.saidNow(u) { // it knows what others have sent
@@ -227,7 +227,7 @@
 			b.late.add(norm)
 			b.mid.add(norm)
 		}
-		if a.sent < a.u.heard || res == Cancelled && norm <= a.u.est.value { // overtaken: see load
+		if res == Cancelled && norm <= a.u.est.value {
 			return
 		}
 	}
