upstream: what may have run is decided before its last byte goes out, not after the write

Ruled out: the pump handing out a piece twice, and a write that was cut short: a pause put behind the last write shows it each time, with no load at all.

Two more claims of the same kind, found by reading: - an upstream that answered (500, or 200) before the body was written whole counted as one that had not begun: sent again, after it had answered. - an exchange counted its attempts as they ended (server.go, graphql.go): with a reload that ended the route, a request that failed while another attempt was out counted as never sent and was decided anew; keyed GraphQL operations never counted theirs.

The source is asked once more for its end alone. Attempts count before they begin.

--- a/internal/daemon/graphql.go
+++ b/internal/daemon/graphql.go
@@ -186,6 +186,7 @@
 	} else {
 		call := engine.Call{ID: o.id, Class: req.Class.Name, Tenant: req.Tenant, Hint: req.Hint, Expires: c.begun + req.Timeout}
 		if k := c.svc.keyed(d.Class, d.Key); k != nil {
+			o.begun.Add(1) // its attempts, and those of others with its key, are counted elsewhere: any may run
 			o.answer, o.conflict = answerOf(c.svc.once(c.r.Context(), k, call, d.Key, req.Method, req.Target, d.Body, func() (engine.Carrier, func()) {
 				x := &operation{exchange: exchange{pool: o.pool, request: o.request}, call: c, decision: *d}
 				return x, x.end
@@ -206,10 +207,7 @@
 // Carry is engine.Carrier's: what a node answers is judged before the module hears of it.
 func (o *operation) Carry(ctx context.Context, a engine.Attempt) engine.Reply {
 	begun := time.Now()
-	rep := o.pool.AttemptBy(ctx, a.Upstream, o.request, a.Deadline, a.By)
-	if rep.Result != balancer.Moot && rep.Result != balancer.ConnectFailed {
-		o.begun.Add(1)
-	}
+	rep := o.attempt(ctx, a)
 	if rep.Result != balancer.OK {
 		o.fail(nil)
 		return engine.Reply{Result: rep.Result}
--- a/internal/daemon/routing.go
+++ b/internal/daemon/routing.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"maps"
 	"reflect"
 	"slices"
@@ -9,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"orchiddrift/balancer"
 	"orchiddrift/internal/engine"
 	"orchiddrift/internal/graphql"
 	"orchiddrift/internal/intake"
@@ -115,13 +117,24 @@
 	pool    *upstream.Pool
 	request *upstream.Request
 	engine  *engine.Engine // where Upload is set in the request
-	begun   atomic.Int32   // attempts that may have sent something
+	begun   atomic.Int32   // attempts that may have sent something, those in hand too
 
 	mu   sync.Mutex
 	done bool             // the request has its answer
 	held []upstream.Reply // what its attempts brought, to be given back with it
 }
 
+// attempt sends the request once. It counts before anything can be sent, and no more once that is proved not to have happened: whoever
+// finds a count of 0 while another attempt is still out would take a request that runs for one that was never sent.
+func (x *exchange) attempt(ctx context.Context, a engine.Attempt) upstream.Reply {
+	x.begun.Add(1)
+	rep := x.pool.AttemptBy(ctx, a.Upstream, x.request, a.Deadline, a.By)
+	if rep.Result == balancer.Moot || rep.Result == balancer.ConnectFailed {
+		x.begun.Add(-1)
+	}
+	return rep
+}
+
 // keep holds on to an attempt's reply until the request is done.
 func (x *exchange) keep(r upstream.Reply) {
 	if r.Held == 0 && r.Rest == nil {
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -37,10 +37,7 @@
 	if up := x.request.Upload; up != nil { // its one attempt at a time
 		up.Done = func() { x.engine.Uploaded(a, x.engine.Clock().Now()+up.Timeout) }
 	}
-	rep := x.pool.AttemptBy(ctx, a.Upstream, x.request, a.Deadline, a.By)
-	if rep.Result != balancer.Moot && rep.Result != balancer.ConnectFailed {
-		x.begun.Add(1)
-	}
+	rep := x.attempt(ctx, a)
 	if rep.Result != balancer.OK {
 		return engine.Reply{Result: rep.Result, Spent: rep.Spent}
 	}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -211,11 +211,14 @@
 		if !by.IsZero() {
 			_ = c.SetWriteDeadline(by) // the write shows it
 		}
-		_, err := c.Write(*buffer)
+		out, err := c.send(*buffer)
 		if r.Gate != nil {
 			r.Gate.Leave()
 		}
-		if err != nil { // then its last byte was not written, nor its last record whole
+		if err != nil && out == len(*buffer) { // all of it may be out, whatever the write came to
+			return ended(balancer.Reset), false, false
+		}
+		if err != nil {
 			if late() {
 				return Reply{Result: balancer.Moot}, false, false
 			}
@@ -242,12 +245,23 @@
 		} else {
 			whole = up.stop()
 		}
-		if !whole && !turnedAway(resp, err) {
+		switch {
+		case whole || turnedAway(resp, err):
+		case in.limited.left == httphead.MaxBytes: // its last byte never went out, and nothing came back
 			result := balancer.ConnectFailed
 			if ctx.Err() != nil || late() {
 				result = balancer.Moot
 			}
 			return r.unsent(result), false, false
+		default: // whoever answers may have begun, whatever it has read
+			rep = Reply{Result: in.failure(), Spent: r.Upload != nil && r.Upload.Spent()}
+			if err == nil {
+				rep.Result = balancer.ServerError
+				if u.answers.Has(resp.StatusCode) {
+					rep.Result = balancer.Reset
+				}
+			}
+			return rep, false, false
 		}
 		defer func() { rep.Spent = r.Upload != nil && r.Upload.Spent() }()
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -123,6 +123,7 @@
 	net.Conn                 // what requests are written to
 	raw      syscall.RawConn // of the socket below
 	secure   *tls.Conn       // nil: not encrypted
+	below    *counted        // what secure writes to
 	name     string
 	at       directory.Place
 	since    time.Time // when it became idle
@@ -229,7 +230,8 @@
 	c := &poolConn{Conn: conn, name: name, at: at}
 	u.warm.opened(name, 1)
 	if c.raw, err = conn.(*net.TCPConn).SyscallConn(); err == nil && u.secure != nil {
-		if c.secure, err = u.secure.Client(ctx, conn, at); err == nil {
+		c.below = &counted{Conn: conn}
+		if c.secure, err = u.secure.Client(ctx, c.below, at); err == nil {
 			c.Conn = c.secure
 		}
 	}
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -53,7 +53,7 @@
 	c     *poolConn
 	r     *Request
 	done  chan struct{}
-	whole atomic.Bool // the last byte has been written
+	whole atomic.Bool // its last byte may be out: see put
 	ended atomic.Bool
 	off   chan struct{} // closed as it is ended
 	by    time.Time     // its last byte is to be written before; zero: at any time
@@ -67,7 +67,7 @@
 	l := &upload{c: c, r: r, by: by, done: make(chan struct{}), off: make(chan struct{})}
 	go func() {
 		defer close(l.done)
-		err := l.put(head)
+		err := l.put(head, endOf(head, r.Upload != nil && r.Upload.Length == 0))
 		if r.Gate != nil { // its first byte is out
 			r.Gate.Leave()
 		}
@@ -77,10 +77,9 @@
 		if errors.Is(err, os.ErrDeadlineExceeded) && !l.ended.Load() {
 			l.c.end() // its upstream takes nothing, and may answer nothing either
 		}
-		if err != nil {
+		if !l.whole.Load() {
 			return
 		}
-		l.whole.Store(true)
 		if r.Written != nil {
 			r.Written()
 		}
@@ -93,24 +92,33 @@
 
 var errStopped = errors.New("the upload was stopped")
 
-// put writes one piece.
-func (l *upload) put(b []byte) error {
+// put writes one piece. end is how much of it tells the upstream that the request is whole; 0: more follows it. Whether the request can
+// have been had whole is decided as that byte is begun to be written, and taken back only where the count that came back shows that it
+// did not go out: an upstream can run the request, answer and close before the write has returned here.
+func (l *upload) put(b []byte, end int) error {
 	for len(b) > 0 { // an upstream that takes some of it goes on
-		end := time.Now().Add(writeIdle)
-		if !l.by.IsZero() && l.by.Before(end) {
-			end = l.by
+		limit := time.Now().Add(writeIdle)
+		if !l.by.IsZero() && l.by.Before(limit) {
+			limit = l.by
 		}
-		if err := l.c.SetWriteDeadline(end); err != nil {
+		if err := l.c.SetWriteDeadline(limit); err != nil {
 			return err
 		}
 		if l.ended.Load() { // after the deadline, which stop sets too
 			return errStopped
 		}
-		n, err := l.c.Write(b[:min(len(b), uploadPiece)])
+		part := b[:min(len(b), uploadPiece)]
+		if end > 0 && end <= len(part) {
+			l.whole.Store(true)
+		}
+		n, err := l.c.send(part)
+		if end > n {
+			l.whole.Store(false)
+		}
 		if err != nil {
 			return err
 		}
-		b = b[n:]
+		b, end = b[n:], max(end-n, 0)
 	}
 	return nil
 }
@@ -119,17 +127,19 @@
 func (l *upload) write() error {
 	more := l.r.Upload
 	if more == nil {
-		return l.put(l.r.body)
+		return l.put(l.r.body, len(l.r.body))
 	}
 	chunked := more.Length < 0
+	left := more.Length
 	piece := make([]byte, 0, uploadPiece+32)
 	say := func(b []byte) error {
 		if !chunked {
-			return l.put(b)
+			left -= int64(len(b))
+			return l.put(b, endOf(b, left == 0))
 		}
 		piece = strconv.AppendInt(piece[:0], int64(len(b)), 16)
 		piece = append(append(append(piece, '\r', '\n'), b...), '\r', '\n')
-		return l.put(piece)
+		return l.put(piece, 0)
 	}
 	for b := l.r.body; len(b) > 0; {
 		n := min(len(b), uploadPiece)
@@ -138,19 +148,21 @@
 		}
 		b = b[n:]
 	}
-	for came, again := int64(len(l.r.body)), false; ; again = true {
+	for again := false; ; again = true {
 		b, err := more.pump.next(more.Rest, again, l.off)
+		if l.whole.Load() { // the source is asked once more for its end alone
+			return nil
+		}
 		if err == nil {
 			more.begun.Store(true)
-			came += int64(len(b))
 			err = say(b)
 			if err == nil {
 				continue
 			}
 			return err
 		}
-		if err == io.EOF && (chunked || came == more.Length) {
-			break
+		if err == io.EOF && chunked {
+			return l.put([]byte(lastChunk), len("0\r\n"))
 		}
 		if err != errStopped && err != errOver { // the client's
 			more.broken.Store(true)
@@ -158,13 +170,20 @@
 		}
 		return err
 	}
-	if chunked {
-		return l.put([]byte("0\r\n\r\n"))
+}
+
+// lastChunk ends a body in chunks: its first line tells the upstream that nothing more of the body comes.
+const lastChunk = "0\r\n\r\n"
+
+// endOf is put's end for a piece with the request's last byte, or without.
+func endOf(b []byte, last bool) int {
+	if last {
+		return len(b)
 	}
-	return nil
+	return 0
 }
 
-// stop ends the upload, and tells whether its last byte was written.
+// stop ends the upload, and tells whether its last byte may be out.
 func (l *upload) stop() bool {
 	if l.ended.CompareAndSwap(false, true) {
 		close(l.off)
@@ -178,13 +197,13 @@
 	return l.whole.Load()
 }
 
-// wait waits until the body is written, or can't be.
+// wait waits until the body is written, or can't be, and tells what stop does.
 func (l *upload) wait() bool {
 	<-l.done
 	return l.whole.Load()
 }
 
-// unsent is how an attempt ended whose last byte was not written: its upstream has not begun it. Where the client or the module
+// unsent is how an attempt ended whose last byte never went out, and of which nothing came back: its upstream has not begun it. Where the client or the module
 // ended it, that says nothing of the upstream.
 func (r *Request) unsent(result balancer.Result) Reply {
 	if r.Upload != nil {
