--- a/internal/config/file_test.go
+++ b/internal/config/file_test.go
@@ -36,8 +36,11 @@
 	if err := Example(&text); err != nil {
 		t.Fatal(err)
 	}
+	if _, err := ParseFile(text.Bytes()); err != nil {
+		t.Errorf("the example can't be used: %v", err)
+	}
 	var plain, example, again File
-	tomlfile.Decode(nil, &plain)
+	tomlfile.Decode([]byte(exampleService), &plain)
 	if bad := tomlfile.Decode(text.Bytes(), &example).Mistakes(); len(bad) > 0 || !reflect.DeepEqual(plain, example) {
 		t.Errorf("%v\n%+v\n%+v", bad, plain, example)
 	}
@@ -47,7 +50,7 @@
 			t.Errorf("of the example's tables: %v", m)
 		}
 	}
-	if len(all.Services) != 1 || len(all.Services[0].Classes) != 1 || len(all.Services[0].Endpoints) != 1 || len(all.Routes) != 1 {
+	if len(all.Services) != 2 || len(all.Services[0].Classes) != 1 || len(all.Services[0].Endpoints) != 1 || len(all.Routes) != 1 {
 		t.Errorf("not every table stands in the example: %+v", all)
 	}
 	var shown bytes.Buffer
