procs: a rig that runs many processes of the program and puts faults between them

Leases, takeover and spread are about processes that crash, stall and lose links; tests in one process can't show that.

Change. internal/procs builds the program once, starts processes with a directory each, and can kill, stop, continue, terminate, replace and start them again with or without their disk; every link runs through a proxy that drops (either way), delays, hangs half-open, cuts in a message, resets and heals. Scripts are drawn from a seed without I/O. All that is done and every line that a process writes is one history in JSON Lines. Processes end by their pid, with what they started; the kernel ends them if the rig dies (one thread starts them all, since the kernel ties that to the thread). The daemon says where it listens, and takes port 0 for both addresses.

Ways weighed: network namespaces and tc (privileges, and no cut in a message), goroutines in one process (no crash, no stall of a whole process).

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -189,8 +189,11 @@
 }
 
 // checkControl says what is wrong with the operators' address.
+// AnyPort tells whether an address leaves its port to the system.
+func AnyPort(address string) bool { return strings.HasSuffix(address, ":0") }
+
 func checkControl(control, listen string) error {
-	if control == listen {
+	if control == listen && !AnyPort(listen) {
 		return errors.New("clients connect there")
 	}
 	return directory.CheckAddress(control)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -158,18 +158,23 @@
 	srv := &http.Server{Handler: s, ReadHeaderTimeout: p.HeadTimeout, IdleTimeout: clientIdle,
 		MaxHeaderBytes: httphead.MaxBytes, DisableGeneralOptionsHandler: true, ConnState: conns.State, ConnContext: conns.Context,
 		ErrorLog: slog.NewLogLogger(d.log.Handler(), slog.LevelDebug)}
+	operators := "" // where they call
 	if p.Control != "" {
-		operators, err := control.Listen(p.Control, d.operate, d.log)
+		c, err := control.Listen(p.Control, d.operate, d.log)
 		if err != nil {
 			return fmt.Errorf("listening for operators: %w", err)
 		}
-		d.besides.Go(operators.Run)
-		defer operators.Close()
+		operators = c.Addr().String()
+		d.besides.Go(c.Run)
+		defer c.Close()
 		if from != nil {
 			d.recall(from)
 		}
 		d.besides.Go(func() { d.succeed(rest, from, sharedFolder(), listener) })
 	}
+	if p.File != nil {
+		d.log.Info("listening", "clients", listener.Addr().String(), "operators", operators)
+	}
 	known, err := d.register(p)
 	if err != nil {
 		return err
--- a/internal/daemon/succession.go
+++ b/internal/daemon/succession.go
@@ -51,7 +51,7 @@
 	case err != nil:
 		return nil, nil, err
 	}
-	if listener.Addr().String() != p.Listen {
+	if listener.Addr().String() != p.Listen && !config.AnyPort(p.Listen) {
 		return nil, nil, errors.Join(errors.New("the socket that was passed on listens elsewhere"), listener.Close(), link.Close())
 	}
 	for i := range p.Services {
--- /dev/null
+++ b/internal/procs/history.go
@@ -0,0 +1,107 @@
+package procs
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"sync"
+	"time"
+)
+
+// Kinds of events.
+const (
+	Did   = "did"   // the rig did something to a process or a link
+	Told  = "told"  // a process wrote a line, in Data where that is JSON
+	Ended = "ended" // a process ended
+	Noted = "noted" // by the test, or by whoever referees it
+)
+
+// Event is one line of a history.
+type Event struct {
+	At   time.Duration   `json:"at"` // since the history began, by a clock that does not jump
+	Kind string          `json:"kind"`
+	Who  string          `json:"who"`            // a process, a link, or whoever notes
+	Life int             `json:"life,omitempty"` // the process's, from 1: each start is one
+	What string          `json:"what"`
+	Data json.RawMessage `json:"data,omitempty"`
+}
+
+// mostEvents is how many a History holds. Beyond it they are only written: about 200 MB at 200 bytes each.
+const mostEvents = 1 << 20
+
+// History is what happened, in one order. It is safe for concurrent use.
+type History struct {
+	mu    sync.Mutex
+	begun time.Time
+	out   io.Writer // JSON Lines; nil: nowhere
+	all   []Event
+	more  chan struct{} // closed with the next event
+	err   error
+}
+
+// NewHistory begins one that is written to out as well, where that is not nil.
+func NewHistory(out io.Writer) *History {
+	return &History{begun: time.Now(), out: out, more: make(chan struct{})}
+}
+
+// Now is the time since it began.
+func (h *History) Now() time.Duration { return time.Since(h.begun) }
+
+// Add puts an event at its end, and stamps it. Its time never is before that of the one ahead of it.
+func (h *History) Add(e Event) Event {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	e.At = time.Since(h.begun)
+	if h.out != nil && h.err == nil {
+		line, err := json.Marshal(e)
+		if err == nil {
+			_, err = h.out.Write(append(line, '\n'))
+		}
+		h.err = err
+	}
+	if len(h.all) < mostEvents {
+		h.all = append(h.all, e)
+	}
+	close(h.more)
+	h.more = make(chan struct{})
+	return e
+}
+
+// Events are those from a place on. They are not to be changed.
+func (h *History) Events(from int) []Event {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.all[min(from, len(h.all)):len(h.all):len(h.all)]
+}
+
+// Err is why it is not written any more; nil: it is.
+func (h *History) Err() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.err
+}
+
+var errFull = errors.New("the history is full")
+
+// Wait waits for an event at a place or behind it, and returns the place behind that.
+func (h *History) Wait(ctx context.Context, from int, match func(Event) bool) (Event, int, error) {
+	for {
+		h.mu.Lock()
+		all, more := h.all, h.more
+		h.mu.Unlock()
+		for ; from < len(all); from++ {
+			if match(all[from]) {
+				return all[from], from + 1, nil
+			}
+		}
+		if len(all) == mostEvents {
+			return Event{}, from, errFull
+		}
+		select {
+		case <-more:
+		case <-ctx.Done():
+			return Event{}, from, context.Cause(ctx)
+		}
+	}
+}
--- /dev/null
+++ b/internal/procs/rig.go
@@ -0,0 +1,180 @@
+package procs
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Rig holds processes and the links between them. It is safe for concurrent use.
+type Rig struct {
+	History *History
+
+	program string
+	dir     string
+	seed    uint64
+
+	mu        sync.Mutex
+	processes map[string]*Process
+	links     map[string]*Link
+}
+
+// built is the program, made once for a test binary.
+var built = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "orchiddrift-rig")
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(dir, "orchiddrift")
+	if out, err := exec.Command("go", "build", "-o", path, "orchiddrift/cmd/orchiddrift").CombinedOutput(); err != nil {
+		return "", fmt.Errorf("building the program: %w\n%s", err, out)
+	}
+	return path, nil
+})
+
+// Built is the path of the program, which is built once. Done removes it.
+func Built() (string, error) { return built() }
+
+// Main runs a package's tests and removes the program behind them.
+func Main(m *testing.M) int {
+	code := m.Run()
+	if path, err := builtIfAny(); err == nil && path != "" {
+		_ = os.RemoveAll(filepath.Dir(path))
+	}
+	return code
+}
+
+var asked sync.Once
+
+func builtIfAny() (string, error) {
+	none := false
+	asked.Do(func() { none = true })
+	if none {
+		return "", nil
+	}
+	return built()
+}
+
+// New makes a rig for a test, in whose end everything ends. The history is kept in a file, which is named if the test fails.
+func New(t testing.TB, seed uint64) *Rig {
+	t.Helper()
+	asked.Do(func() {})
+	program, err := built()
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	path := filepath.Join(dir, "history.jsonl")
+	out, err := os.Create(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &Rig{History: NewHistory(out), program: program, dir: dir, seed: seed, processes: map[string]*Process{}, links: map[string]*Link{}}
+	t.Cleanup(func() {
+		r.Close()
+		if err := r.History.Err(); err != nil {
+			t.Errorf("the history: %v", err)
+		}
+		out.Close()
+		if t.Failed() {
+			t.Logf("seed %d; the last of %d events:", seed, len(r.History.Events(0)))
+			all := r.History.Events(0)
+			for _, e := range all[max(0, len(all)-80):] {
+				line, _ := json.Marshal(e)
+				t.Logf("%s", line)
+			}
+		}
+	})
+	return r
+}
+
+// Process makes a place for a process, which does not run yet.
+func (r *Rig) Process(s Spec) *Process {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := &Process{rig: r, spec: s, Dir: filepath.Join(r.dir, s.Name)}
+	r.processes[s.Name] = p
+	return p
+}
+
+// StartAll starts processes at once, and waits until all are ready.
+func (r *Rig) StartAll(ctx context.Context, all ...*Process) error {
+	for _, p := range all {
+		if err := p.Launch(nil); err != nil {
+			return err
+		}
+	}
+	for _, p := range all {
+		if err := p.AwaitReady(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Close ends all processes and links.
+func (r *Rig) Close() {
+	r.mu.Lock()
+	processes, links := r.processes, r.links
+	r.mu.Unlock()
+	var all sync.WaitGroup
+	for _, p := range processes {
+		all.Go(p.end)
+	}
+	for _, l := range links {
+		l.close()
+	}
+	all.Wait()
+}
+
+// did notes what was done.
+func (r *Rig) did(who string, life int, what string, detail any) {
+	e := Event{Kind: Did, Who: who, Life: life, What: what}
+	if detail != nil {
+		e.Data, _ = json.Marshal(detail) // of plain values
+	}
+	r.History.Add(e)
+}
+
+// Note puts a referee's word into the history.
+func (r *Rig) Note(who, what string, detail any) {
+	e := Event{Kind: Noted, Who: who, What: what}
+	if detail != nil {
+		e.Data, _ = json.Marshal(detail)
+	}
+	r.History.Add(e)
+}
+
+// Patience bounds waits that no test expects to see the end of.
+const Patience = 30 * time.Second
+
+// Listening is Spec.Ready for the daemon: it says where it listens.
+func Listening(e Event) bool { return e.What == "listening" }
+
+// Address is where the clients of a daemon's present life connect, and Operators where its operators call; "": it has not said so.
+func (p *Process) Address() string   { return p.said("clients") }
+func (p *Process) Operators() string { return p.said("operators") }
+
+// said is a word of the line by which the present life said that it listens.
+func (p *Process) said(key string) string {
+	l := p.current()
+	if l == nil {
+		return ""
+	}
+	for _, e := range p.rig.History.Events(l.from) {
+		if e.Who == p.spec.Name && e.Life == l.number && e.Kind == Told && Listening(e) {
+			var words map[string]any
+			if json.Unmarshal(e.Data, &words) == nil {
+				word, _ := words[key].(string)
+				return word
+			}
+		}
+	}
+	return ""
+}
--- a/test.sh
+++ b/test.sh
@@ -1,14 +1,18 @@
 #!/bin/sh
 # The whole check: formatting, vet, the deploy file's build, all tests. Run from anywhere; needs Go and a C compiler.
 #   --race   the tests under the race detector
+#   --fleet  the tests that start hundreds of processes, and nothing else
 set -eu
 cd "$(dirname "$0")"
 race=
 case "${1:-}" in
 "") ;;
 --race) race=-race ;;
+--fleet)
+	exec go test -count=1 -timeout 20m -v -run 'ComeUp' ./internal/procs -fleet
+	;;
 *)
-	echo "usage: test.sh [--race]" >&2
+	echo "usage: test.sh [--race|--fleet]" >&2
 	exit 2
 	;;
 esac
