--- /dev/null
+++ b/internal/lease/table.go
@@ -0,0 +1,195 @@
+package lease
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Limits bound a Table: about 400 bytes a name and 150 a waiter, beside the names themselves.
+type Limits struct {
+	Names     int           // held or waited for, at most
+	Waiters   int           // of one name, at most
+	NameBytes int           // of a name, and of a client's
+	Shortest  time.Duration // a term
+	Longest   time.Duration
+}
+
+// Entry is a name that is held.
+type Entry struct {
+	Name    string
+	Holder  string
+	Seq     uint64 // the holder's
+	Token   Token
+	Term    time.Duration
+	Revoked bool // it gets no other term
+	Heir    bool // it was handed on, and the holder has not asked for it yet
+	Waiters []Waiter
+}
+
+// Waiter stands in a name's queue, in the order of asking.
+type Waiter struct {
+	Client string
+	Seq    uint64
+	Term   time.Duration
+}
+
+// Table is the record. The same asks in the same order make the same Table. It is for one goroutine.
+type Table struct {
+	limits Limits
+	last   Token // given: it is of all names, so that a name that nobody holds takes no room and its tokens rise all the same
+	names  map[string]*Entry
+}
+
+// NewTable returns an empty one.
+func NewTable(l Limits) *Table { return &Table{limits: l, names: map[string]*Entry{}} }
+
+// Apply changes the record by an ask, and returns what it comes to; granted tells whether a name has a new holder. Renew changes nothing:
+// Terms answers it.
+func (t *Table) Apply(a Ask) (r Reply, granted *Entry) {
+	e := t.names[a.Name]
+	switch a.Kind {
+	case Acquire:
+		return t.acquire(a, e)
+	case Release, Expire, HandOn:
+		if e == nil || e.Token != a.Token || a.Kind != Expire && e.Holder != a.Client {
+			return a.reply(Lost), nil
+		}
+		if a.Kind == HandOn && t.usable(a.To) {
+			heir := Waiter{a.To, 0, e.Term}
+			i := slices.IndexFunc(e.Waiters, func(w Waiter) bool { return w.Client == a.To })
+			if i >= 0 {
+				heir = e.Waiters[i]
+				e.Waiters = slices.Delete(e.Waiters, i, i+1)
+			}
+			t.grant(e, heir)
+			e.Heir = i < 0
+			return a.reply(Done), e
+		}
+		return a.reply(Done), t.next(e)
+	case Revoke:
+		if e == nil || a.Token != 0 && e.Token != a.Token {
+			return a.reply(Lost), nil
+		}
+		e.Revoked = true
+		r = a.reply(Done)
+		r.Token, r.Holder = e.Token, e.Holder
+		return r, nil
+	case Drop:
+		if e != nil {
+			e.Waiters = slices.DeleteFunc(e.Waiters, func(w Waiter) bool { return w.Client == a.Client && w.Seq == a.Seq })
+		}
+		return a.reply(Done), nil
+	}
+	return a.reply(Lost), nil
+}
+
+func (t *Table) usable(name string) bool { return name != "" && len(name) <= t.limits.NameBytes }
+
+func (t *Table) acquire(a Ask, e *Entry) (Reply, *Entry) {
+	me := Waiter{a.Client, a.Seq, min(max(a.Term, t.limits.Shortest), t.limits.Longest)}
+	switch {
+	case e == nil && (len(t.names) >= t.limits.Names || !t.usable(a.Name) || !t.usable(a.Client)):
+		return a.reply(Full), nil
+	case e == nil:
+		e = &Entry{Name: a.Name}
+		t.names[a.Name] = e
+		t.grant(e, me)
+		return e.granted(a), e
+	case e.Holder == a.Client && e.Heir: // it was handed on to it
+		e.Seq, e.Heir = a.Seq, false
+		return e.granted(a), nil
+	case e.Holder == a.Client && e.Seq == a.Seq: // said again
+		if e.Revoked {
+			return a.reply(Lost), nil
+		}
+		return e.granted(a), nil
+	case e.Holder == a.Client && a.Seq < e.Seq: // from before
+		return a.reply(Lost), nil
+	case e.Holder == a.Client: // it wants it anew, so that it does not act on what it has
+		if len(e.Waiters) == 0 {
+			t.grant(e, me)
+			return e.granted(a), e
+		}
+		next := t.next(e)
+		r, _ := t.queue(a, e, me)
+		return r, next
+	}
+	return t.queue(a, e, me)
+}
+
+// queue has a client wait, or keep its place.
+func (t *Table) queue(a Ask, e *Entry, me Waiter) (Reply, *Entry) {
+	i := slices.IndexFunc(e.Waiters, func(w Waiter) bool { return w.Client == a.Client })
+	switch {
+	case i >= 0 && a.Seq < e.Waiters[i].Seq:
+		return a.reply(Lost), nil
+	case i >= 0:
+		e.Waiters[i] = me
+	case !a.Wait:
+		r := a.reply(Held)
+		r.Holder = e.Holder
+		return r, nil
+	case len(e.Waiters) >= t.limits.Waiters || !t.usable(a.Client):
+		return a.reply(Full), nil
+	default:
+		i = len(e.Waiters)
+		e.Waiters = append(e.Waiters, me)
+	}
+	r := a.reply(Waiting)
+	r.Place, r.Holder = i+1, e.Holder
+	return r, nil
+}
+
+// grant gives a name to a client, with a token that no grant had before.
+func (t *Table) grant(e *Entry, w Waiter) {
+	t.last++
+	e.Holder, e.Seq, e.Term, e.Token, e.Revoked, e.Heir = w.Client, w.Seq, w.Term, t.last, false, false
+}
+
+// next gives a name to whoever waits longest; nil: nobody does, and it is free.
+func (t *Table) next(e *Entry) *Entry {
+	if len(e.Waiters) == 0 {
+		delete(t.names, e.Name)
+		return nil
+	}
+	w := e.Waiters[0]
+	e.Waiters = slices.Delete(e.Waiters, 0, 1)
+	t.grant(e, w)
+	return e
+}
+
+func (e *Entry) granted(a Ask) Reply {
+	r := a.reply(Granted)
+	r.Token, r.Term, r.Holder = e.Token, e.Term, e.Holder
+	return r
+}
+
+// Entry is a name's; nil: it is free. It is not to be changed.
+func (t *Table) Entry(name string) *Entry { return t.names[name] }
+
+// Last is the last token given.
+func (t *Table) Last() Token { return t.last }
+
+// List are all that are held, by name, as copies.
+func (t *Table) List() []Entry {
+	out := make([]Entry, 0, len(t.names))
+	for e := range maps.Values(t.names) {
+		c := *e
+		c.Waiters = slices.Clone(e.Waiters)
+		out = append(out, c)
+	}
+	slices.SortFunc(out, func(a, b Entry) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Load makes the record what List and Last said; the Table is empty before it.
+func (t *Table) Load(last Token, all []Entry) {
+	t.last = last
+	for _, e := range all {
+		e.Waiters = slices.Clone(e.Waiters)
+		t.names[e.Name] = &e
+		t.last = max(t.last, e.Token)
+	}
+}
