leasegroup: a group of daemons keeps the record of leases, and a command runs under one

The pure machines of internal/lease need a home that survives crashes, and something that acts under a lease and ends in time.

Change. internal/leasegroup drives them on go.etcd.io/raft/v3: votes and entries in bbolt, synced before anything is said; calls over gRPC; renewals confirmed by a read index and not written; a member whose file is lost is another member. [fleet] in the operator's file (off without), a daemon's part in the group, `orchiddrift lease run | list | show | revoke`.

Found by the rig while it was written, each with its cause: - no first act: members that wait for each other did not answer each other (form served Info only between its own calls); - a group that began in one process and not in the others: that one had seen all empty, they then waited for a leader that needed them ("knows of no leader" from all three). Who finds its own id in a group goes on in it, and answers with the group that it was told; - "the command ended with 137": a wrapper that had been stopped took its guard's kill for the command's own end. The guard says that its time was over; a holder that wakes past its time ends before it hears anything else.

--- /dev/null
+++ b/cmd/orchiddrift/lease.go
@@ -0,0 +1,276 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"orchiddrift/internal/config"
+	"orchiddrift/internal/lease"
+	"orchiddrift/internal/leasegroup"
+)
+
+// Exit codes of the lease commands, beside 1 for what is wrong with the call.
+const (
+	exitUnreached = 69 // nobody answers for the group
+	exitHeld      = 75 // somebody else holds the lease
+	exitLost      = 76 // the lease was lost while its command ran, or is not what was said
+)
+
+type leaseCmd struct {
+	File   string         `name:"file" env:"ORCHIDDRIFT_FILE" required:"" type:"existingfile" help:"The operator's file, whose [fleet] names the group."`
+	Run    leaseRunCmd    `cmd:"" help:"Run a command while a lease is held. It is ended before the lease is."`
+	List   leaseListCmd   `cmd:"" help:"Print the leases that are held, and by whom."`
+	Show   leaseShowCmd   `cmd:"" help:"Print one lease, and the group's members."`
+	Revoke leaseRevokeCmd `cmd:"" help:"Have the holder of a lease get no other term."`
+	Guard  leaseGuardCmd  `cmd:"" hidden:""`
+}
+
+// exit is an error with an exit code.
+type exit struct {
+	code int
+	err  error
+}
+
+func (e exit) Error() string { return e.err.Error() }
+
+// group is the client of the group that the file names.
+func (c *leaseCmd) group() (*leasegroup.Client, error) {
+	d, err := config.LoadFleet(c.File)
+	if err != nil {
+		return nil, err
+	}
+	return leasegroup.NewClient(d.Name, leasegroup.PeersOf(d))
+}
+
+type leaseRunCmd struct {
+	Name   string        `arg:"" help:"The lease."`
+	Argv   []string      `arg:"" passthrough:"" help:"The command and its arguments."`
+	Term   time.Duration `default:"10s" help:"How long the lease outlasts a holder that nobody hears of."`
+	Margin time.Duration `default:"1s" help:"What the command may take to end after SIGTERM; then it gets SIGKILL."`
+	Wait   bool          `help:"Wait in the queue while somebody else holds it."`
+	Again  bool          `help:"Where the lease was lost, wait for it and run the command anew."`
+}
+
+// Run is kong's.
+func (c *leaseRunCmd) Run(l *leaseCmd) error {
+	if len(c.Argv) > 0 && c.Argv[0] == "--" {
+		c.Argv = c.Argv[1:]
+	}
+	if len(c.Argv) == 0 {
+		return errors.New("no command")
+	}
+	d, err := config.LoadFleet(l.File)
+	if err != nil {
+		return err
+	}
+	if c.Margin <= 0 || c.Term < 4*c.Margin {
+		return fmt.Errorf("a term of %v is under four times the margin, %v", c.Term, c.Margin)
+	}
+	at, err := l.group()
+	if err != nil {
+		return err
+	}
+	defer at.Close()
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	r := &leaseRun{again: c.Again, stop: stop}
+	r.Command = leasegroup.Command{Guard: []string{self, "lease", "--file", l.File, "guard"}, Name: c.Name, Argv: c.Argv, Margin: c.Margin,
+		Over: r.over, Told: func(text string) { fmt.Fprintln(os.Stderr, "orchiddrift: lease:", text) }}
+	if !c.Wait && !c.Again {
+		r.tries = 3
+	}
+	leasegroup.Keep(ctx, at, lease.HolderOptions{Name: c.Name, Client: leasegroup.NewClientID(), Term: c.Term, Wait: c.Wait || c.Again,
+		Drift: d.Drift, Margin: c.Margin, Retry: c.Term / 5}, r)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.err.code != 0 {
+		return r.err
+	}
+	return nil
+}
+
+// leaseRun is a command with the word that its end comes to.
+type leaseRun struct {
+	leasegroup.Command
+	again bool
+	tries int // of reaching the group before it is given up; 0: for ever
+	stop  func()
+
+	mu  sync.Mutex
+	err exit
+}
+
+func (r *leaseRun) end(code int, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.err.code == 0 && code != 0 {
+		r.err = exit{code, err}
+	}
+	r.stop()
+}
+
+func (r *leaseRun) over(code int, why lease.Why) {
+	switch {
+	case why == 0:
+		r.end(code, fmt.Errorf("the command ended with %d", code))
+	case why == lease.Left:
+	case r.again:
+	default:
+		r.end(exitLost, errors.New("the lease was lost, and its command was ended"))
+	}
+}
+
+// Turned is Task's.
+func (r *leaseRun) Turned(why lease.Why) {
+	r.Command.Turned(why)
+	r.end(exitHeld, errors.New("the lease is held elsewhere, or there is no room for it"))
+}
+
+// Unreached is Task's.
+func (r *leaseRun) Unreached(err error) {
+	r.Command.Unreached(err)
+	if r.tries > 0 {
+		if r.tries--; r.tries == 0 {
+			r.end(exitUnreached, err)
+		}
+	}
+}
+
+type leaseGuardCmd struct {
+	Until  int64         `required:""`
+	Margin time.Duration `required:""`
+	Argv   []string      `arg:"" passthrough:""`
+}
+
+// Run is kong's.
+func (c *leaseGuardCmd) Run() error {
+	if len(c.Argv) > 0 && c.Argv[0] == "--" {
+		c.Argv = c.Argv[1:]
+	}
+	signal.Ignore(os.Interrupt, syscall.SIGTERM) // they are for who holds the lease, and it says what is to be
+	syscall.CloseOnExec(3)
+	code, err := leasegroup.Guard(os.Stdin, os.NewFile(3, "pid"), time.Duration(c.Until), c.Margin, c.Argv)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "orchiddrift: lease:", err)
+	}
+	if code < 0 {
+		code = 128 + int(syscall.SIGKILL)
+	}
+	os.Exit(code)
+	return nil
+}
+
+// leader is what the one who leads says; nil: nobody does.
+func (c *leaseCmd) leader(wait time.Duration) (*leasegroup.Info, []*leasegroup.Info, error) {
+	at, err := c.group()
+	if err != nil {
+		return nil, nil, err
+	}
+	defer at.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	all := at.Info(ctx)
+	for _, i := range all {
+		if i != nil && i.Leads {
+			return i, all, nil
+		}
+	}
+	return nil, all, exit{exitUnreached, errors.New("nobody leads the group: are most of its members up?")}
+}
+
+// infoPatience is how long members may take to say what they know.
+const infoPatience = 2 * time.Second
+
+type leaseListCmd struct{}
+
+// Run is kong's.
+func (*leaseListCmd) Run(l *leaseCmd) error {
+	i, _, err := l.leader(infoPatience)
+	if err != nil {
+		return err
+	}
+	return printLeases(i, func(lease.Entry) bool { return true })
+}
+
+func printLeases(i *leasegroup.Info, want func(lease.Entry) bool) error {
+	w := tabwriter.NewWriter(os.Stdout, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(w, "NAME\tTOKEN\tLEFT\tTERM\tWAITING\tHOLDER")
+	for n, e := range i.Leases {
+		if want(e) {
+			fmt.Fprintf(w, "%s\t%d\t%v\t%v\t%d\t%s\n", e.Name, e.Token, time.Duration(i.Left[n])*time.Millisecond, e.Term, len(e.Waiters), e.Holder)
+		}
+	}
+	return w.Flush()
+}
+
+type leaseShowCmd struct {
+	Name string `arg:"" optional:"" help:"The lease. Absent: the group's members alone."`
+}
+
+// Run is kong's.
+func (c *leaseShowCmd) Run(l *leaseCmd) error {
+	i, all, err := l.leader(infoPatience)
+	d, bad := config.LoadFleet(l.File)
+	if bad != nil {
+		return bad
+	}
+	for n, m := range d.Members {
+		state := "does not answer"
+		if one := all[n]; one != nil {
+			switch state = "follows " + one.Leader; {
+			case one.Leads:
+				state = "leads"
+			case !one.Formed:
+				state = "is not in the group yet"
+			case one.Leader == "":
+				state = "knows of no leader"
+			}
+		}
+		fmt.Printf("member %s at %s: %s\n", m.Name, m.Address, state)
+	}
+	if err != nil || c.Name == "" {
+		return err
+	}
+	found := false
+	err = printLeases(i, func(e lease.Entry) bool {
+		found = found || e.Name == c.Name
+		return e.Name == c.Name
+	})
+	if err == nil && !found {
+		return exit{exitLost, fmt.Errorf("nobody holds %q", c.Name)}
+	}
+	return err
+}
+
+type leaseRevokeCmd struct {
+	Name string `arg:"" help:"The lease."`
+}
+
+// Run is kong's.
+func (c *leaseRevokeCmd) Run(l *leaseCmd) error {
+	at, err := l.group()
+	if err != nil {
+		return err
+	}
+	defer at.Close()
+	r, err := leasegroup.Revoke(context.Background(), at, c.Name, infoPatience)
+	switch {
+	case err != nil:
+		return exit{exitUnreached, err}
+	case r.Verdict != lease.Done:
+		return exit{exitLost, fmt.Errorf("nobody holds %q", c.Name)}
+	}
+	fmt.Printf("%s is revoked from %s: it goes to the next when that one has stopped, or its term is over\n", c.Name, r.Holder)
+	return nil
+}
--- a/cmd/orchiddrift/main.go
+++ b/cmd/orchiddrift/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 
@@ -16,6 +17,7 @@
 	Config  configCmd  `cmd:"" help:"Print an operator's file: an example, or what one comes to."`
 	Demo    demoCmd    `cmd:"" help:"Show the main job on a fleet of stand-in nodes, beside plain random choice."`
 	Lab     labCmd     `cmd:"" help:"Play experiments on a fleet in virtual time: policies beside each other, through faults."`
+	Lease   leaseCmd   `cmd:"" help:"Leases for tasks that one process of the fleet does at a time."`
 	Load    loadCmd    `cmd:"" help:"Send requests to an HTTP/1.1 or gRPC server at a rate, and tell how long they take."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
@@ -26,6 +28,10 @@
 		kong.Description("Client-side load balancing: peak-EWMA latency x (pending+1), two random choices."))
 	if err := ctx.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "orchiddrift:", err)
-		os.Exit(1)
+		code := 1
+		if e := (exit{}); errors.As(err, &e) {
+			code = e.code
+		}
+		os.Exit(code)
 	}
 }
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -12,6 +12,7 @@
 	"orchiddrift/internal/graphql"
 	"orchiddrift/internal/httphead"
 	"orchiddrift/internal/keys"
+	"orchiddrift/internal/lease"
 	"orchiddrift/internal/listfile"
 	"orchiddrift/internal/logs"
 	"orchiddrift/internal/membership"
@@ -35,6 +36,7 @@
 	Members  membership.Options         `toml:"membership" doc:"How several lists of one service are merged."`
 	Eureka   []eureka.Declaration       `toml:"eureka" doc:"An Eureka registry that lists upstreams of a service, beside that one's own list or alone."`
 	Platform PlatformPart               `toml:"platform" doc:"Added to the platform's service, beside its file."`
+	Fleet    lease.Declaration          `toml:"fleet" doc:"The fleet of processes that this one belongs to, and the group of them that keeps its leases."`
 	Doors    []door.Options             `toml:"door" doc:"A queue before a service, fair between those who ask."`
 	Services []Service                  `toml:"service" doc:"A service: upstreams that answer the same requests. There are as many as there are such tables."`
 	Repeats  []repeatkeeper.Declaration `toml:"repeats" doc:"A store of idempotency keys: a client's repeat of a keyed request gets the first one's end."`
--- a/internal/config/plan.go
+++ b/internal/config/plan.go
@@ -20,6 +20,7 @@
 	"orchiddrift/internal/graphql"
 	"orchiddrift/internal/httphead"
 	"orchiddrift/internal/keys"
+	"orchiddrift/internal/lease"
 	"orchiddrift/internal/listfile"
 	"orchiddrift/internal/logs"
 	"orchiddrift/internal/membership"
@@ -178,6 +179,22 @@
 // ParseFile reads an operator's file. Its error is Problems.
 func ParseFile(text []byte) (*Plan, error) { return parseFile(nil, text) }
 
+// LoadFleet is what an operator's file says of the fleet. It need not say how a daemon is run.
+func LoadFleet(path string) (*lease.Declaration, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("reading the configuration: %w", err)
+	}
+	f := &File{}
+	if err := problems(tomlfile.Decode(text, f)); err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	if !f.Fleet.On() {
+		return nil, fmt.Errorf("configuration %s: fleet.name: missing", path)
+	}
+	return &f.Fleet, nil
+}
+
 // ParseBeside reads an operator's file that stands beside the platform's: of that one, name, listen, seed, limits and
 // time-outs win, and its service, called Platform, comes first, under its own routes.
 func ParseBeside(c *Config, text []byte) (*Plan, error) { return parseFile(c, text) }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -175,6 +175,9 @@
 	if p.File != nil {
 		d.log.Info("listening", "clients", listener.Addr().String(), "operators", operators)
 	}
+	if err := d.joinFleet(rest, p); err != nil {
+		return err
+	}
 	known, err := d.register(p)
 	if err != nil {
 		return err
--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -147,6 +147,9 @@
 
 // Heard takes the record's word, which may be late, or come twice.
 func (h *Holder) Heard(now time.Duration, r Reply) []Act {
+	if h.phase == holding && now >= h.until { // its own word comes first: whoever looks after the act has ended it by now
+		return h.end(Over)
+	}
 	sent, known := h.sent[r.Nr]
 	if r.Verdict == Granted && (r.Seq != h.seq || h.phase == idle) { // nobody wants it any more
 		if r.Token <= h.token && r.Seq >= h.seq {
--- /dev/null
+++ b/internal/leasegroup/disk.go
@@ -0,0 +1,227 @@
+package leasegroup
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"time"
+
+	"go.etcd.io/bbolt"
+	"go.etcd.io/raft/v3"
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+)
+
+// disk is a member's log, votes and snapshot, in one file. What it says is written when save returns: a vote or an entry that was told of
+// before that would let a member that crashed vote twice. The log in memory is what raft reads. It is for one goroutine.
+type disk struct {
+	db     *bbolt.DB
+	memory *raft.MemoryStorage
+	id     uint64 // drawn as the file was made: a member whose disk was lost is another member
+	formed bool   // it is, or has been, a member of a group
+}
+
+var (
+	logBucket   = []byte("log")
+	stateBucket = []byte("state")
+	idKey       = []byte("id")
+	hardKey     = []byte("hard")
+	snapKey     = []byte("snapshot")
+	fleetKey    = []byte("fleet")
+)
+
+// openPatience is how long another process may hold the file.
+const openPatience = time.Second
+
+var errOtherFleet = errors.New("the file is of another fleet")
+
+func at(index uint64) []byte { return binary.BigEndian.AppendUint64(nil, index) }
+
+// openDisk opens a member's file, or makes it. A file that is torn is an error: what stands in it can't be trusted to hold all votes.
+func openDisk(path, fleet string) (*disk, error) {
+	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: openPatience})
+	if err != nil {
+		return nil, fmt.Errorf("the group's file %s: %w", path, err)
+	}
+	d := &disk{db: db, memory: raft.NewMemoryStorage()}
+	if err := d.read(fleet); err != nil {
+		return nil, errors.Join(fmt.Errorf("the group's file %s: %w", path, err), db.Close())
+	}
+	return d, nil
+}
+
+func (d *disk) read(fleet string) error {
+	err := d.db.Update(func(tx *bbolt.Tx) error {
+		for _, name := range [][]byte{logBucket, stateBucket} {
+			if _, err := tx.CreateBucketIfNotExists(name); err != nil {
+				return err
+			}
+		}
+		s := tx.Bucket(stateBucket)
+		if s.Get(idKey) == nil {
+			var id [8]byte
+			if _, err := rand.Read(id[:]); err != nil { // not from the seed: a machine that comes again must not draw the same
+				return err
+			}
+			id[7] |= 1 // 0 is nobody
+			if err := errors.Join(s.Put(idKey, id[:]), s.Put(fleetKey, []byte(fleet))); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	return d.db.View(func(tx *bbolt.Tx) error {
+		s := tx.Bucket(stateBucket)
+		if string(s.Get(fleetKey)) != fleet {
+			return errOtherFleet
+		}
+		d.id = binary.BigEndian.Uint64(s.Get(idKey))
+		if b := s.Get(snapKey); b != nil {
+			snap := &pb.Snapshot{}
+			if err := proto.Unmarshal(b, snap); err != nil {
+				return err
+			}
+			if err := d.memory.ApplySnapshot(snap); err != nil {
+				return err
+			}
+			d.formed = true
+		}
+		if b := s.Get(hardKey); b != nil {
+			hard := &pb.HardState{}
+			if err := proto.Unmarshal(b, hard); err != nil {
+				return err
+			}
+			if err := d.memory.SetHardState(hard); err != nil {
+				return err
+			}
+			d.formed = true
+		}
+		first, err := d.memory.FirstIndex()
+		if err != nil {
+			return err
+		}
+		var all []*pb.Entry
+		err = tx.Bucket(logBucket).ForEach(func(k, v []byte) error {
+			if binary.BigEndian.Uint64(k) < first {
+				return nil
+			}
+			e := &pb.Entry{}
+			if err := proto.Unmarshal(v, e); err != nil {
+				return err
+			}
+			all = append(all, e)
+			return nil
+		})
+		if err != nil {
+			return err
+		}
+		return d.memory.Append(all)
+	})
+}
+
+// save writes what raft wants to stand before anything is said.
+func (d *disk) save(hard *pb.HardState, entries []*pb.Entry, snap *pb.Snapshot) error {
+	hasSnap, hasHard := !raft.IsEmptySnap(snap), !raft.IsEmptyHardState(hard)
+	if !hasSnap && !hasHard && len(entries) == 0 {
+		return nil
+	}
+	err := d.db.Update(func(tx *bbolt.Tx) error {
+		s, l := tx.Bucket(stateBucket), tx.Bucket(logBucket)
+		if hasSnap {
+			if err := put(s, snapKey, snap); err != nil {
+				return err
+			}
+			if err := cut(l, 0, snap.GetMetadata().GetIndex()+1); err != nil {
+				return err
+			}
+		}
+		if hasHard {
+			if err := put(s, hardKey, hard); err != nil {
+				return err
+			}
+		}
+		if len(entries) == 0 {
+			return nil
+		}
+		if err := cut(l, entries[0].GetIndex(), 0); err != nil { // what another leader had put there
+			return err
+		}
+		for _, e := range entries {
+			if err := put(l, at(e.GetIndex()), e); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	if hasSnap {
+		d.formed = true
+		if err := d.memory.ApplySnapshot(snap); err != nil && !errors.Is(err, raft.ErrSnapOutOfDate) {
+			return err
+		}
+	}
+	if hasHard {
+		if err := d.memory.SetHardState(hard); err != nil {
+			return err
+		}
+	}
+	return d.memory.Append(entries)
+}
+
+func put(b *bbolt.Bucket, key []byte, m proto.Message) error {
+	text, err := proto.Marshal(m)
+	if err != nil {
+		return err
+	}
+	return b.Put(key, text)
+}
+
+// cut removes the entries from one on, up to another; 0: to the end.
+func cut(b *bbolt.Bucket, from, to uint64) error {
+	c := b.Cursor()
+	for k, _ := c.Seek(at(from)); k != nil && (to == 0 || binary.BigEndian.Uint64(k) < to); k, _ = c.Seek(at(from)) {
+		if err := c.Delete(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// kept is how many entries stay behind a snapshot, for members that lag a little.
+const kept = 200
+
+// compact makes a snapshot of what was applied up to an index, and forgets the entries before.
+func (d *disk) compact(index uint64, conf *pb.ConfState, data []byte) error {
+	snap, err := d.memory.CreateSnapshot(index, conf, data)
+	if err != nil {
+		return err
+	}
+	first := index - min(index, kept)
+	err = d.db.Update(func(tx *bbolt.Tx) error {
+		if err := put(tx.Bucket(stateBucket), snapKey, snap); err != nil {
+			return err
+		}
+		return cut(tx.Bucket(logBucket), 0, first)
+	})
+	if err != nil {
+		return err
+	}
+	if err := d.memory.Compact(first); err != nil && !errors.Is(err, raft.ErrCompacted) {
+		return err
+	}
+	return nil
+}
+
+// begin is how a group begins: every first member's file says the same.
+func (d *disk) begin(conf *pb.ConfState, data []byte) error {
+	snap := &pb.Snapshot{Data: data, Metadata: &pb.SnapshotMetadata{ConfState: conf, Index: proto.Uint64(1), Term: proto.Uint64(1)}}
+	return d.save(&pb.HardState{Term: proto.Uint64(1), Commit: proto.Uint64(1)}, nil, snap)
+}
+
+func (d *disk) close() error { return d.db.Close() }
--- /dev/null
+++ b/internal/leasegroup/procs_test.go
@@ -0,0 +1,185 @@
+package leasegroup
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"orchiddrift/internal/procs"
+)
+
+func TestMain(m *testing.M) { os.Exit(procs.Main(m)) }
+
+// fleet is a group of members and contenders for one lease, each a process, with a link for each way between two of them.
+type fleet struct {
+	t       *testing.T
+	rig     *procs.Rig
+	members []*procs.Process
+	clients []*procs.Process
+	links   []string
+	acts    string // the sink: a file to which each act adds a line with its token
+}
+
+// newFleet makes one. Contenders run a command that acts every 10 ms or so for as long as it is let.
+func newFleet(t *testing.T, seed uint64, members, clients int, term, margin time.Duration) *fleet {
+	f := &fleet{t: t, rig: procs.New(t, seed), acts: filepath.Join(t.TempDir(), "acts")}
+	names := []string{"a", "b", "c", "d", "e"}[:members]
+	link := func(from, to string) string {
+		l, err := f.rig.Link(from, to, func() string {
+			for _, p := range f.members {
+				if p.Name() == to {
+					return told(f.rig, p)
+				}
+			}
+			return ""
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.links = append(f.links, l.Name())
+		return l.Address()
+	}
+	file := func(name, member string) string {
+		text := "[log]\nformat = \"json\"\n[fleet]\nname = \"f\"\ntick = \"20ms\"\nshortest = \"100ms\"\n"
+		if member != "" {
+			text = "[daemon]\nlisten = \"127.0.0.1:0\"\n" + text + fmt.Sprintf("member = %q\nlisten = \"127.0.0.1:0\"\nfile = \"fleet.db\"\n", member)
+		}
+		for _, m := range names {
+			text += fmt.Sprintf("[[fleet.members]]\nname = %q\naddress = %q\n", m, link(name, m))
+		}
+		if member != "" {
+			text += "[[service]]\nname = \"web\"\naddresses = [\"127.0.0.1:9\"]\n"
+		}
+		return text
+	}
+	for _, name := range names {
+		f.members = append(f.members, f.rig.Process(procs.Spec{Name: name, Args: []string{"--config", "fleet.toml"}, Ready: func(e procs.Event) bool { return e.What == "fleet: listening" },
+			Files: map[string]string{"fleet.toml": file(name, name)}}))
+	}
+	for i := range clients {
+		name := fmt.Sprint("c", i)
+		f.clients = append(f.clients, f.rig.Process(procs.Spec{Name: name, Files: map[string]string{"fleet.toml": file(name, "")},
+			Args: []string{"lease", "--file", "fleet.toml", "run", "task", "--again", "--term", term.String(), "--margin", margin.String(), "--",
+				"sh", "-c", `while :; do echo "$ORCHIDDRIFT_LEASE_TOKEN ` + name + `" >> ` + f.acts + `; sleep 0.01; done`}}))
+	}
+	return f
+}
+
+// told is where a member's present life listens for the group.
+func told(r *procs.Rig, p *procs.Process) string {
+	address := ""
+	for _, e := range r.History.Events(0) {
+		if e.Who == p.Name() && e.What == "fleet: listening" {
+			var words struct{ Address string }
+			if json.Unmarshal(e.Data, &words) == nil {
+				address = words.Address
+			}
+		}
+	}
+	return address
+}
+
+// act is a line of the sink.
+type act struct {
+	token uint64
+	who   string
+}
+
+// read is what the sink has.
+func (f *fleet) read() (out []act) {
+	file, err := os.Open(f.acts)
+	if err != nil {
+		return nil
+	}
+	defer file.Close()
+	for lines := bufio.NewScanner(file); lines.Scan(); {
+		var a act
+		if _, err := fmt.Sscan(lines.Text(), &a.token, &a.who); err != nil {
+			f.t.Errorf("the sink has %q", lines.Text())
+		}
+		out = append(out, a)
+	}
+	return out
+}
+
+// overlaps are acts behind one with a higher token: two held the lease, or one acted after its time.
+func overlaps(all []act) (out []string) {
+	highest := act{}
+	for i, a := range all {
+		switch {
+		case a.token < highest.token:
+			out = append(out, fmt.Sprintf("act %d: %s with %d after %s with %d", i, a.who, a.token, highest.who, highest.token))
+		case a.token == highest.token && a.who != highest.who:
+			out = append(out, fmt.Sprintf("act %d: %s and %s with %d", i, a.who, highest.who, a.token))
+		}
+		if a.token > highest.token {
+			highest = a
+		}
+	}
+	return out
+}
+
+// eventually waits until the sink has what is wanted.
+func (f *fleet) eventually(what string, ok func(all []act) bool) {
+	f.t.Helper()
+	for end := time.Now().Add(procs.Patience); ; time.Sleep(5 * time.Millisecond) {
+		if ok(f.read()) {
+			return
+		}
+		if time.Now().After(end) {
+			f.t.Fatalf("waited in vain: %s", what)
+		}
+	}
+}
+
+func within(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), 4*procs.Patience)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+var long = flag.Duration("for", 6*time.Second, "how long faults go on in TestNoTwoAct")
+
+// Three members and three contenders, while members and contenders are killed, stopped for longer and shorter than a term, cut off one way and
+// both, delayed and hung: no act comes after one with a higher token, and once all is well somebody acts again.
+func TestNoTwoAct(t *testing.T) {
+	for _, seed := range []uint64{1, 2} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, seed, 3, 3, time.Second, 200*time.Millisecond)
+			all := append(append([]*procs.Process{}, f.members...), f.clients...)
+			if err := f.rig.StartAll(within(t), all...); err != nil {
+				t.Fatal(err)
+			}
+			f.eventually("the first act", func(all []act) bool { return len(all) > 0 })
+			var names []string
+			for _, p := range all {
+				names = append(names, p.Name())
+			}
+			script := procs.Draw(seed, procs.Mix{Processes: names, Links: f.links, Length: *long, Every: 150 * time.Millisecond,
+				Shortest: 50 * time.Millisecond, Longest: 2500 * time.Millisecond, Down: 2, Weights: map[procs.Deed]float64{procs.Kill: 3, procs.Pause: 4,
+					procs.DropBoth: 1, procs.DropOut: 1, procs.DropBack: 1, procs.Slow: 1, procs.Hang: 1, procs.CutOut: 1, procs.Part: 1, procs.PartOne: 1}})
+			if err := f.rig.Play(within(t), script); err != nil {
+				t.Fatal(err)
+			}
+			before := len(f.read())
+			f.eventually("an act after the last fault", func(all []act) bool { return len(all) > before })
+			acts := f.read()
+			if bad := overlaps(acts); len(bad) > 0 {
+				t.Errorf("%d acts out of order, such as\n%s", len(bad), strings.Join(bad[:min(5, len(bad))], "\n"))
+			}
+			holders := map[uint64]string{}
+			for _, a := range acts {
+				holders[a.token] = a.who
+			}
+			t.Logf("%d steps, %d acts under %d tokens", len(script), len(acts), len(holders))
+		})
+	}
+}
--- a/internal/procs/rig.go
+++ b/internal/procs/rig.go
@@ -85,7 +85,7 @@
 		if t.Failed() {
 			t.Logf("seed %d; the last of %d events:", seed, len(r.History.Events(0)))
 			all := r.History.Events(0)
-			for _, e := range all[max(0, len(all)-80):] {
+			for _, e := range all[max(0, len(all)-200):] {
 				line, _ := json.Marshal(e)
 				t.Logf("%s", line)
 			}
