--- a/internal/leasegroup/procs_test.go
+++ b/internal/leasegroup/procs_test.go
@@ -337,3 +337,40 @@
 		t.Errorf("the next one acts %v after a kill", killed[0])
 	}
 }
+
+// The leader is killed, three times: a holder that is well keeps its lease.
+func TestLeaderIsKilled(t *testing.T) {
+	f := newFleet(t, 7, 3, 2, 3*time.Second, 300*time.Millisecond)
+	if err := f.rig.StartAll(within(t), append(append([]*procs.Process{}, f.members...), f.clients...)...); err != nil {
+		t.Fatal(err)
+	}
+	f.eventually("the first act", func(all []act) bool { return len(all) > 0 })
+	first := f.read()[0]
+	leads := func(e procs.Event) bool { return e.What == "fleet: leads" }
+	at := 0
+	for range 3 {
+		e, next, err := f.rig.History.Wait(within(t), at, leads)
+		if err != nil {
+			t.Fatal(err)
+		}
+		at = next
+		for _, p := range f.members {
+			if p.Name() == e.Who {
+				if err := p.Kill(within(t)); err != nil {
+					t.Fatal(err)
+				}
+				if _, _, err := f.rig.History.Wait(within(t), at, leads); err != nil { // another leads
+					t.Fatal(err)
+				}
+				if err := p.Start(within(t), nil); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		n := len(f.read())
+		f.eventually("acts for a term", func(all []act) bool { return len(all) > n+50 })
+	}
+	if all := f.read(); all[len(all)-1] != first {
+		t.Errorf("it was held by %+v, and is by %+v", first, all[len(all)-1])
+	}
+}
