--- a/internal/leasegroup/linear_test.go
+++ b/internal/leasegroup/linear_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -14,6 +16,7 @@
 
 	"orchiddrift/internal/lease"
 	"orchiddrift/internal/procs"
+	"orchiddrift/internal/testkit"
 )
 
 // asks and answers of one name, as porcupine is told them. The state is who holds it under which token.
@@ -256,3 +259,70 @@
 		}
 	}
 }
+
+// A member that comes without its disk while nothing gets through to it at first: the snapshot that it needs is sent again. Guards against a leader
+// that waits for ever for word of one that was lost, with a member that counts and never votes.
+func TestSnapshotIsSentAgain(t *testing.T) {
+	g := newGroup(t, 10)
+	c, err := NewClient("f", g.peers("c"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	ask := func(n uint64) bool {
+		r, err := c.Ask(t.Context(), lease.Ask{Kind: lease.Acquire, Name: "x", Client: "c", Seq: n, Nr: n, Term: time.Minute}, 0, time.Second)
+		return err == nil && r.Verdict == lease.Granted
+	}
+	testkit.Eventually(t, "a grant", func() bool { return ask(1) })
+	var lost string
+	var old uint64
+	for i, info := range c.Info(t.Context()) {
+		if info != nil && !info.Leads {
+			lost, old = g.names[i], info.ID
+		}
+	}
+	g.stop(lost)
+	if err := os.Remove(filepath.Join(g.dir, lost)); err != nil {
+		t.Fatal(err)
+	}
+	for _, l := range g.links { // what is said to it is lost; what it says gets through
+		if strings.HasSuffix(l.Name(), ">"+lost) {
+			l.Set(procs.Fault{Drop: true}, procs.Fault{})
+		}
+	}
+	g.start(lost, g.peers(lost))
+	leader := func() *Info {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		for _, info := range c.Info(ctx) {
+			if info != nil && info.Leads {
+				return info
+			}
+		}
+		return nil
+	}
+	id := uint64(0)
+	testkit.Eventually(t, "it is a member", func() bool {
+		if l := leader(); l != nil {
+			for x, name := range l.Peers {
+				if name == lost && x != old {
+					id = x
+				}
+			}
+		}
+		return id != 0
+	})
+	time.Sleep(20 * 10 * time.Millisecond) // longer than a message may take: the snapshot has been lost
+	for _, l := range g.links {
+		l.Heal()
+	}
+	// With a third gone, only the newcomer makes a majority.
+	l := leader()
+	for _, n := range g.names {
+		if n != lost && (l == nil || n != l.Name) {
+			g.stop(n)
+			defer g.start(n, g.peers(n)) // so that it can be stopped again
+		}
+	}
+	testkit.Eventually(t, "a grant with the newcomer's vote", func() bool { return ask(2) })
+}
--- a/internal/leasegroup/member.go
+++ b/internal/leasegroup/member.go
@@ -67,6 +67,7 @@
 	asks  chan *asked
 	infos chan chan Info
 	joins chan joining
+	sent  chan sent
 	grpc  *grpc.Server
 	conns map[string]*grpc.ClientConn // by address; made before the loop begins
 
@@ -75,6 +76,7 @@
 	peers   map[uint64]string
 	conf    *pb.ConfState
 	applied uint64
+	changed bool   // the group, since the last snapshot: a newcomer takes none in which it does not stand
 	term    uint64 // raft's, that it leads in; 0: it does not
 	leader  uint64
 
@@ -143,7 +145,7 @@
 		return nil, fmt.Errorf("the group's file %s: %w", o.File, err)
 	}
 	m := &Member{o: o, disk: d, ended: make(chan struct{}), steps: make(chan *pb.Message, mostMessages), asks: make(chan *asked, mostAsks),
-		infos: make(chan chan Info), joins: make(chan joining), conns: map[string]*grpc.ClientConn{}, table: lease.NewTable(o.Limits),
+		infos: make(chan chan Info), joins: make(chan joining), sent: make(chan sent), conns: map[string]*grpc.ClientConn{}, table: lease.NewTable(o.Limits),
 		peers: map[uint64]string{}, pending: map[uint64]*asked{}, parked: map[string]*asked{}, sending: map[uint64]chan *pb.Message{}}
 	for _, p := range o.Peers {
 		conn, err := Dial(p.Address)
@@ -316,6 +318,8 @@
 			m.take(a)
 		case answer := <-m.infos:
 			answer <- m.info()
+		case s := <-m.sent:
+			m.told(s)
 		case j := <-m.joins:
 			j.done <- m.takeIn(j)
 		}
@@ -353,7 +357,8 @@
 		}
 	}
 	m.node.Advance(rd)
-	if first, err := m.disk.memory.FirstIndex(); err == nil && m.applied > first+snapshotEvery {
+	if first, err := m.disk.memory.FirstIndex(); err == nil && (m.changed || m.applied > first+snapshotEvery) {
+		m.changed = false
 		data, err := json.Marshal(snapshot{Version: version, Last: m.table.Last(), Entries: m.table.List(), Peers: m.peers})
 		if err != nil {
 			return err
@@ -386,7 +391,7 @@
 		if err := proto.Unmarshal(e.GetData(), &cc); err != nil {
 			return err
 		}
-		m.conf = m.node.ApplyConfChange(&cc)
+		m.conf, m.changed = m.node.ApplyConfChange(&cc), true
 		for _, c := range cc.Changes {
 			if c.GetType() == pb.ConfChangeRemoveNode {
 				delete(m.peers, c.GetNodeId())
@@ -637,6 +642,25 @@
 	select {
 	case q <- msg:
 	default:
+		m.told(sent{to: to, snap: msg.GetType() == pb.MsgSnap})
+	}
+}
+
+// sent is what became of a message: raft says nothing more to a member to which a snapshot is on its way, until it hears of that.
+type sent struct {
+	to   uint64
+	snap bool
+	ok   bool
+}
+
+func (m *Member) told(s sent) {
+	switch {
+	case s.snap && s.ok:
+		m.node.ReportSnapshot(s.to, raft.SnapshotFinish)
+	case s.snap:
+		m.node.ReportSnapshot(s.to, raft.SnapshotFailure)
+	default:
+		m.node.ReportUnreachable(s.to)
 	}
 }
 
@@ -651,8 +675,14 @@
 				continue
 			}
 			one, cancel := context.WithTimeout(ctx, electionTicks*m.o.Tick)
-			_, _ = call[empty](one, conn, "Step", stepCall{m.hello(), b}) // what is lost is said again
+			_, err = call[empty](one, conn, "Step", stepCall{m.hello(), b}) // what is lost is said again
 			cancel()
+			if snap := msg.GetType() == pb.MsgSnap; err != nil || snap {
+				select {
+				case m.sent <- sent{msg.GetTo(), snap, err == nil}:
+				case <-ctx.Done():
+				}
+			}
 		}
 	}
 }
