daemon: a test that attempts count from before they begin

TestAttemptsCountFromBeforeTheyBegin: an attempt whose upstream has it and says nothing counts; one whose connection is refused counts no more.

--- a/internal/daemon/body_test.go
+++ b/internal/daemon/body_test.go
@@ -14,10 +14,15 @@
 	"testing"
 	"time"
 
+	"orchiddrift/balancer"
+	"orchiddrift/internal/clock"
 	"orchiddrift/internal/config"
+	"orchiddrift/internal/directory"
+	"orchiddrift/internal/engine"
 	"orchiddrift/internal/standin"
 	"orchiddrift/internal/testkit"
 	"orchiddrift/internal/testkit/base"
+	"orchiddrift/internal/upstream"
 )
 
 // small is a configuration whose memory holds few bodies.
@@ -370,3 +375,32 @@
 		t.Errorf("%+v", got)
 	}
 }
+
+// Guards against a request that runs and is taken for one that was never sent, so that a reload that ends its route decides it anew: an attempt
+// counts from before its first byte until it is proved not to have run, and not only once it has ended.
+func TestAttemptsCountFromBeforeTheyBegin(t *testing.T) {
+	release := make(chan struct{})
+	s := testkit.Raw(t, func(c net.Conn, g standin.Got) bool {
+		<-release
+		return standin.Says(standin.OK200("a"))(c, g)
+	})
+	pool := upstream.New(upstream.Options{ConnectTimeout: testkit.Patience, Idle: time.Minute, Connections: 2, MaxAnswer: 1 << 20})
+	dir := directory.New(clock.New(), pool.Drop)
+	pool.SetDirectory(dir)
+	dir.Apply(testkit.Listing(t, 1, true, testkit.Entry("s", s.Address, "Ready"), testkit.Entry("nobody", base.FreeAddress(t), "Ready")))
+	defer pool.Drop("s")
+	x := &exchange{pool: pool, request: upstream.NewRequest("POST", "/confirm/1", "s", nil, []byte("a"))}
+	over := make(chan balancer.Result, 1)
+	go func() { over <- x.attempt(t.Context(), engine.Attempt{Upstream: "s"}).Result }()
+	testkit.Eventually(t, "the upstream has it", func() bool { return len(s.Requests()) == 1 })
+	if n := x.begun.Load(); n != 1 {
+		t.Errorf("%d attempts count while one is out", n)
+	}
+	if r := x.attempt(t.Context(), engine.Attempt{Upstream: "nobody"}).Result; r != balancer.ConnectFailed || x.begun.Load() != 1 {
+		t.Errorf("result %d, %d count after one that was not sent", r, x.begun.Load())
+	}
+	close(release)
+	if r := <-over; r != balancer.OK || x.begun.Load() != 1 {
+		t.Errorf("result %d, %d count at the end", r, x.begun.Load())
+	}
+}
