discovery: one deadline from a silent list to its news, and a second call before it

At fault: answerPatience of 5 s in internal/discovery/watcher.go, and a wait in balancer/members.go on top that knows no deadline: each sound alone, 8 s together.

Change: internal/freshness, a pure machine, owns when the list is asked for. There is one deadline (6 s after the last word), and each wait is derived from what is left of it (budget.go): 2.5 s of silence, then a call beside the quiet one, which is given up only when a later one speaks, after half of what is left another. Calls that fail are made again after a part of what is left; without a deadline the waits are the module's as before. Agents at hand, whose lists are pushed, are asked again within the grace. The watcher carries that out for asked and pushed lists alike; an answer older than what another call has brought is not taken; a list may stand on many lines, and part of one is no sign of life; the list's age is logged once when it may be too old.

--- a/internal/config/plan.go
+++ b/internal/config/plan.go
@@ -17,6 +17,7 @@
 	"orchiddrift/internal/directory"
 	"orchiddrift/internal/door"
 	"orchiddrift/internal/eureka"
+	"orchiddrift/internal/freshness"
 	"orchiddrift/internal/graphql"
 	"orchiddrift/internal/httphead"
 	"orchiddrift/internal/keys"
@@ -80,6 +81,11 @@
 	Unrouted bool // no route leads to it
 }
 
+// Freshness is how its list at Discovery is followed.
+func (s *ServicePlan) Freshness() freshness.Options {
+	return freshness.Options{Pushed: !s.Settings.MustSubscribe, AskWithin: s.Settings.AskWithin, Sidecars: s.Settings.Balancers}
+}
+
 // Platform is the name of the service that the platform's file tells of.
 const Platform = "platform"
 
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -202,7 +202,7 @@
 // registries list upstreams too, it is the source of the merged list.
 func (s *service) openSource(plan config.ServicePlan, known *directory.Listing, log *slog.Logger) (*directory.Listing,
 	discovery.Source, error) {
-	list, own, err := openOwn(plan, known, log)
+	list, own, err := openOwn(plan, known, s.shared.seed^xxhash.Sum64String("list/"+plan.Name), log)
 	if err != nil || len(plan.Registries) == 0 {
 		return list, own, err
 	}
@@ -232,7 +232,7 @@
 }
 
 // openOwn is openSource for the list that is no registry's.
-func openOwn(plan config.ServicePlan, known *directory.Listing, log *slog.Logger) (*directory.Listing, discovery.Source, error) {
+func openOwn(plan config.ServicePlan, known *directory.Listing, seed uint64, log *slog.Logger) (*directory.Listing, discovery.Source, error) {
 	switch {
 	case plan.Discovery != "":
 		list := plan.Known
@@ -244,7 +244,7 @@
 			index = *list.Index
 		}
 		return list, discovery.New(discovery.Options{Address: plan.Discovery, Index: index,
-			ConnectTimeout: plan.Settings.ConnectTimeout, ModuleAsks: plan.Settings.MustSubscribe, Log: log}), nil
+			ConnectTimeout: plan.Settings.ConnectTimeout, Freshness: plan.Freshness(), Seed: seed, Log: log}), nil
 	case plan.ListFile != "":
 		source := discovery.NewFile(plan.ListFile, filewatch.Every, log)
 		list, err := source.Load()
@@ -358,7 +358,7 @@
 		if was.Discovery != "" && plan.Discovery != "" {
 			steps = append(steps, func() { merged.Source(ownList).(*discovery.Watcher).Redirect(plan.Discovery) })
 		} else {
-			list, own, err := openOwn(plan, nil, s.shared.log)
+			list, own, err := openOwn(plan, nil, s.shared.seed^xxhash.Sum64String("list/"+plan.Name), s.shared.log)
 			if err != nil {
 				return nil, fmt.Errorf("service %s: %w", plan.Name, err)
 			}
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -1,68 +1,74 @@
 // Package discovery follows lists of upstreams. source.go says what any list's Source is and where its news goes; a
-// Watcher follows the platform's over HTTP: one watch at a time, asked for again when it breaks.
+// Watcher follows the platform's over HTTP, with as many calls as package freshness wants.
 package discovery
 
 import (
 	"bufio"
-	"bytes"
 	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"orchiddrift/internal/directory"
+	"orchiddrift/internal/freshness"
 )
 
 const (
-	watchSilence   = 3500 * time.Millisecond // an empty line comes every 2 s: after this the watch is dead
-	answerPatience = 5 * time.Second         // for the first line: discovery works through calls in turn
-	maxLine        = 4 << 20
-	maxHeader      = 16 << 10
-	rewatchFirst   = 250 * time.Millisecond // where lists are pushed: the wait before the agent is watched again
-	rewatchMost    = 4 * time.Second
+	maxHeader    = 16 << 10
+	connectLeast = time.Second // discovery may be slower to take a connection than upstreams may be
 )
 
-// errRedirected ends a watch whose address was replaced.
-var errRedirected = errors.New("discovery has another address")
+// errRedirected ends a call to an address that was replaced, errReplaced one that a later call has taken the place of.
+var (
+	errRedirected = errors.New("discovery has another address")
+	errReplaced   = errors.New("another call has taken its place")
+)
 
 // Options are a Watcher's parameters.
 type Options struct {
 	Address        string
 	Index          int64 // version of the list as last held
 	ConnectTimeout time.Duration
-	ModuleAsks     bool         // the module asks for the list, and asks again when it is lost; else the Watcher does
+	Freshness      freshness.Options
+	Seed           uint64
 	Log            *slog.Logger // nil: lines are dropped
 }
 
-// Watcher follows discovery: one watch at a time, each on a connection of its own so that no library sends
-// a call again by itself.
+// Watcher follows discovery. Each call is on a connection of its own, so that no library sends one again by itself.
 type Watcher struct {
-	log        *slog.Logger
-	client     *http.Client
-	silence    time.Duration // after this without a line a watch is dead
-	moduleAsks bool
-	asked      chan struct{} // holds one: a watch is wanted
-	sink       Sink          // of Run. It must not call the Watcher, other than Ask
+	log    *slog.Logger
+	client *http.Client
+	start  time.Time
+	asked  atomic.Bool // the module is to know of the next sign of life
+	calls  sync.WaitGroup
 
 	mu      sync.Mutex
+	machine *freshness.Machine
+	sink    Sink // of Run; nil: it does not run. It must not call the Watcher, other than Ask
+	timer   *time.Timer
+	ctx     context.Context
+	ends    map[freshness.CallID]context.CancelCauseFunc
 	address string
 	index   int64 // of the list as last told at this address
 	untold  bool  // nothing came from this address yet, and another's versions mean nothing here
-	end     context.CancelCauseFunc
+	stands  bool  // the sink was not told that the list is lost
+	overdue bool  // it was logged that the list may be too old
 }
 
 // New returns a Watcher; Run makes it work.
 func New(o Options) *Watcher {
-	w := &Watcher{address: o.Address, index: o.Index, silence: watchSilence, moduleAsks: o.ModuleAsks,
-		log: cmp.Or(o.Log, slog.New(slog.DiscardHandler)), asked: make(chan struct{}, 1), end: func(error) {}}
+	w := &Watcher{address: o.Address, index: o.Index, log: cmp.Or(o.Log, slog.New(slog.DiscardHandler)), start: time.Now(), stands: true,
+		machine: freshness.New(o.Freshness, rand.New(rand.NewPCG(o.Seed, 0x6c697374))), ends: map[freshness.CallID]context.CancelCauseFunc{}}
 	w.client = &http.Client{Transport: &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: o.ConnectTimeout}).DialContext,
+		DialContext:            (&net.Dialer{Timeout: max(o.ConnectTimeout, connectLeast)}).DialContext,
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxHeader,
@@ -70,15 +76,27 @@
 	return w
 }
 
-// Ask starts a watch. It does not block: the module asks again only once it has been told of a failure.
-func (w *Watcher) Ask() {
-	select {
-	case w.asked <- struct{}{}:
-	default:
-	}
+// Ask wants the next sign of life told, also where there is no news. It does not block.
+func (w *Watcher) Ask() { w.asked.Store(true) }
+
+// Run watches until ctx ends.
+func (w *Watcher) Run(ctx context.Context, sink Sink) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	w.mu.Lock()
+	w.ctx, w.sink, w.start = ctx, sink, time.Now()
+	w.timer = time.AfterFunc(time.Hour, w.tick)
+	w.do(w.machine.Start(0))
+	w.mu.Unlock()
+	<-ctx.Done()
+	w.mu.Lock()
+	w.sink = nil
+	w.timer.Stop()
+	w.mu.Unlock()
+	w.calls.Wait()
 }
 
-// Redirect ends the watch that runs and starts one at another address at once.
+// Redirect ends the calls that are open and makes one at another address at once.
 func (w *Watcher) Redirect(address string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -86,139 +104,175 @@
 		return
 	}
 	w.address, w.index, w.untold = address, 0, true
-	w.end(errRedirected)
-	w.Ask()
+	for _, end := range w.ends {
+		end(errRedirected)
+	}
+	w.do(w.machine.Redirect(w.now()))
 }
 
-// Run watches until ctx ends. Where the module asks for the list, it also decides when to ask again. Where lists
-// are pushed, or a new address has told nothing yet, the watch is opened again with a growing wait.
-func (w *Watcher) Run(ctx context.Context, sink Sink) {
-	w.sink = sink
-	wait, again := rewatchFirst, time.NewTimer(0)
-	defer again.Stop()
-	if w.moduleAsks {
-		again.Stop()
-	}
-	for {
-		select {
-		case <-w.asked:
-			again.Stop()
-		case <-again.C:
-		case <-ctx.Done():
-			return
-		}
-		told, err := w.watch(ctx)
-		switch {
-		case ctx.Err() != nil:
-			return
-		case errors.Is(err, errRedirected):
-			w.log.Warn("watch ended", "reason", err)
-			wait = rewatchFirst
-			w.Ask()
-			continue
-		}
-		w.mu.Lock()
-		untold := w.untold
-		w.mu.Unlock()
-		if w.moduleAsks && !untold {
-			w.log.Warn("watch ended", "reason", err)
-			sink.Lost(err, false)
-			continue
+// Age is how long ago the list was last known to be current, and whether it may be too old. Before Run it is 0.
+func (w *Watcher) Age() (age time.Duration, overdue bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.sink == nil {
+		return 0, false
+	}
+	now := w.now()
+	return now - w.machine.Told(), now >= w.machine.Due()
+}
+
+func (w *Watcher) now() time.Duration { return time.Since(w.start) }
+
+func (w *Watcher) tick() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.sink != nil {
+		w.do(w.machine.Tick(w.now()))
+	}
+}
+
+// do carries out what the machine wants; the caller holds mu.
+func (w *Watcher) do(acts []freshness.Action) {
+	if w.sink == nil {
+		return
+	}
+	for _, a := range acts {
+		switch a.Kind {
+		case freshness.Open:
+			ctx, end := context.WithCancelCause(w.ctx)
+			w.ends[a.Call] = end
+			from := w.index
+			w.calls.Go(func() { w.call(ctx, a.Call, from) })
+		case freshness.Close:
+			if end := w.ends[a.Call]; end != nil {
+				end(errReplaced)
+			}
 		}
-		if told {
-			wait = rewatchFirst
+	}
+	now := w.now()
+	next := w.machine.Next()
+	if stands := w.machine.Standing(now); stands != w.stands && !stands && w.machine.Told() > 0 {
+		w.sink.Lost(errors.New("discovery is silent"), true)
+		w.stands = false
+	} else if stands {
+		w.stands = true
+	}
+	overdue := now >= w.machine.Due()
+	if overdue != w.overdue {
+		if w.overdue = overdue; overdue {
+			w.log.Warn("the list may be too old", "age", (now - w.machine.Told()).Round(time.Millisecond))
+		} else {
+			w.log.Info("the list is current again")
 		}
-		w.log.Warn("watch ended", "next", wait, "reason", err)
-		sink.Lost(err, true)
-		again.Reset(wait)
-		wait = min(2*wait, rewatchMost)
 	}
+	if due := w.machine.Due(); !overdue {
+		next = min(next, due) // to say so
+	}
+	w.timer.Reset(max(0, next-now))
 }
 
-// take applies what was read under ctx, unless that was ended meanwhile.
-func (w *Watcher) take(ctx context.Context, text []byte) error {
-	l, err := directory.ParseListing(text)
-	if err != nil { // the last good list stays, and is asked for again from its version on
-		return fmt.Errorf("malformed list: %w", err)
-	}
+// call makes one call and tells the machine how it goes.
+func (w *Watcher) call(ctx context.Context, id freshness.CallID, from int64) {
+	err := w.watch(ctx, id, from)
 	w.mu.Lock()
-	defer w.mu.Unlock() // once Redirect has returned, nothing of the old address is taken
-	if ctx.Err() != nil {
-		return context.Cause(ctx)
+	defer w.mu.Unlock()
+	end := w.ends[id]
+	delete(w.ends, id)
+	cause := context.Cause(ctx)
+	end(nil)
+	if w.sink == nil {
+		return
+	}
+	if cause != nil {
+		err = cause
+	}
+	if errors.Is(err, errReplaced) {
+		return
 	}
-	w.index, w.untold = *l.Index, false
-	w.sink.Update(l)
-	return nil
+	acts := w.machine.Ended(w.now(), id)
+	w.log.Warn("watch ended", "reason", err)
+	w.do(acts)
 }
 
-// watch follows one watch to its end, and tells whether it brought anything. At a new address it first asks for
-// the whole list: what changed after a version of another address would say nothing.
-func (w *Watcher) watch(ctx context.Context) (told bool, err error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
+// watch follows one call to its end. At a new address it first asks for the whole list: what changed after a version of
+// another address would say nothing.
+func (w *Watcher) watch(ctx context.Context, id freshness.CallID, from int64) error {
 	w.mu.Lock()
-	w.end = cancel
 	targets, whole := fmt.Sprintf("http://%s/api/targets", w.address), w.untold
 	w.mu.Unlock()
-	defer func() {
-		if cause := context.Cause(ctx); cause != nil {
-			err = cause // says more than that the connection was closed
-		}
-	}()
-	// A dead network is silent, so whatever is waited for has a limit.
-	silence := time.AfterFunc(answerPatience, func() { cancel(errors.New("discovery is silent")) })
-	defer silence.Stop()
 	if whole {
-		body, err := w.call(ctx, targets)
+		body, err := w.get(ctx, targets)
 		if err != nil {
-			return false, err
+			return err
 		}
-		text, err := io.ReadAll(io.LimitReader(body, maxLine+1))
+		text, err := io.ReadAll(io.LimitReader(body, maxMessage+1))
 		body.Close()
-		if err == nil {
-			err = w.take(ctx, text)
+		if err == nil && len(text) == 0 {
+			err = errCut
 		}
 		if err != nil {
-			return false, err
+			return err
+		}
+		if from, err = w.take(ctx, id, from, text); err != nil {
+			return err
 		}
-		told = true
-		silence.Reset(answerPatience)
 	}
-	w.mu.Lock()
-	index := w.index
-	w.mu.Unlock()
-	body, err := w.call(ctx, fmt.Sprintf("%s?watch=1&from=%d", targets, index))
+	body, err := w.get(ctx, fmt.Sprintf("%s?watch=1&from=%d", targets, from))
 	if err != nil {
-		return told, err
+		return err
 	}
 	defer body.Close()
 	lines := bufio.NewScanner(body)
-	lines.Buffer(make([]byte, 0, 4096), maxLine)
+	lines.Buffer(make([]byte, 0, 4096), maxMessage)
+	lines.Split(messages())
 	for lines.Scan() {
-		silence.Reset(w.silence)
-		line := bytes.TrimSpace(lines.Bytes())
-		if len(line) > 0 {
-			if err := w.take(ctx, line); err != nil {
-				return told, err
-			}
-		} else if !told { // the watch stands, and there is no news since the version asked from
-			w.sink.Heard()
+		if from, err = w.take(ctx, id, from, lines.Bytes()); err != nil {
+			return err
 		}
-		told = true
-		select {
-		case <-w.asked: // when this one stood already: the module is to know
-			w.sink.Heard()
-		default:
+	}
+	return cmp.Or(lines.Err(), errors.New("discovery ended it"))
+}
+
+// take applies what a call brought, unless that has been ended meanwhile; empty text is a sign of life. from is the version that
+// the call had reached, and what it has reached now is returned.
+func (w *Watcher) take(ctx context.Context, id freshness.CallID, from int64, text []byte) (int64, error) {
+	var l *directory.Listing
+	if len(text) > 0 {
+		var err error
+		if l, err = directory.ParseListing(text); err != nil { // the last good list stays, and is asked for again from its version on
+			return from, fmt.Errorf("malformed list: %w", err)
 		}
 	}
-	if err := lines.Err(); err != nil {
-		return told, err
+	w.mu.Lock()
+	defer w.mu.Unlock() // once Redirect has returned, nothing of the old address is taken
+	if ctx.Err() != nil {
+		return from, context.Cause(ctx)
+	}
+	if w.sink == nil || !w.machine.Takes(id) {
+		return from, errReplaced
+	}
+	first := w.machine.Told() == 0 || !w.stands
+	if l != nil {
+		index := *l.Index
+		switch {
+		case w.untold, index >= w.index, l.Snapshot && from == w.index: // the last: it began to count anew
+			w.index, w.untold = index, false
+			w.sink.Update(l)
+		case from == w.index:
+			return from, fmt.Errorf("malformed list: changes of version %d, and %d is known", index, from)
+		} // else it was written before what another call has brought since: an upstream that drains must not come back by it
+		from = index
+	}
+	if l == nil && (first || w.asked.Load()) {
+		w.sink.Heard()
 	}
-	return told, errors.New("discovery ended it")
+	w.asked.Store(false)
+	w.do(w.machine.Heard(w.now(), id))
+	return from, nil
 }
 
-// call asks discovery; the caller closes the body.
-func (w *Watcher) call(ctx context.Context, url string) (io.ReadCloser, error) {
+// get asks discovery; the caller closes the body.
+func (w *Watcher) get(ctx context.Context, url string) (io.ReadCloser, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/freshness/budget.go
@@ -0,0 +1,98 @@
+package freshness
+
+import "time"
+
+// The budget from a change of the list to the last request that may still be sent against it, in the order in which its parts are
+// spent. The platform's protocol gives toldSilent: what a watch that fell silent misses counts as told so long after it fell
+// silent, and the settings' grace comes on top. A watch that is well says something every beat.
+//
+//	beat + slack              a watch that says nothing is doubted               2.5 s after its last word
+//	spread                    a fleet whose watches fell silent together         0 to 0.5 s
+//	                          does not ask in one moment
+//	half of what is left      the call made then may be quiet for so long        1.5 s or more
+//	the other half            the call made beside it has so long to speak       1.5 s or more
+//	                                                                         sum 6 s
+//
+// Calls that fail at once are made again sooner, after a part of what is left.
+const (
+	beat       = 2 * time.Second
+	slack      = 500 * time.Millisecond // late by a busy network, or a core that others share
+	silence    = beat + slack
+	toldSilent = 6 * time.Second
+	toldPushed = 250 * time.Millisecond // the grace alone: what an agent has counts as told
+	toldMoved  = 4 * time.Second        // after a reload what the new address has to tell counts as told
+
+	spreadEach = 2 * time.Millisecond // of a fleet's calls, by sidecar: 500 a second at most
+	spreadMost = 500 * time.Millisecond
+
+	mostCalls     = 2 // open at once: the one that is doubted, and the one beside it
+	patienceLeast = time.Second
+	patienceMost  = toldSilent / 2
+
+	heldFailed = 4 // times AskWithin that the list holds after a call that failed
+	askUntold  = 10 * time.Second
+)
+
+// Waits before a call is made again that ended: they double from first to most, each drawn between half and one and a half of
+// that. Asked discoveries are shared by the fleet and have to be spared while they are down; an agent at hand costs nothing.
+const (
+	waitFirst   = time.Second
+	waitMost    = 8 * time.Second
+	waitPressed = 250 * time.Millisecond // the first while a deadline is near
+	waitOverdue = 4 * time.Second        // the most once the list may be too old
+	leftPart    = 3                      // of what is left until a deadline, at most one part of so many is waited
+	waitLeast   = 200 * time.Millisecond
+
+	pushedFirst    = 50 * time.Millisecond
+	pushedMost     = 120 * time.Millisecond // within the grace, with its jitter
+	pushedPatience = 150 * time.Millisecond // for the agent's first word
+	pushedQuiet    = 500 * time.Millisecond // it doubles up to this
+)
+
+func (o *Options) askWithin() time.Duration {
+	if o.AskWithin > 0 {
+		return o.AskWithin
+	}
+	return askUntold
+}
+
+// spread is drawn once for each watch, so that a fleet's calls are spread and one sidecar's deadline is kept.
+func (m *Machine) spread() time.Duration {
+	most := min(time.Duration(m.o.Sidecars)*spreadEach, spreadMost)
+	if m.o.Pushed || most <= 0 {
+		return 0
+	}
+	return time.Duration(m.rng.Int64N(int64(most)))
+}
+
+// patience is how long a call made at begun may say nothing before another is made beside it.
+func (m *Machine) patience(begun time.Duration) time.Duration {
+	if m.o.Pushed {
+		return min(pushedPatience<<min(m.quiet, 8), pushedQuiet)
+	}
+	if m.due <= begun { // too late already: discovery is spared
+		return patienceMost
+	}
+	return max(min((m.due-begun)/2, patienceMost), patienceLeast)
+}
+
+// wait is how long no call is made after one that ended.
+func (m *Machine) wait(now time.Duration) time.Duration {
+	n := min(max(m.fails-1, 0), 16)
+	if m.o.Pushed {
+		return m.jitter(min(pushedFirst<<n, pushedMost))
+	}
+	d := min(waitFirst<<n, waitMost, m.o.askWithin()*3/5) // with its jitter still within that after discovery is back
+	switch left := m.due - now; {
+	case !m.pressed:
+	case left > 0:
+		d = max(min(d, waitPressed<<n, left/leftPart), waitLeast)
+	default:
+		d = min(d, waitOverdue)
+	}
+	return m.jitter(d)
+}
+
+func (m *Machine) jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(m.rng.Int64N(int64(d)))
+}
--- /dev/null
+++ b/internal/freshness/freshness.go
@@ -0,0 +1,229 @@
+// Package freshness decides when a list of upstreams is asked for, so that no change of it is heard of later than it counts as
+// told. It has no I/O and no clock: a driver says what happens and when, and does what it is told.
+//
+// A call is one question to discovery that stays open as a watch. The list is current as long as a call speaks: it brings a list, a
+// change or a sign of life. A call that ends, or that has been quiet for longer than one that is well can be, leaves it open whether
+// something was missed; from then on there is one deadline, Machine.Due, at which what was missed counts as told (budget.go). All
+// waits are derived from what is left until then. A call that is quiet is not given up before a later one speaks: it may be waiting
+// its turn at a discovery that works through calls one after another.
+package freshness
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Options are a Machine's parameters.
+type Options struct {
+	Pushed    bool          // the list is pushed to an agent at hand: calls cost nothing, and what it has counts as told at once
+	AskWithin time.Duration // without a watch the list holds for so long from the last call; 0: not told
+	Sidecars  int           // that follow the same list
+}
+
+// CallID names a call, from 1 up.
+type CallID uint64
+
+// Kind of an Action.
+type Kind int
+
+// The actions.
+const (
+	Open  Kind = iota // make a call
+	Close             // end it; nothing that it says counts any more
+)
+
+// Action is what the driver is to do.
+type Action struct {
+	Kind Kind
+	Call CallID
+}
+
+type call struct {
+	id     CallID
+	begun  time.Duration
+	heard  time.Duration // when it last spoke
+	spread time.Duration // added to the silence that it may keep: fleets do not ask as one
+	spoke  bool
+}
+
+// Machine is not safe for concurrent use. It holds no more than mostCalls calls. Times are on any clock that goes on.
+type Machine struct {
+	o       Options
+	rng     *rand.Rand
+	calls   []call // that are open, the oldest first
+	last    CallID
+	due     time.Duration
+	pressed bool          // due is the deadline of something that may have been missed
+	next    time.Duration // when to call again; never: not before something happens
+	fails   int           // calls that ended since one spoke
+	quiet   int           // calls in a row that were replaced and had not spoken
+	told    time.Duration // when the list was last known to be current
+	started bool
+}
+
+const never = time.Duration(1<<63 - 1)
+
+// New returns a Machine that has not begun. Random numbers come from rng.
+func New(o Options, rng *rand.Rand) *Machine {
+	return &Machine{o: o, rng: rng, next: never, due: never}
+}
+
+// Start has the first call made, and those after it.
+func (m *Machine) Start(now time.Duration) []Action {
+	m.started, m.told, m.due = true, now, now+toldSilent
+	return m.callNow(now)
+}
+
+// Redirect says that another address tells the list from now on: all calls end, and it is asked at once.
+func (m *Machine) Redirect(now time.Duration) []Action {
+	if !m.started {
+		return nil
+	}
+	var acts []Action
+	for len(m.calls) > 0 {
+		acts = append(acts, m.close(0))
+	}
+	m.fails, m.quiet, m.pressed, m.due = 0, 0, true, min(m.due, now+toldMoved)
+	return append(acts, m.callNow(now)...)
+}
+
+// Heard says that a call spoke: it brought a list, a change, or a line that stands for none. Part of a line is nothing.
+func (m *Machine) Heard(now time.Duration, id CallID) []Action {
+	i := m.find(id)
+	if i < 0 {
+		return nil
+	}
+	c := &m.calls[i]
+	if !c.spoke {
+		c.spread = m.spread()
+	}
+	c.spoke, c.heard = true, now
+	m.fails, m.quiet, m.pressed, m.next = 0, 0, false, never
+	m.told, m.due = now, now+toldSilent
+	var acts []Action
+	for ; i > 0; i-- { // it knows all that they could say
+		acts = append(acts, m.close(0))
+	}
+	return acts
+}
+
+// Ended says that a call ended by itself, or could not be made.
+func (m *Machine) Ended(now time.Duration, id CallID) []Action {
+	i := m.find(id)
+	if i < 0 {
+		return nil
+	}
+	c := m.calls[i]
+	m.calls = slices.Delete(m.calls, i, i+1)
+	m.fails++
+	if !m.pressed && !m.standing(now) {
+		m.broken(now, c.spoke)
+	}
+	if len(m.calls) == 0 {
+		m.next = now + m.wait(now)
+	}
+	return nil
+}
+
+// doubt sets the deadline of a call that may have been silent since it last spoke, or was made.
+func (m *Machine) doubt(now, since time.Duration) {
+	if m.pressed = true; m.o.Pushed {
+		since = now + toldPushed - toldSilent
+	}
+	m.due = min(m.due, since+toldSilent)
+}
+
+// broken sets the deadline once there is no watch: not silent, but ended.
+func (m *Machine) broken(now time.Duration, spoke bool) {
+	switch {
+	case m.o.Pushed:
+		m.pressed, m.due = true, now+toldPushed
+	case spoke:
+		m.due = now + m.o.askWithin()
+	default: // a call that failed
+		m.due = max(m.due, now+heldFailed*m.o.askWithin())
+	}
+}
+
+// Tick looks at what has been waited for long enough. It is called at Next, or at any time.
+func (m *Machine) Tick(now time.Duration) []Action {
+	if len(m.calls) == 0 {
+		if now < m.next {
+			return nil
+		}
+		return m.callNow(now)
+	}
+	var acts []Action
+	for now >= m.limit() {
+		youngest := m.calls[len(m.calls)-1]
+		if m.standing(now) && !youngest.spoke { // the one before it is well after all
+			acts = append(acts, m.close(len(m.calls)-1))
+			continue
+		}
+		if !youngest.spoke {
+			m.quiet++
+		}
+		if !m.pressed {
+			m.doubt(now, max(youngest.begun, youngest.heard))
+		}
+		if len(m.calls) >= mostCalls {
+			acts = append(acts, m.close(0))
+		}
+		acts = append(acts, m.callNow(now)...)
+	}
+	return acts
+}
+
+// limit is until when the youngest call may be quiet.
+func (m *Machine) limit() time.Duration {
+	if len(m.calls) == 0 {
+		return never
+	}
+	c := &m.calls[len(m.calls)-1]
+	if c.spoke {
+		return c.heard + silence + c.spread
+	}
+	return c.begun + m.patience(c.begun)
+}
+
+// Next is when Tick is due.
+func (m *Machine) Next() time.Duration {
+	if len(m.calls) == 0 {
+		return m.next
+	}
+	return m.limit()
+}
+
+// Due is when what may have been missed counts as told; the list may be too old from then on.
+func (m *Machine) Due() time.Duration { return m.due }
+
+// Told is when the list was last known to be current.
+func (m *Machine) Told() time.Duration { return m.told }
+
+// Standing tells whether a call speaks.
+func (m *Machine) Standing(now time.Duration) bool { return m.standing(now) }
+
+// Takes tells whether what a call says counts.
+func (m *Machine) Takes(id CallID) bool { return m.find(id) >= 0 }
+
+func (m *Machine) standing(now time.Duration) bool {
+	return slices.ContainsFunc(m.calls, func(c call) bool { return c.spoke && now < c.heard+silence+c.spread })
+}
+
+func (m *Machine) callNow(now time.Duration) []Action {
+	m.last++
+	m.calls = append(m.calls, call{id: m.last, begun: now})
+	m.next = never
+	return []Action{{Open, m.last}}
+}
+
+func (m *Machine) close(i int) Action {
+	id := m.calls[i].id
+	m.calls = slices.Delete(m.calls, i, i+1)
+	return Action{Close, id}
+}
+
+func (m *Machine) find(id CallID) int {
+	return slices.IndexFunc(m.calls, func(c call) bool { return c.id == id })
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -15,7 +15,8 @@
 // Settings is what the object tells: the module's part, and what only a process on real sockets needs.
 type Settings struct {
 	balancer.Settings
-	ConnIdle time.Duration // upstreams close connections that are idle for this long; 0: not told
+	ConnIdle  time.Duration // upstreams close connections that are idle for this long; 0: not told
+	AskWithin time.Duration // a list that is asked for holds for so long after the last call, where no watch stands; 0: not told
 }
 
 // Decode reads the object. Keys that are not known here are passed over; whether the values can be used is for
@@ -25,7 +26,8 @@
 	if err := json.Unmarshal(raw, &o); err != nil {
 		return Settings{}, fmt.Errorf("not a settings object: %w", err)
 	}
-	return Settings{Settings: o.settings(), ConnIdle: Milliseconds(o.Limits.ConnIdleMs)}, nil
+	return Settings{Settings: o.settings(), ConnIdle: Milliseconds(o.Limits.ConnIdleMs),
+		AskWithin: max(0, Milliseconds(o.Rules.MustAskInMs))}, nil
 }
 
 // Milliseconds converts a number of milliseconds, counted in whole microseconds as the settings' source does. What
@@ -55,7 +57,7 @@
 	}
 	OverShareWorth float64
 	Prices         struct{ CrossZone float64 }
-	Rules          struct{ ColdFrom, WarmUpMs, FallMs, FallMultiple float64 }
+	Rules          struct{ ColdFrom, WarmUpMs, FallMs, FallMultiple, MustAskInMs float64 }
 	Tenants        []struct {
 		Name     string
 		Fraction float64
