--- a/cmd/orchiddrift/check.go
+++ b/cmd/orchiddrift/check.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"orchiddrift/internal/config"
+	"orchiddrift/internal/freshness"
 	"orchiddrift/orchidgrpc"
 )
 
@@ -40,7 +41,12 @@
 	if conf.Known != nil {
 		known = len(conf.Known.Endpoints)
 	}
-	_, err = fmt.Fprintf(w, "%s can be used: %d classes, %d upstreams known\n", path, len(conf.Settings.Classes), known)
+	lists := ""
+	if conf.Discovery != "" {
+		how := freshness.Options{Pushed: !conf.Settings.MustSubscribe, AskWithin: conf.Settings.AskWithin}
+		lists = "; lists are " + how.Describe()
+	}
+	_, err = fmt.Fprintf(w, "%s can be used: %d classes, %d upstreams known%s\n", path, len(conf.Settings.Classes), known, lists)
 	return err
 }
 
@@ -92,7 +98,8 @@
 		}
 		switch {
 		case s.Discovery != "":
-			from = "discovery at " + s.Discovery
+			how := s.Freshness()
+			from = "discovery at " + s.Discovery + ", " + how.Describe()
 		case s.ListFile != "":
 			from = "the list file " + s.ListFile
 		}
--- a/internal/daemon/reading.go
+++ b/internal/daemon/reading.go
@@ -19,6 +19,12 @@
 		}
 		f.Members += int64(ready + leaving)
 		f.Unavailable += int64(leaving)
+		if w := s.watcher(); w != nil {
+			age, overdue := w.Age()
+			if f.ListAge = max(f.ListAge, age.Milliseconds()); overdue {
+				f.Overdue++
+			}
+		}
 	}
 	return f
 }
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -286,6 +286,18 @@
 	return s.feed
 }
 
+// watcher is what follows the service's list at a discovery; nil: there is none.
+func (s *service) watcher() *discovery.Watcher {
+	s.mu.Lock()
+	source := s.source
+	s.mu.Unlock()
+	if merged, is := source.(*discovery.Merged); is {
+		source = merged.Source(ownList)
+	}
+	w, _ := source.(*discovery.Watcher)
+	return w
+}
+
 // ask is the module's wish for the list.
 func (s *service) ask() {
 	go func() { // it must not block, and follow may hold the lock for a moment
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -152,6 +152,7 @@
 	now := w.now()
 	next := w.machine.Next()
 	if stands := w.machine.Standing(now); stands != w.stands && !stands && w.machine.Told() > 0 {
+		w.log.Warn("the list is not heard of: asking again", "age", (now - w.machine.Told()).Round(time.Millisecond))
 		w.sink.Lost(errors.New("discovery is silent"), true)
 		w.stands = false
 	} else if stands {
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -115,11 +115,14 @@
 	Sent    int64
 	Reloads, ReloadsFailed,
 	Members, Unavailable int64
+	// ListAge is how long ago the oldest list that is followed was known to be current, in milliseconds, and Overdue how many lists may be
+	// too old. Below 0: none is followed.
+	ListAge, Overdue int64
 }
 
 // Read reads all counts; the members are the caller's to fill in.
 func (c *Counts) Read() Figures {
-	f := Figures{Sent: c.sent.Load(), Reloads: c.reloads.Load(), ReloadsFailed: c.reloadsFailed.Load()}
+	f := Figures{ListAge: -1, Sent: c.sent.Load(), Reloads: c.reloads.Load(), ReloadsFailed: c.reloadsFailed.Load()}
 	for name, of := range *c.classes.Load() {
 		one := ClassFigures{Class: name}
 		var ended int64
@@ -154,6 +157,10 @@
 	line(f.Pending, "pending")
 	line(f.Members, "members")
 	line(f.Unavailable, "members_unavailable")
+	if f.ListAge >= 0 {
+		line(f.ListAge, "list_age_ms")
+		line(f.Overdue, "lists_overdue")
+	}
 	line(f.Reloads, "config_reloads")
 	line(f.ReloadsFailed, "config_reload_errors")
 	return string(out)
--- a/internal/freshness/budget.go
+++ b/internal/freshness/budget.go
@@ -1,6 +1,9 @@
 package freshness
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // The budget from a change of the list to the last request that may still be sent against it, in the order in which its parts are
 // spent. The platform's protocol gives toldSilent: what a watch that fell silent misses counts as told so long after it fell
@@ -96,3 +99,11 @@
 func (m *Machine) jitter(d time.Duration) time.Duration {
 	return d/2 + time.Duration(m.rng.Int64N(int64(d)))
 }
+
+// Describe tells how old a list may be.
+func (o Options) Describe() string {
+	if o.Pushed {
+		return fmt.Sprintf("pushed: a watch that breaks is opened again within %v, one that is silent doubted after %v", pushedMost*3/2, silence)
+	}
+	return fmt.Sprintf("asked: a watch doubted after %v of silence, the list too old after %v of it, or %v without a watch", silence, toldSilent, o.askWithin())
+}
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -140,7 +140,7 @@
 
 const (
 	mostNodes    = 5000
-	mostSidecars = 400
+	mostSidecars = 2000
 	mostRequests = 100_000_000
 	mostSeeds    = 1000
 	mostPoints   = 10_000
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -17,6 +18,11 @@
 // can be set, drained and removed; the service can fall silent, break its watches, go down and move.
 type Discovery struct {
 	Beat time.Duration // an empty line so often while nothing changes; absent: 200 ms. Set before Listen.
+	// Rate is how many calls it works through in a second, one after another; one that would wait for longer than Timeout is turned
+	// away at once. Absent: all are answered at once. Set before Listen.
+	Rate    float64
+	Timeout time.Duration
+	Indent  bool // lists are written on many lines. Set before Listen
 
 	mu      sync.Mutex
 	changed *sync.Cond
@@ -25,6 +31,11 @@
 	silent  bool
 	down    bool
 	breaks  int // watches that began before this number end
+	muted   int // calls up to this number say nothing more
+	hold    time.Duration
+	free    time.Time // when it has worked through all calls so far
+	calls   []time.Time
+	current int // watches that have been told all
 	srv     *http.Server
 	address string
 	serving sync.WaitGroup
@@ -86,27 +97,32 @@
 	d.serving.Wait()
 }
 
-// Set adds or changes an entry.
-func (d *Discovery) Set(e directory.Endpoint) {
+// Set adds or changes entries, all at one moment.
+func (d *Discovery) Set(entries ...directory.Endpoint) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.index++
-	d.entries[e.Name] = versioned{e, d.index}
+	for _, e := range entries {
+		d.entries[e.Name] = versioned{e, d.index}
+	}
 	d.changed.Broadcast()
 }
 
-// Drain says that an upstream wants nothing new.
-func (d *Discovery) Drain(name string) { d.status(name, directory.StatusTerminating) }
+// Drain says that upstreams want nothing new.
+func (d *Discovery) Drain(names ...string) { d.status(directory.StatusTerminating, names...) }
 
 // Remove says that it is gone.
-func (d *Discovery) Remove(name string) { d.status(name, directory.StatusGone) }
+func (d *Discovery) Remove(name string) { d.status(directory.StatusGone, name) }
 
-func (d *Discovery) status(name, status string) {
+func (d *Discovery) status(status string, names ...string) {
 	d.mu.Lock()
-	e := d.entries[name].e
+	entries := make([]directory.Endpoint, len(names))
+	for i, name := range names {
+		entries[i] = d.entries[name].e
+		entries[i].Name, entries[i].Status = name, status
+	}
 	d.mu.Unlock()
-	e.Name, e.Status = name, status
-	d.Set(e)
+	d.Set(entries...)
 }
 
 // Silence makes watches say nothing, without ending them; calls are not answered.
@@ -118,6 +134,47 @@
 // Break ends the watches that there are.
 func (d *Discovery) Break() { d.change(func() { d.breaks++ }) }
 
+// Mute makes the calls and watches that are open now say nothing more, without ending them; later ones are answered.
+func (d *Discovery) Mute() { d.change(func() { d.muted = len(d.calls) }) }
+
+// Hold has the answers to calls made from now on come so much later.
+func (d *Discovery) Hold(by time.Duration) { d.change(func() { d.hold = by }) }
+
+// Calls is when each call came, whatever became of it.
+func (d *Discovery) Calls() []time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.calls)
+}
+
+// Current is how many watches have been told all that there is.
+func (d *Discovery) Current() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.current
+}
+
+// turn is a call's number, and how long it has to wait; below 0: it is turned away.
+func (d *Discovery) turn() (int, time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	d.calls = append(d.calls, now)
+	if d.Rate <= 0 {
+		return len(d.calls), d.hold
+	}
+	free := d.free
+	if free.Before(now) {
+		free = now
+	}
+	free = free.Add(time.Duration(float64(time.Second) / d.Rate))
+	if free.Sub(now) > d.Timeout {
+		return len(d.calls), -1
+	}
+	d.free = free
+	return len(d.calls), free.Sub(now) + d.hold
+}
+
 func (d *Discovery) change(do func()) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -158,6 +215,18 @@
 		http.NotFound(w, r)
 		return
 	}
+	call, wait := d.turn()
+	if wait < 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if wait > 0 {
+		select {
+		case <-time.After(wait):
+		case <-r.Context().Done():
+			return
+		}
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	wake := func() {
@@ -166,7 +235,7 @@
 		d.mu.Unlock()
 	}
 	defer context.AfterFunc(r.Context(), wake)()
-	for d.silent && !d.closed && r.Context().Err() == nil {
+	for (d.silent || call <= d.muted) && !d.closed && r.Context().Err() == nil {
 		d.changed.Wait()
 	}
 	if d.down || d.closed {
@@ -200,18 +269,30 @@
 			}
 		}
 	}()
+	told := false // all that there is
+	tell := func(all bool) {
+		if all != told {
+			told = all
+			if d.current--; all {
+				d.current += 2
+			}
+		}
+	}
+	defer func() { tell(false) }()
 	for first, seen := true, 0; ; first = false {
 		if d.closed || d.down || d.breaks != breaks || r.Context().Err() != nil {
 			return
 		}
+		tell(!first && from == d.index)
 		switch {
-		case d.silent:
+		case d.silent || call <= d.muted:
 		case first || from < d.index:
 			l := d.since(from)
 			from = d.index
 			if d.write(w, l) != nil {
 				return
 			}
+			tell(true)
 		case beats > seen:
 			seen = beats
 			if _, err := fmt.Fprintln(w); err != nil {
@@ -225,7 +306,11 @@
 
 // write sends a message; the caller holds mu, so that Told is never earlier than the write.
 func (d *Discovery) write(w http.ResponseWriter, l *directory.Listing) error {
-	if err := json.NewEncoder(w).Encode(l); err != nil {
+	out := json.NewEncoder(w)
+	if d.Indent {
+		out.SetIndent("", "  ")
+	}
+	if err := out.Encode(l); err != nil {
 		return err
 	}
 	err := http.NewResponseController(w).Flush()
