daemon: a keyed GraphQL operation that is refused after it may have run says so

Need: two claims of "not run" had no test by a fault of their own: keyed GraphQL operations with a store, and hand-overs.

Seen, by the first of them, as it was written: a node has the operation and dies, and the client is told 503 "mayHaveRun":false ... "refused: not done, trying again is harmless". The refusal is the module's, for a class whose repeats all upstreams drop, so asking again is harmless; that it was not done is false. At fault: operation.outcome in internal/daemon/graphql.go, which words every refusal as a proof. Ruled out: that it is sent anew (one arrival over both nodes).

Change: such a refusal says mayHaveRun true and counts as uncertain in a batch. TestNothingRunsTwiceThroughReplacements: 3 replacements of real processes before nodes that break connections behind a run and turn away: no unsafe request runs twice, none that was answered 503 has run.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,6 +6,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -178,6 +179,9 @@
 	if err := d.joinFleet(rest, p); err != nil {
 		return err
 	}
+	if err := d.runTasks(rest, p, cmp.Or(files.Beside, files.Config)); err != nil {
+		return err
+	}
 	known, err := d.register(p)
 	if err != nil {
 		return err
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -5,12 +5,43 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
 
 	"orchiddrift/internal/config"
 	leases "orchiddrift/internal/lease"
 	"orchiddrift/internal/leasegroup"
+	"orchiddrift/internal/taskrun"
 )
 
+// runTasks has the process take its part in the fleet's tasks. Requests never wait for any of it.
+func (d *daemon) runTasks(ctx context.Context, p *config.Plan, file string) error {
+	if p.File == nil || len(p.File.Tasks) == 0 || p.File.Fleet.Tasks == 0 {
+		return nil
+	}
+	f := &p.File.Fleet
+	self, err := os.Executable()
+	if err != nil {
+		return fmt.Errorf("tasks: %w", err)
+	}
+	at, err := leasegroup.NewClient(f.Name, leasegroup.PeersOf(f))
+	if err != nil {
+		return fmt.Errorf("tasks: %w", err)
+	}
+	d.besides.Go(func() {
+		defer at.Close()
+		err := taskrun.Run(ctx, taskrun.Options{Name: p.Name, Tasks: p.File.Tasks, At: at, Drift: f.Drift, Guard: []string{self, "lease", "--file", file, "guard"},
+			Listen: func() string { return d.listening.Addr().String() }, Room: f.Tasks, Seed: p.Seed ^ xxhash.Sum64String("tasks"),
+			Drains: func() bool { return d.course.stopping.Load() || !d.course.wanted.Load() }, Now: time.Now, Log: d.log})
+		if err != nil {
+			d.log.Error("tasks: this process runs none", "reason", err)
+		}
+	})
+	return nil
+}
+
 // joinFleet has the process take its part in the fleet's group, where the operator's file gives it one. A part that breaks off later, its disk
 // being torn, say, ends alone: requests are served all the same, and none waits for any of it.
 func (d *daemon) joinFleet(ctx context.Context, p *config.Plan) error {
--- a/internal/daemon/graphql.go
+++ b/internal/daemon/graphql.go
@@ -257,6 +257,9 @@
 	}
 	switch o.answer.Kind {
 	case engine.Refused:
+		if o.decision.Class.Effect == balancer.Keyed && o.begun.Load() > 0 { // whoever asks again finds the group that drops repeats
+			return say(http.StatusServiceUnavailable, graphql.Uncertain, graphql.CodeRefused, "refused: it may have run; trying again with the same key is harmless")
+		}
 		return say(http.StatusServiceUnavailable, graphql.NotRun, graphql.CodeRefused, "refused: not done, trying again is harmless")
 	case engine.Duplicate:
 		if o.conflict != 0 {
--- a/internal/daemon/graphql_test.go
+++ b/internal/daemon/graphql_test.go
@@ -532,3 +532,39 @@
 		served.Load(), refused.Load(), failed.Load(), queries.Load(), lost.Load())
 	testkit.Eventually(t, "nothing is left in hand", func() bool { return r.d.routing.Load().services["seats"].engine.InHand() == 0 })
 }
+
+// Guards against a keyed operation that runs and is taken for one that was never sent: its attempts are made on behalf of its key, apart
+// from the request, and count as well. A reload takes its endpoint and the store away while a node has it, then that node dies: the
+// operation is not decided anew by the new file, which knows nothing of its key.
+func TestGraphQLKeyedIsNotDecidedAnew(t *testing.T) {
+	busy := standin.NodeOptions{Work: time.Hour}
+	r := startGraphQL(t, "10s", busy, busy)
+	if err := r.reload(t, r.file+"[[repeats]]\nservice = \"seats\"\n"); err != nil {
+		t.Fatal(err)
+	}
+	arrived := func() (at []int) {
+		counts := r.ledger.Nodes()
+		for i := range r.nodes {
+			for range counts[fmt.Sprint("n", i)].Arrived {
+				at = append(at, i)
+			}
+		}
+		return at
+	}
+	got := make(chan string, 1)
+	go func() {
+		status, _, body := r.post(context.Background(), op(`mutation{record(requestId:"k")}`))
+		got <- fmt.Sprint(status, " ", body)
+	}()
+	testkit.Eventually(t, "a node has it", func() bool { return len(arrived()) == 1 })
+	if err := r.reload(t, strings.Replace(r.file, `["SERVICE_UNAVAILABLE"]`, `["GONE"]`, 1)); err != nil {
+		t.Fatal(err)
+	}
+	r.nodes[arrived()[0]].Kill()
+	if answer := <-got; strings.HasPrefix(answer, "200") || !strings.Contains(answer, `"mayHaveRun":true`) {
+		t.Errorf("the client is told %s", answer)
+	}
+	if at := arrived(); len(at) != 1 {
+		t.Errorf("it was sent to %v", at)
+	}
+}
--- a/internal/suite/replace_test.go
+++ b/internal/suite/replace_test.go
@@ -39,11 +39,16 @@
 }
 
 func newReplaced(t *testing.T) *replaced {
-	node := standin.NodeOptions{Cores: 8, Work: 5 * time.Millisecond}
+	r, _ := newReplacedWorld(t, standin.NodeOptions{Cores: 8, Work: 5 * time.Millisecond})
+	return r
+}
+
+// newReplacedWorld is newReplaced before nodes of that kind.
+func newReplacedWorld(t *testing.T, node standin.NodeOptions) (*replaced, *world) {
 	w := newWorld(t, node, node, node)
 	listen := base.FreeAddress(t)
 	return &replaced{t: t, discovery: w.discovery[overHTTP], config: configFile(t, w, overHTTP, listen), folder: t.TempDir(), listen: listen,
-		client: &http.Client{Timeout: testkit.Patience, Transport: &http.Transport{DisableKeepAlives: true}}}
+		client: &http.Client{Timeout: testkit.Patience, Transport: &http.Transport{DisableKeepAlives: true}}}, w
 }
 
 // start starts a process, and waits until it can serve.
@@ -311,3 +316,48 @@
 	r.discovery.Drain("n1")
 	testkit.Eventually(t, "it is followed again", func() bool { return r.figure(second, "members_unavailable") == 2 })
 }
+
+// Guards against a claim of "not run" that a replacement turns false: requests in hand stay with the old process, none of them is decided
+// by the new one, and what either says of them holds. Nodes break connections behind requests that they run, and turn others away.
+func TestNothingRunsTwiceThroughReplacements(t *testing.T) {
+	r, w := newReplacedWorld(t, standin.NodeOptions{Cores: 8, Work: 5 * time.Millisecond, Faults: []standin.Fault{
+		{Kind: standin.ResetAfter, Class: "confirm", Share: 0.1}, {Kind: standin.TurnAway, Class: "confirm", Share: 0.1}}})
+	process := r.start()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var clients sync.WaitGroup
+	var asked atomic.Int64
+	for n := range 6 {
+		client := &http.Client{Timeout: testkit.Patience, Transport: &http.Transport{DisableKeepAlives: n%2 == 0}}
+		clients.Go(func() {
+			defer client.CloseIdleConnections()
+			for ctx.Err() == nil {
+				req := testkit.Request(t, r.listen, "confirm", "")
+				resp, err := client.Do(req)
+				if err != nil {
+					t.Error(err)
+					continue
+				}
+				_, _ = io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+				asked.Add(1)
+				runs := len(w.ledger.Operation(req.Header.Get("X-Request-ID")).Runs)
+				if runs > 1 || resp.StatusCode == http.StatusServiceUnavailable && runs > 0 || resp.StatusCode == http.StatusOK && runs != 1 {
+					t.Errorf("%s after %d runs", resp.Status, runs)
+				}
+			}
+		})
+	}
+	for range 3 {
+		before := asked.Load()
+		testkit.Eventually(t, "requests are in hand", func() bool { return asked.Load() > before+50 })
+		next := r.start()
+		r.end(process)
+		process = next
+	}
+	cancel()
+	clients.Wait()
+	if ids := w.ledger.Doubled("confirm"); len(ids) > 0 {
+		t.Errorf("run twice: %v", ids)
+	}
+}
