task: each due run of a fleet's background work is done by one process, through crashes

Change: the record of leases keeps a word with a name, also when nobody holds it, and takes one from the holder of the name's token alone; its place in the log is the fence. internal/task decides (pure): which run is due, what becomes of one that was cut off, when a process asks. internal/taskrun notes a run before it begins and after its end, and runs commands under the lease's guard, or calls through the daemon. [[task]] and [fleet] tasks in the operator's file, orchiddrift lease tasks, docs. Off unless a file says so: the platform's has no fleet. The ways weighed and the steps stand in docs/design/leases.md. TestEveryPairOfStates reads its own section of its note.

--- a/cmd/orchiddrift/lease.go
+++ b/cmd/orchiddrift/lease.go
@@ -4,8 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"os"
 	"os/signal"
+	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"text/tabwriter"
@@ -14,6 +17,8 @@
 	"orchiddrift/internal/config"
 	"orchiddrift/internal/lease"
 	"orchiddrift/internal/leasegroup"
+	tasks "orchiddrift/internal/task"
+	"orchiddrift/internal/taskrun"
 )
 
 // Exit codes of the lease commands, beside 1 for what is wrong with the call.
@@ -28,6 +33,7 @@
 	Run    leaseRunCmd    `cmd:"" help:"Run a command while a lease is held. It is ended before the lease is."`
 	List   leaseListCmd   `cmd:"" help:"Print the leases that are held, and by whom."`
 	Show   leaseShowCmd   `cmd:"" help:"Print one lease, and the group's members."`
+	Tasks  leaseTasksCmd  `cmd:"" help:"Print the fleet's tasks, each with its latest run."`
 	Revoke leaseRevokeCmd `cmd:"" help:"Have the holder of a lease get no other term."`
 	Guard  leaseGuardCmd  `cmd:"" hidden:""`
 }
@@ -254,6 +260,31 @@
 	return err
 }
 
+type leaseTasksCmd struct{}
+
+// Run is kong's.
+func (*leaseTasksCmd) Run(l *leaseCmd) error {
+	i, _, err := l.leader(infoPatience)
+	if err != nil {
+		return err
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(w, "TASK\tDUE\tPHASE\tCODE\tTRIES\tTOKEN\tBY")
+	for _, name := range slices.Sorted(maps.Keys(i.Notes)) {
+		task, is := strings.CutPrefix(name, taskrun.LeasePrefix)
+		if !is {
+			continue
+		}
+		r, err := tasks.Read(i.Notes[name])
+		if err != nil {
+			fmt.Fprintf(w, "%s\t%v\n", task, err)
+			continue
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%s\n", task, r.Due.Local().Format(time.RFC3339), r.Phase, r.Code, r.Tries, r.Token, r.By)
+	}
+	return w.Flush()
+}
+
 type leaseRevokeCmd struct {
 	Name string `arg:"" help:"The lease."`
 }
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -21,6 +21,7 @@
 	"orchiddrift/internal/routes"
 	"orchiddrift/internal/settings"
 	"orchiddrift/internal/subset"
+	"orchiddrift/internal/task"
 	"orchiddrift/internal/tomlfile"
 	"orchiddrift/internal/units"
 	"orchiddrift/internal/warm"
@@ -37,6 +38,7 @@
 	Eureka   []eureka.Declaration       `toml:"eureka" doc:"An Eureka registry that lists upstreams of a service, beside that one's own list or alone."`
 	Platform PlatformPart               `toml:"platform" doc:"Added to the platform's service, beside its file."`
 	Fleet    lease.Declaration          `toml:"fleet" doc:"The fleet of processes that this one belongs to, and the group of them that keeps its leases."`
+	Tasks    []task.Declaration         `toml:"task" reload:"start" doc:"Background work of the fleet: each due run is done by one of its processes."`
 	Doors    []door.Options             `toml:"door" doc:"A queue before a service, fair between those who ask."`
 	Services []Service                  `toml:"service" doc:"A service: upstreams that answer the same requests. There are as many as there are such tables."`
 	Repeats  []repeatkeeper.Declaration `toml:"repeats" doc:"A store of idempotency keys: a client's repeat of a keyed request gets the first one's end."`
--- a/internal/config/plan.go
+++ b/internal/config/plan.go
@@ -30,6 +30,7 @@
 	"orchiddrift/internal/routes"
 	"orchiddrift/internal/settings"
 	"orchiddrift/internal/subset"
+	"orchiddrift/internal/task"
 	"orchiddrift/internal/tomlfile"
 	"orchiddrift/internal/units"
 	"orchiddrift/internal/warm"
@@ -265,6 +266,14 @@
 		doc.Report("platform", "there is no platform's file: a service has its own [service.subset], [service.warm] and [service.probe]")
 	}
 	f.registries(p, beside, doc)
+	for i := range f.Tasks {
+		if !f.Fleet.On() {
+			doc.Report(fmt.Sprintf("task[%d]", i), "there is no [fleet] whose processes share it")
+		}
+		if slices.ContainsFunc(f.Tasks[:i], func(o task.Declaration) bool { return o.Name == f.Tasks[i].Name }) {
+			doc.Report(fmt.Sprintf("task[%d].name", i), "%q is taken", f.Tasks[i].Name)
+		}
+	}
 	longest := time.Duration(0)
 	for i := range f.Services {
 		s := &f.Services[i]
--- a/internal/lease/declaration.go
+++ b/internal/lease/declaration.go
@@ -19,6 +19,7 @@
 	Longest  units.Duration `toml:"longest" default:"5m" reload:"start" doc:"And no longer."`
 	Drift    float64        `toml:"drift" default:"0.01" reload:"start" doc:"How far the rate of any process's clock is from true time at most, as a part."`
 	Names    int            `toml:"names" default:"10000" reload:"start" doc:"Leases held at once, at most: a new name is refused then."`
+	Tasks    int            `toml:"tasks" default:"2" reload:"start" doc:"Runs of [[task]] that this process takes at once, at most; 0: none."`
 	Waiters  int            `toml:"waiters" default:"1000" reload:"start" doc:"Processes that wait for one lease, at most."`
 }
 
@@ -81,6 +82,9 @@
 	if !(d.Drift >= 0 && d.Drift <= 0.2) {
 		report("drift", "%v is not from 0 to 0.2", d.Drift)
 	}
+	if d.Tasks < 0 || d.Tasks > 1000 {
+		report("tasks", "%d is not from 0 to 1000", d.Tasks)
+	}
 	if d.Names < 1 || d.Names > 1_000_000 || d.Waiters < 1 || d.Waiters > 100_000 {
 		report("names", "%d names with %d waiters each", d.Names, d.Waiters)
 	}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -27,6 +27,8 @@
 	Revoke                  // an operator's word: the holder gets no other term
 	Expire                  // the leader's word: the Token's term is over
 	Drop                    // the leader's word: a waiter has not been heard of
+	Note                    // Value is to be kept with the name, also when nobody holds it; only the holder of Token may
+	Look                    // the same without a change: what is kept
 )
 
 // Ask is what the record is told. Acquire, Renew and Release may come late, twice or never.
@@ -40,6 +42,7 @@
 	Term   time.Duration // Acquire: how long a term is to be
 	Wait   bool          // Acquire: in the queue if it is held
 	To     string        // HandOn: a client
+	Value  string        // Note: at most NoteBytes; "": nothing is kept any more
 }
 
 // Verdict is how an Ask ended.
@@ -51,7 +54,7 @@
 	Held                       // somebody else holds it, and the ask would not wait
 	Full                       // no room for another name, or for another waiter
 	Lost                       // what the ask is about is no longer so
-	Done                       // of Release, HandOn and Revoke
+	Done                       // of Release, HandOn, Revoke, Note and Look
 )
 
 // Reply is what an Ask comes to. Client, Name, Seq and Nr are the ask's.
@@ -64,6 +67,7 @@
 	Term    time.Duration
 	Place   int
 	Holder  string
+	Value   string // of Note and Look: what is kept with the name
 }
 
 func (a *Ask) reply(v Verdict) Reply {
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"reflect"
+	"strings"
 	"testing"
 	"time"
 )
@@ -259,3 +260,52 @@
 		t.Error("it has something to do")
 	}
 }
+
+// Guards against a word that a holder keeps with a name after it has lost it, and against notes without a bound: only the holder of the name's
+// token may write, what is kept outlasts the lease, and a record that was passed on has it.
+func TestNotes(t *testing.T) {
+	table := NewTable(Limits{Names: 2, Waiters: 2, NameBytes: 100, Shortest: 1, Longest: time.Hour})
+	apply := func(k Kind, client string, token Token, value string) Reply {
+		r, _ := table.Apply(Ask{Kind: k, Name: "n", Client: client, Seq: uint64(table.Last() + 1), Token: token, Value: value, Term: time.Second})
+		return r
+	}
+	first := apply(Acquire, "a", 0, "").Token
+	steps := []struct {
+		what  string
+		reply Reply
+		want  Verdict
+		value string
+	}{
+		{"the holder writes", apply(Note, "a", first, "one"), Done, "one"},
+		{"another client", apply(Note, "b", first, "two"), Lost, ""},
+		{"another token", apply(Note, "a", first+1, "two"), Lost, ""},
+		{"too long", apply(Note, "a", first, strings.Repeat("x", NoteBytes+1)), Full, "one"},
+		{"it is given back", apply(Release, "a", first, ""), Done, ""},
+		{"and written after that", apply(Note, "a", first, "late"), Lost, ""},
+		{"the next one", apply(Acquire, "b", 0, ""), Granted, ""},
+		{"finds it", apply(Look, "b", table.Last(), ""), Done, "one"},
+		{"the first one is still refused", apply(Note, "a", first, "late"), Lost, ""},
+	}
+	for _, s := range steps {
+		if s.reply.Verdict != s.want || s.reply.Value != s.value {
+			t.Errorf("%s: %+v", s.what, s.reply)
+		}
+	}
+	other := NewTable(table.limits)
+	other.Load(table.Last(), table.List())
+	other.Keep(table.Notes())
+	if r, _ := other.Apply(Ask{Kind: Look, Name: "n", Client: "b", Token: table.Last()}); r.Value != "one" {
+		t.Errorf("passed on: %+v", r)
+	}
+	for _, name := range []string{"o", "p"} {
+		table.Apply(Ask{Kind: Release, Name: "n", Client: "b", Token: table.Last()})
+		r, _ := table.Apply(Ask{Kind: Acquire, Name: name, Client: "c", Seq: 9, Term: time.Second})
+		r, _ = table.Apply(Ask{Kind: Note, Name: name, Client: "c", Token: r.Token, Value: "x"})
+		if want := map[string]Verdict{"o": Done, "p": Full}[name]; r.Verdict != want {
+			t.Errorf("%s: %+v", name, r)
+		}
+	}
+	if r := apply(Note, "b", table.Last(), ""); r.Verdict == Done {
+		t.Errorf("nobody holds it: %+v", r)
+	}
+}
--- a/internal/lease/table.go
+++ b/internal/lease/table.go
@@ -38,12 +38,15 @@
 // Table is the record. The same asks in the same order make the same Table. It is for one goroutine.
 type Table struct {
 	limits Limits
-	last   Token // given: it is of all names, so that a name that nobody holds takes no room and its tokens rise all the same
+	notes  map[string]string // what is kept with names; a sink that refuses lower tokens, since a name's holder alone may change it
+	last   Token             // given: it is of all names, so that a name that nobody holds takes no room and its tokens rise all the same
 	names  map[string]*Entry
 }
 
 // NewTable returns an empty one.
-func NewTable(l Limits) *Table { return &Table{limits: l, names: map[string]*Entry{}} }
+func NewTable(l Limits) *Table {
+	return &Table{limits: l, names: map[string]*Entry{}, notes: map[string]string{}}
+}
 
 // Apply changes the record by an ask, and returns what it comes to; granted tells whether a name has a new holder. Renew changes nothing:
 // Terms answers it.
@@ -76,6 +79,8 @@
 		r = a.reply(Done)
 		r.Token, r.Holder = e.Token, e.Holder
 		return r, nil
+	case Note, Look:
+		return t.note(a, e), nil
 	case Drop:
 		if e != nil {
 			e.Waiters = slices.DeleteFunc(e.Waiters, func(w Waiter) bool { return w.Client == a.Client && w.Seq == a.Seq })
@@ -85,6 +90,42 @@
 	return a.reply(Lost), nil
 }
 
+// NoteBytes bounds what is kept with a name; as many names may have a note as may be held.
+const NoteBytes = 512
+
+// note keeps a word with a name, or tells it. The order of the record is what fences: a holder that has been replaced is refused, whatever it
+// thinks of the time.
+func (t *Table) note(a Ask, e *Entry) Reply {
+	if e == nil || e.Token != a.Token || e.Holder != a.Client {
+		return a.reply(Lost)
+	}
+	old, kept := t.notes[a.Name]
+	switch {
+	case a.Kind == Look:
+	case a.Value == "":
+		delete(t.notes, a.Name)
+	case len(a.Value) > NoteBytes || !kept && len(t.notes) >= t.limits.Names:
+		r := a.reply(Full)
+		r.Value = old
+		return r
+	default:
+		t.notes[a.Name] = a.Value
+	}
+	r := a.reply(Done)
+	r.Token, r.Holder, r.Value = e.Token, e.Holder, t.notes[a.Name]
+	return r
+}
+
+// Notes is a copy of all that is kept, by name; Keep is its counterpart.
+func (t *Table) Notes() map[string]string { return maps.Clone(t.notes) }
+
+// Keep makes the notes what Notes said.
+func (t *Table) Keep(notes map[string]string) {
+	if t.notes = maps.Clone(notes); t.notes == nil {
+		t.notes = map[string]string{}
+	}
+}
+
 func (t *Table) usable(name string) bool { return name != "" && len(name) <= t.limits.NameBytes }
 
 func (t *Table) acquire(a Ask, e *Entry) (Reply, *Entry) {
--- a/internal/leasegroup/command.go
+++ b/internal/leasegroup/command.go
@@ -31,6 +31,7 @@
 	Name   string
 	Argv   []string
 	Margin time.Duration
+	Env    []string                      // beside this process's own
 	Over   func(code int, why lease.Why) // the command has ended: by itself where why is 0
 	Told   func(text string)             // what is worth a line
 
@@ -66,7 +67,7 @@
 	argv := append(append([]string{}, c.Guard...), "--margin", c.Margin.String(), "--until", strconv.FormatInt(int64(c.until), 10), "--")
 	cmd := exec.Command(c.Guard[0], append(argv[1:], c.Argv...)...)
 	cmd.Stdout, cmd.Stderr = os.Stdout, os.Stderr
-	cmd.Env = append(os.Environ(), TokenVariable+"="+strconv.FormatUint(uint64(c.token), 10), NameVariable+"="+c.Name)
+	cmd.Env = append(append(os.Environ(), c.Env...), TokenVariable+"="+strconv.FormatUint(uint64(c.token), 10), NameVariable+"="+c.Name)
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	read, write, err := os.Pipe() // the guard says there what it does
 	if err != nil {
--- a/internal/leasegroup/member.go
+++ b/internal/leasegroup/member.go
@@ -126,6 +126,7 @@
 	Version int               `json:"version"`
 	Last    lease.Token       `json:"last"`
 	Entries []lease.Entry     `json:"entries"`
+	Notes   map[string]string `json:"notes,omitempty"`
 	Peers   map[uint64]string `json:"peers"`
 }
 
@@ -359,7 +360,7 @@
 	m.node.Advance(rd)
 	if first, err := m.disk.memory.FirstIndex(); err == nil && (m.changed || m.applied > first+snapshotEvery) {
 		m.changed = false
-		data, err := json.Marshal(snapshot{Version: version, Last: m.table.Last(), Entries: m.table.List(), Peers: m.peers})
+		data, err := json.Marshal(snapshot{Version: version, Last: m.table.Last(), Entries: m.table.List(), Notes: m.table.Notes(), Peers: m.peers})
 		if err != nil {
 			return err
 		}
@@ -378,6 +379,7 @@
 	}
 	m.table = lease.NewTable(m.o.Limits)
 	m.table.Load(s.Last, s.Entries)
+	m.table.Keep(s.Notes)
 	m.peers, m.conf, m.applied = s.Peers, snap.GetMetadata().GetConfState(), snap.GetMetadata().GetIndex()
 	return nil
 }
@@ -611,7 +613,8 @@
 }
 
 func (m *Member) info() Info {
-	i := Info{ID: m.disk.id, Name: m.o.Name, Formed: true, Leads: m.terms != nil, Leader: m.peers[m.leader], Peers: maps.Clone(m.peers), Last: m.table.Last(), Leases: m.table.List()}
+	i := Info{ID: m.disk.id, Name: m.o.Name, Formed: true, Leads: m.terms != nil, Leader: m.peers[m.leader], Peers: maps.Clone(m.peers), Last: m.table.Last(), Leases: m.table.List(),
+		Notes: m.table.Notes()}
 	if m.terms != nil {
 		now := m.o.Now()
 		for _, e := range i.Leases {
--- a/internal/leasegroup/wire.go
+++ b/internal/leasegroup/wire.go
@@ -56,8 +56,9 @@
 	Leader string            `json:"leader"` // "": none that it knows of
 	Peers  map[uint64]string `json:"peers"`  // the group, as it knows it
 	Last   lease.Token       `json:"last"`
-	Leases []lease.Entry     `json:"leases"` // as it has applied them; sure at the leader alone
-	Left   []int64           `json:"left"`   // of each term, in milliseconds; the leader knows
+	Leases []lease.Entry     `json:"leases"`          // as it has applied them; sure at the leader alone
+	Left   []int64           `json:"left"`            // of each term, in milliseconds; the leader knows
+	Notes  map[string]string `json:"notes,omitempty"` // what is kept with names, by name
 }
 
 type joinCall struct {
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -126,9 +126,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	_, section, _ := strings.Cut(string(text), "## States of two sources")
+	section, _, _ = strings.Cut(section, "\n## ")
 	var columns []string
 	cells := 0
-	for line := range strings.Lines(string(text)) {
+	for line := range strings.Lines(section) {
 		row := strings.Split(strings.Trim(strings.TrimSpace(line), "|"), "|")
 		for i := range row {
 			row[i] = strings.TrimSpace(row[i])
--- /dev/null
+++ b/internal/taskrun/job.go
@@ -0,0 +1,191 @@
+package taskrun
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"orchiddrift/internal/lease"
+	"orchiddrift/internal/leasegroup"
+	"orchiddrift/internal/task"
+)
+
+// job is one wish for a task's lease, and what is done while it is held: leasegroup.Keep's Task.
+type job struct {
+	r      *runner
+	t      *known
+	client string
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu     sync.Mutex
+	token  lease.Token
+	until  time.Duration
+	ended  bool // nothing may begin any more
+	act    act  // that runs; nil: none
+	ran    bool // a run began here
+	rest   *time.Time
+	limit  *time.Timer
+	report error // why it could not be decided
+}
+
+// act is a run: a command under its guard, or a call.
+type act interface {
+	begin(token lease.Token, until time.Duration)
+	extend(until time.Duration)
+	end(why lease.Why) <-chan struct{}
+}
+
+// Begin is Task's.
+func (j *job) Begin(token lease.Token, until time.Duration) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.token, j.until = token, until
+	j.r.jobs.Go(func() { j.decide(token) })
+}
+
+// Extend is Task's.
+func (j *job) Extend(until time.Duration) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.until = until; j.act != nil {
+		j.act.extend(until)
+	}
+}
+
+// End is Task's. A lease that was lost is not asked for anew by this wish.
+func (j *job) End(why lease.Why) <-chan struct{} {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.ended = true
+	if why != lease.Left {
+		j.cancel()
+	}
+	if j.act != nil {
+		return j.act.end(why)
+	}
+	done := make(chan struct{})
+	close(done)
+	return done
+}
+
+// Turned is Task's.
+func (j *job) Turned(lease.Why) { j.cancel() }
+
+// Unreached is Task's.
+func (j *job) Unreached(err error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.report = err
+	if j.token == 0 { // it asks again later; one that holds the lease has until its term's end
+		j.cancel()
+	}
+}
+
+var errLost = errors.New("the lease is lost")
+
+// ask brings an ask under the token, again until it is answered or the wish is over.
+func (j *job) ask(token lease.Token, kind lease.Kind, value string) (string, error) {
+	for {
+		r, err := j.r.o.At.Ask(j.ctx, lease.Ask{Kind: kind, Name: j.t.lease(), Client: j.client, Token: token, Value: value}, 0, j.t.d.Term.D()/5)
+		switch {
+		case err == nil && r.Verdict == lease.Done:
+			return r.Value, nil
+		case err == nil && r.Verdict == lease.Full:
+			return "", errors.New("the record has no room for the task's note")
+		case err == nil:
+			return "", errLost
+		}
+		select {
+		case <-j.ctx.Done():
+			return "", j.ctx.Err()
+		case <-time.After(j.t.d.Term.D() / 20):
+		}
+	}
+}
+
+// decide does what the task's record asks for.
+func (j *job) decide(token lease.Token) {
+	note, err := j.ask(token, lease.Look, "")
+	for err == nil {
+		var last *task.Record
+		if last, err = task.Read(note); err != nil {
+			break
+		}
+		s := j.t.rules.Decide(j.r.o.Now(), last, token, j.r.o.Name)
+		if s.Do == task.Rest {
+			j.mu.Lock()
+			j.rest = &s.At
+			j.mu.Unlock()
+			break
+		}
+		if note, err = j.ask(token, lease.Note, s.Record.Note()); err == nil && s.Do == task.Run {
+			if s.Record.Phase != task.Begun {
+				continue
+			}
+			if j.run(token, s.Record) {
+				return // its end goes on from here
+			}
+			break
+		}
+	}
+	if err != nil && !errors.Is(err, errLost) && j.ctx.Err() == nil {
+		j.mu.Lock()
+		j.report = err
+		j.mu.Unlock()
+	}
+	j.cancel()
+}
+
+// run begins the run, unless the lease is over.
+func (j *job) run(token lease.Token, rec task.Record) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.ended || j.ctx.Err() != nil {
+		return false
+	}
+	j.ran = true
+	a := j.t.act(j, rec, func(code int, why lease.Why) { j.over(token, rec, code, why) })
+	j.act = a
+	j.r.began(j.t.d.Name)
+	j.r.o.Log.Info("task: begins", "task", j.t.d.Name, "due", rec.Due.Format(time.RFC3339Nano), "token", uint64(token), "try", rec.Tries)
+	j.limit = time.AfterFunc(j.t.d.Limit.D(), func() {
+		j.r.o.Log.Warn("task: its limit is over", "task", j.t.d.Name, "limit", j.t.d.Limit.D())
+		a.end(limitOver)
+	})
+	a.begin(token, j.until)
+	return true
+}
+
+// limitOver is why a run was ended whose limit was over: it counts as ended.
+const limitOver lease.Why = 100
+
+// over is the end of a run. One that ended by itself is noted as such before the lease is given back; one that was cut off stays begun.
+func (j *job) over(token lease.Token, rec task.Record, code int, why lease.Why) {
+	j.limit.Stop()
+	j.r.o.Log.Info("task: ended", "task", j.t.d.Name, "due", rec.Due.Format(time.RFC3339Nano), "token", uint64(token), "code", code, "cut", why != 0 && why != limitOver)
+	if why != 0 && why != limitOver {
+		j.cancel()
+		return
+	}
+	rec.Phase, rec.Code = task.Ended, code
+	j.r.jobs.Go(func() {
+		defer j.cancel()
+		if _, err := j.ask(token, lease.Note, rec.Note()); err != nil {
+			j.mu.Lock()
+			j.report = fmt.Errorf("the end of a run is not noted: %w", err)
+			j.mu.Unlock()
+			return
+		}
+		now := j.r.o.Now()
+		if s := j.t.rules.Decide(now, &rec, token, j.r.o.Name); s.Do == task.Rest {
+			j.mu.Lock()
+			j.rest = &s.At
+			j.mu.Unlock()
+		}
+	})
+}
+
+var _ leasegroup.Task = (*job)(nil)
