freshness: a call that is turned away beside a quiet one is not made again at once

Ruled out: the waits after a failure (0.13 to 1.5 s, at most 3 a second) and the spread of a fleet (0.5 s). At fault: Machine.Ended set a wait only where no call was left open; with the quiet one still there, Tick found its silence over and called again as soon as the answer 503 came.

Change: a call that ended holds back the next one, whatever is open; the doubt and its deadline are set all the same.

--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -55,7 +55,7 @@
 	last    CallID
 	due     time.Duration
 	pressed bool          // due is the deadline of something that may have been missed
-	next    time.Duration // when to call again; never: not before something happens
+	hold    time.Duration // no call is made before, since one has ended
 	fails   int           // calls that ended since one spoke
 	quiet   int           // calls in a row that were replaced and had not spoken
 	told    time.Duration // when the list was last known to be current
@@ -66,7 +66,7 @@
 
 // New returns a Machine that has not begun. Random numbers come from rng.
 func New(o Options, rng *rand.Rand) *Machine {
-	return &Machine{o: o, rng: rng, next: never, due: never}
+	return &Machine{o: o, rng: rng, due: never}
 }
 
 // Start has the first call made, and those after it.
@@ -84,7 +84,7 @@
 	for len(m.calls) > 0 {
 		acts = append(acts, m.close(0))
 	}
-	m.fails, m.quiet, m.pressed, m.due = 0, 0, true, min(m.due, now+toldMoved)
+	m.fails, m.quiet, m.hold, m.pressed, m.due = 0, 0, 0, true, min(m.due, now+toldMoved)
 	return append(acts, m.callNow(now)...)
 }
 
@@ -99,7 +99,7 @@
 		c.spread = m.spread()
 	}
 	c.spoke, c.heard = true, now
-	m.fails, m.quiet, m.pressed, m.next = 0, 0, false, never
+	m.fails, m.quiet, m.hold, m.pressed = 0, 0, 0, false
 	m.told, m.due = now, now+toldSilent
 	var acts []Action
 	for ; i > 0; i-- { // it knows all that they could say
@@ -120,9 +120,7 @@
 	if !m.pressed && !m.standing(now) {
 		m.broken(now, c.spoke)
 	}
-	if len(m.calls) == 0 {
-		m.next = now + m.wait(now)
-	}
+	m.hold = now + m.wait(now)
 	return nil
 }
 
@@ -149,7 +147,7 @@
 // Tick looks at what has been waited for long enough. It is called at Next, or at any time.
 func (m *Machine) Tick(now time.Duration) []Action {
 	if len(m.calls) == 0 {
-		if now < m.next {
+		if !m.started || now < m.hold {
 			return nil
 		}
 		return m.callNow(now)
@@ -161,12 +159,15 @@
 			acts = append(acts, m.close(len(m.calls)-1))
 			continue
 		}
-		if !youngest.spoke {
-			m.quiet++
-		}
 		if !m.pressed {
 			m.doubt(now, max(youngest.begun, youngest.heard))
 		}
+		if now < m.hold { // the one made beside it was turned away
+			break
+		}
+		if !youngest.spoke {
+			m.quiet++
+		}
 		if len(m.calls) >= mostCalls {
 			acts = append(acts, m.close(0))
 		}
@@ -189,8 +190,13 @@
 
 // Next is when Tick is due.
 func (m *Machine) Next() time.Duration {
-	if len(m.calls) == 0 {
-		return m.next
+	switch {
+	case !m.started:
+		return never
+	case len(m.calls) == 0:
+		return m.hold
+	case m.pressed:
+		return max(m.limit(), m.hold)
 	}
 	return m.limit()
 }
@@ -214,7 +220,6 @@
 func (m *Machine) callNow(now time.Duration) []Action {
 	m.last++
 	m.calls = append(m.calls, call{id: m.last, begun: now})
-	m.next = never
 	return []Action{{Open, m.last}}
 }
 
--- a/internal/freshness/model_test.go
+++ b/internal/freshness/model_test.go
@@ -461,6 +461,8 @@
 		{"pushed, all is well", true, nil, 1, 1},
 		{"a watch falls silent", false, []fault{{7 * time.Second, "silent", 0}}, 2, 1},
 		{"reset", false, []fault{{7 * time.Second, "reset", 0}}, 2, 1},
+		{"silent, and calls are refused", false, []fault{{7 * time.Second, "silent", 0}, {9 * time.Second, "refuse", 3 * time.Second}}, 12, 6},
+		{"silent, and calls are refused for long", false, []fault{{7 * time.Second, "silent", 0}, {9 * time.Second, "refuse", 2 * time.Minute}}, 70, 6},
 		{"down for two minutes", false, []fault{{7 * time.Second, "down", 2 * time.Minute}}, 30, 2},
 		{"first answers take 1 s", false, []fault{{0, "late", time.Second}}, 1, 1},
 		{"pushed, down for two minutes", true, []fault{{7 * time.Second, "down", 2 * time.Minute}}, 260, 4},
