leasegroup: the late guard's test fails at once on the code without the fix

Need: on the code before, the test waited for a word that never came, up to the run's time-out. Change: it closes its end of the pipe first.

--- a/internal/leasegroup/guard_test.go
+++ b/internal/leasegroup/guard_test.go
@@ -19,6 +19,7 @@
 	if _, err := Guard(strings.NewReader(""), write, Boottime()-time.Second, time.Second, []string{"true"}); err == nil {
 		t.Error("it runs the command")
 	}
+	write.Close() // it has been, where the guard said its word
 	said := make([]byte, 64)
 	n, _ := read.Read(said)
 	if got := string(said[:n]); got != "0\n"+tooLate+"\n" {
