--- /dev/null
+++ b/internal/daemon/closing_test.go
@@ -0,0 +1,233 @@
+package daemon
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"orchiddrift/internal/standin"
+	"orchiddrift/internal/testkit"
+)
+
+// heldListener gives connections whose server is held where a test says: between the read of a socket and what the server makes of
+// it, and as it begins to close.
+type heldListener struct {
+	net.Listener
+	holds atomic.Bool   // the next read that brings bytes is held
+	read  chan struct{} // gets something once it has brought them
+	goOn  chan struct{} // closed: what is held goes on
+	next  atomic.Bool   // the next connection that is accepted is watched
+	shut  chan struct{} // closed as the server shuts or closes the one that is watched
+	once  sync.Once
+}
+
+func holding(t *testing.T) *heldListener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &heldListener{Listener: l, read: make(chan struct{}, 1), goOn: make(chan struct{}), shut: make(chan struct{})}
+}
+
+func (l *heldListener) SetDeadline(t time.Time) error {
+	return l.Listener.(*net.TCPListener).SetDeadline(t)
+}
+
+func (l *heldListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &heldConn{c.(*net.TCPConn), l, l.next.CompareAndSwap(true, false)}, nil
+}
+
+type heldConn struct {
+	*net.TCPConn
+	l       *heldListener
+	watched bool
+}
+
+func (c *heldConn) shuts() {
+	if c.watched {
+		c.l.once.Do(func() { close(c.l.shut) })
+	}
+}
+
+func (c *heldConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 && c.l.holds.CompareAndSwap(true, false) {
+		c.l.read <- struct{}{}
+		<-c.l.goOn
+	}
+	return n, err
+}
+
+func (c *heldConn) CloseWrite() error {
+	defer c.shuts()
+	return c.TCPConn.CloseWrite()
+}
+
+func (c *heldConn) Close() error {
+	defer c.shuts()
+	return c.TCPConn.Close()
+}
+
+// dialed is a client of one connection.
+type dialed struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+func dial(t *testing.T, address string, control func(fd uintptr)) *dialed {
+	t.Helper()
+	d := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		if control == nil {
+			return nil
+		}
+		return raw.Control(control)
+	}}
+	c, err := d.DialContext(t.Context(), "tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	_ = c.SetDeadline(time.Now().Add(testkit.Patience))
+	return &dialed{c, bufio.NewReader(c)}
+}
+
+func (c *dialed) send(t *testing.T, class, body string) {
+	t.Helper()
+	if err := testkit.Request(t, c.RemoteAddr().String(), class, body).Write(c); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// answer reads one answer and its body.
+func (c *dialed) answer() (*http.Response, string, error) {
+	resp, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		return nil, "", err
+	}
+	body, err := io.ReadAll(resp.Body)
+	return resp, string(body), err
+}
+
+// Guards against a request that is lost: it is read in the moment in which its idle connection is closed at a shutdown. It could
+// have no answer, so it is not sent on; its client finds the end of the connection alone, and sends it again elsewhere.
+func TestReadAsItsConnectionIsShut(t *testing.T) {
+	s := testkit.Raw(t, standin.Says(standin.OK200("")))
+	l := holding(t)
+	r := startOn(t, testkit.Config(t, testkit.Quiet(t).Address, testkit.Entry("s", s.Address, "Ready")), l, nil)
+	r.ready(t)
+	r.client.CloseIdleConnections()
+	l.next.Store(true)
+	c := dial(t, r.address, nil)
+	c.send(t, "confirm", "one")
+	if resp, _, err := c.answer(); err != nil || resp.StatusCode != 200 {
+		t.Fatalf("%v, %v", resp, err)
+	}
+	l.holds.Store(true)
+	c.send(t, "confirm", "two")
+	<-l.read // its bytes are off the socket, and the server does not know of them
+	r.stop()
+	<-l.shut
+	close(l.goOn)
+	if resp, _, err := c.answer(); err == nil {
+		t.Errorf("answered %s on a connection that was shut", resp.Status)
+	}
+	c.Close()
+	<-r.ended
+	if got := s.Requests(); len(got) != 1 {
+		t.Errorf("%d requests were sent on, the last one's answer has no way", len(got))
+	}
+}
+
+// Guards against a request that is cut off at a shutdown: its first bytes came before its idle connection would have been closed.
+func TestBegunBeforeItsConnectionIsShut(t *testing.T) {
+	s := testkit.Raw(t, standin.Says(standin.OK200("whole")))
+	l := holding(t)
+	r := startOn(t, testkit.Config(t, testkit.Quiet(t).Address, testkit.Entry("s", s.Address, "Ready")), l, nil)
+	r.ready(t)
+	r.client.CloseIdleConnections()
+	c, other := dial(t, r.address, nil), dial(t, r.address, nil)
+	for _, c := range []*dialed{other, c} {
+		c.send(t, "search", "")
+		if resp, _, err := c.answer(); err != nil || resp.Close {
+			t.Fatalf("%v, %v", resp, err)
+		}
+	}
+	var text strings.Builder
+	_ = testkit.Request(t, r.address, "confirm", "").Write(&text)
+	l.holds.Store(true)
+	if _, err := io.WriteString(c, text.String()[:20]); err != nil {
+		t.Fatal(err)
+	}
+	<-l.read
+	close(l.goOn)
+	r.stop()
+	if _, err := other.in.ReadByte(); !errors.Is(err, io.EOF) { // idle connections are being closed
+		t.Fatalf("an idle connection: %v", err)
+	}
+	if _, err := io.WriteString(c, text.String()[20:]); err != nil {
+		t.Fatal(err)
+	}
+	resp, body, err := c.answer()
+	if err != nil || resp.StatusCode != 200 || body != "whole" || !resp.Close {
+		t.Errorf("%v %q, %v", resp, body, err)
+	}
+	<-r.ended
+}
+
+// Guards against an answer that a reset takes with it: bytes came behind its request that nobody reads any more, and a close over
+// them resets the connection while the client has yet to read.
+func TestLastAnswerOverUnreadBytes(t *testing.T) {
+	release := make(chan struct{})
+	body := strings.Repeat("answer ", 40<<10)
+	s := testkit.Raw(t, func(c net.Conn, g standin.Got) bool {
+		if strings.HasPrefix(g.Target, "/confirm") {
+			<-release
+		}
+		return standin.Says(standin.OK200(body))(c, g)
+	})
+	l := holding(t)
+	r := startOn(t, testkit.Config(t, testkit.Quiet(t).Address, testkit.Entry("s", s.Address, "Ready")), l, nil)
+	r.ready(t)
+	r.client.CloseIdleConnections()
+	l.next.Store(true)
+	c := dial(t, r.address, func(fd uintptr) { // it takes little before it reads
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10)
+	})
+	c.send(t, "confirm", "")
+	testkit.Eventually(t, "request at the upstream", func() bool { return len(s.Requests()) == 1 })
+	c.send(t, "confirm", strings.Repeat("behind ", 10<<10))
+	r.stop()
+	testkit.Eventually(t, "answers end their connections", func() bool {
+		resp, err := r.client.Do(testkit.Request(t, r.address, "nothing", ""))
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.Close
+	})
+	r.client.CloseIdleConnections()
+	close(release)
+	<-l.shut
+	resp, got, err := c.answer()
+	if err != nil || resp.StatusCode != 200 || got != body || !resp.Close {
+		t.Errorf("%d of %d bytes, %v", len(got), len(body), err)
+	}
+	c.Close()
+	<-r.ended
+	if n := len(s.Requests()); n != 1 {
+		t.Errorf("%d requests were sent on", n)
+	}
+}
--- a/internal/daemon/course.go
+++ b/internal/daemon/course.go
@@ -19,6 +19,7 @@
 	wanted   atomic.Bool // clients are to be sent here
 	last     atomic.Bool // answers are the last of their connections
 	stopping atomic.Bool // the process is ending
+	over     atomic.Bool // what was unanswered has been failed, and nothing more is sent
 
 	mu        sync.Mutex
 	life      *life.Life
@@ -71,6 +72,14 @@
 	return c.life.State()
 }
 
+// end waits until the last answers are written and their connections closed, or that long, and then closes those that are left.
+func (c *course) end(most time.Duration) {
+	for last := time.Now().Add(most); !c.conns.Over() && time.Now().Before(last); {
+		time.Sleep(look)
+	}
+	c.conns.Drop()
+}
+
 // look is how often the end of connections is looked for, once nothing new is accepted.
 const look = 10 * time.Millisecond
 
@@ -97,10 +106,11 @@
 			c.conns.CloseQuiet(rest)
 		}
 		if over {
+			c.over.Store(true)
 			abort()
 			return
 		}
-		if !accepting && c.conns.Open() == 0 {
+		if !accepting && c.conns.Over() {
 			return
 		}
 		switch {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,7 +9,6 @@
 	"cmp"
 	"context"
 	"crypto/tls"
-	"errors"
 	"fmt"
 	"log/slog"
 	"math"
@@ -205,11 +204,8 @@
 	known.drain()
 	d.course.stop(d.succession.succeeded())
 	<-over
-	last, cancel := context.WithTimeout(context.Background(), lastMoment)
-	defer cancel()
-	if err := srv.Shutdown(last); err != nil && !errors.Is(err, context.DeadlineExceeded) {
-		return fmt.Errorf("shutting down: %w", err)
-	}
+	d.course.end(lastMoment)
+	_ = srv.Close() // of what has been closed
 	return nil
 }
 
--- /dev/null
+++ b/internal/daemon/gone_test.go
@@ -0,0 +1,143 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"orchiddrift/internal/engine"
+	"orchiddrift/internal/standin"
+	"orchiddrift/internal/testkit"
+	"orchiddrift/internal/testkit/base"
+)
+
+// startLooking starts a daemon that need not be ready, and gives its engine.
+func startLooking(t *testing.T, discovery string, known ...string) (*running, *engine.Engine) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	up := make(chan *engine.Engine, 1)
+	r := startOn(t, testkit.Config(t, discovery, known...), l, func(e *engine.Engine) { up <- e })
+	return r, <-up
+}
+
+// pending is how many attempts are out.
+func pending(e *engine.Engine) (n int) {
+	for _, u := range e.View() {
+		n += u.Pending
+	}
+	return n
+}
+
+// Guards against requests that are sent for a client that has gone while they waited for the first list, with other requests behind
+// them on the connection: those hide its end from whoever reads it.
+func TestClientGoneBehindItsNextRequest(t *testing.T) {
+	for _, behind := range []int{1, 100} { // within one read of the library, and far more
+		t.Run(fmt.Sprint(behind), func(t *testing.T) {
+			s := testkit.Raw(t, standin.Says(standin.OK200("")))
+			tell := make(chan struct{})
+			d := testkit.Discovery(t, func(_ int, send func(string), done <-chan struct{}) {
+				send("")
+				select {
+				case <-tell:
+					send(testkit.List(1, true, testkit.Entry("s", s.Address, "Ready")))
+				case <-done:
+				}
+				<-done
+			})
+			r, e := startLooking(t, d.Address)
+			c := dial(t, r.address, nil)
+			c.send(t, "confirm", "")
+			testkit.Eventually(t, "the request waits for the list", func() bool { return e.InHand() == 1 })
+			for range behind {
+				c.send(t, "confirm", "")
+			}
+			c.Close()
+			close(tell)
+			other := dial(t, r.address, nil)
+			other.send(t, "search", "")
+			if resp, _, err := other.answer(); err != nil || resp.StatusCode != 200 {
+				t.Fatalf("%v, %v", resp, err)
+			}
+			other.Close()
+			r.stop()
+			<-r.ended
+			for _, got := range s.Requests() {
+				if got.Method == http.MethodPost {
+					t.Errorf("sent for a client that had gone: %s", got.Header.Get("X-Request-Id"))
+				}
+			}
+		})
+	}
+}
+
+// seen waits until nothing is in hand, or long enough for any fault to show: a connection that has not come up is not tried again by the
+// system before a second has passed.
+func seen(e *engine.Engine) {
+	for end := time.Now().Add(500 * time.Millisecond); e.InHand() > 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against the same while the connection to the upstream comes up late.
+func TestClientGoneWhileAConnectionComesUp(t *testing.T) {
+	late := base.NewLate(t)
+	r, e := startLooking(t, testkit.Quiet(t).Address, testkit.Entry("s", late.Address, "Ready"))
+	c := dial(t, r.address, nil)
+	c.send(t, "confirm", "")
+	testkit.Eventually(t, "the attempt waits for its connection", func() bool { return pending(e) == 1 })
+	c.Close()
+	seen(e)
+	late.ComeUp()
+	other := dial(t, r.address, nil)
+	other.send(t, "search", "")
+	if resp, _, err := other.answer(); err != nil || resp.StatusCode != 200 {
+		t.Fatalf("%v, %v", resp, err)
+	}
+	other.Close()
+	r.stop()
+	<-r.ended
+	if n := late.Came(); n != 1 {
+		t.Errorf("%d requests came, 1 was wanted", n)
+	}
+}
+
+// Guards against the same for a keyed request that others may wait for: it goes on for them, and once all have gone nothing of it
+// begins. It proves not to have run, so that whoever comes again has it run.
+func TestKeyedClientsGoneWhileAConnectionComesUp(t *testing.T) {
+	late := base.NewLate(t)
+	r := startFile(t, fmt.Sprintf(repeatsFile, fmt.Sprintf("addresses = [%q]\nconnect_timeout = \"10s\"", late.Address), "6s", "20s"))
+	e := r.d.routing.Load().services["pay"].engine
+	ended := make(chan int, 2)
+	var leave []context.CancelFunc
+	for range 2 {
+		ctx, cancel := context.WithCancel(t.Context())
+		leave = append(leave, cancel)
+		go func() {
+			status, _, _ := pay(ctx, r, "/record/1", "k", "")
+			ended <- status
+		}()
+		testkit.Eventually(t, "the attempt waits for its connection", func() bool { return pending(e) == 1 })
+	}
+	testkit.Eventually(t, "the second one waits too", func() bool { return r.d.course.conns.Open() == 2 })
+	leave[0]()
+	<-ended
+	if pending(e) != 1 {
+		t.Error("it does not go on for the second one")
+	}
+	leave[1]()
+	<-ended
+	seen(e)
+	late.ComeUp()
+	if status, body, header := pay(t.Context(), r, "/record/1", "k", ""); status != 200 || header.Get(replayed) != "" {
+		t.Errorf("who comes again: %d %q", status, body)
+	}
+	if n := late.Came(); n != 1 {
+		t.Errorf("%d requests came, 1 was wanted", n)
+	}
+}
--- a/internal/daemon/graphql.go
+++ b/internal/daemon/graphql.go
@@ -32,6 +32,7 @@
 	id       string
 	endpoint *graphql.Endpoint
 	lease    *lease
+	leave    context.CancelFunc // see visit
 	begun    time.Duration
 	media    string // of the answer
 	entries  int
@@ -179,7 +180,8 @@
 	}
 	o.pool = c.svc.pool
 	o.request = upstream.NewRequest(req.Method, req.Target, req.Host, req.Header, d.Body)
-	o.request.Gate, o.request.Written, o.request.Whole = c.lease, c.d.figures.Sent, true
+	o.request.Gate = &presence{lease: c.lease, ctx: c.r.Context(), leave: c.leave}
+	o.request.Written, o.request.Whole = c.d.figures.Sent, true
 	pass, refused := c.door(c.r, c.svc, &req, c.begun, len(d.Body))
 	if refused != nil {
 		o.answer = *refused
--- a/internal/daemon/repeats.go
+++ b/internal/daemon/repeats.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"net/http"
+	"sync/atomic"
 
 	"orchiddrift/balancer"
 	"orchiddrift/internal/config"
@@ -81,18 +82,21 @@
 // attempts are a keyed request's: what may have run is noted before it is sent.
 type attempts struct {
 	engine.Carrier
-	s     *service
-	sends repeatkeeper.Sends
+	s      *service
+	sends  repeatkeeper.Sends
+	mayRun *atomic.Int64 // of them, so many
 }
 
 // Carry is engine.Carrier's.
 func (c attempts) Carry(ctx context.Context, a engine.Attempt) engine.Reply {
 	x := repeats.Send{Zone: a.Zone, Cell: a.Cell, Sent: c.s.shared.clock.Now()}
 	c.sends.Sent(x)
+	c.mayRun.Add(1)
 	r := c.Carrier.Carry(ctx, a)
 	switch r.Result {
 	case balancer.Overloaded, balancer.ConnectFailed, balancer.Moot:
 		c.sends.Unsent(x)
+		c.mayRun.Add(-1)
 	}
 	return r
 }
@@ -107,19 +111,25 @@
 	ctx, cancel := context.WithTimeout(ctx, call.Expires-s.shared.clock.Now())
 	defer cancel()
 	return k.Do(ctx, repeats.ID{Tenant: call.Tenant, Class: call.Class, Key: key}, repeats.Print(h.Sum(nil)[:16]),
-		func(prior []repeats.Send, sends repeatkeeper.Sends) repeatkeeper.Ended {
+		func(wanted context.Context, prior []repeats.Send, sends repeatkeeper.Sends) repeatkeeper.Ended {
 			c, end := carrier()
 			defer end()
 			for _, x := range prior {
 				call.Prior = append(call.Prior, balancer.Prior{Zone: x.Zone, Cell: x.Cell, Sent: x.Sent})
 			}
-			a := s.engine.Do(context.Background(), call, attempts{c, s, sends})
+			call.Wanted = wanted
+			var mayRun atomic.Int64
+			a := s.engine.Do(context.Background(), call, attempts{c, s, sends, &mayRun})
 			switch a.Kind {
 			case engine.Served:
 				rep := a.Value.(*upstream.Reply)
 				return repeatkeeper.Ended{Verdict: repeats.Replay, Answer: &repeats.Answer{Status: rep.Status, Header: rep.Header, Body: rep.Body}}
 			case engine.Refused, engine.Duplicate, engine.Closed:
 				return repeatkeeper.Ended{Verdict: repeats.Refuse, RetryIn: a.RetryIn}
+			case engine.Abandoned: // all have left
+				if mayRun.Load() == 0 && len(prior) == 0 {
+					return repeatkeeper.Ended{Verdict: repeats.Refuse}
+				}
 			}
 			return repeatkeeper.Ended{Verdict: repeats.Fail}
 		})
--- a/internal/daemon/rig_test.go
+++ b/internal/daemon/rig_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"orchiddrift/internal/config"
+	"orchiddrift/internal/engine"
 	"orchiddrift/internal/testkit"
 )
 
@@ -27,11 +28,19 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	r := startOn(t, c, l, nil)
+	r.ready(t)
+	return r
+}
+
+// startOn is start on a listener at hand, and does not wait until it is ready; look is Serve's.
+func startOn(t *testing.T, c *config.Config, l net.Listener, look func(*engine.Engine)) *running {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &running{address: l.Addr().String(), stop: cancel, ended: make(chan struct{}),
 		client: &http.Client{Timeout: testkit.Patience, Transport: &http.Transport{}}}
 	go func() {
-		r.err = Serve(ctx, c, l, "", nil, nil)
+		r.err = Serve(ctx, c, l, "", nil, look)
 		close(r.ended)
 	}()
 	t.Cleanup(func() {
@@ -39,6 +48,12 @@
 		cancel()
 		<-r.ended
 	})
+	return r
+}
+
+// ready waits until clients are wanted.
+func (r *running) ready(t *testing.T) {
+	t.Helper()
 	testkit.Eventually(t, "ready", func() bool {
 		resp, err := r.client.Get("http://" + r.address + "/-/ready")
 		if err != nil {
@@ -47,7 +62,6 @@
 		defer resp.Body.Close()
 		return resp.StatusCode == http.StatusOK
 	})
-	return r
 }
 
 func (r *running) do(t *testing.T, req *http.Request) (*http.Response, string) {
--- a/internal/daemon/routing.go
+++ b/internal/daemon/routing.go
@@ -48,6 +48,25 @@
 // Leave is upstream.Gate's.
 func (l *lease) Leave() { l.writing.Add(-1) }
 
+// presence is a lease for one request: an attempt begins only as long as its client is not known to have gone.
+type presence struct {
+	*lease
+	ctx   context.Context // the request's
+	leave context.CancelFunc
+	left  atomic.Bool
+}
+
+// Enter is upstream.Gate's. The connection is looked at here because its reader does not see the end behind a request that waits on
+// it. Where others wait for the same answer it is only told once, and attempts go on for them.
+func (p *presence) Enter() bool {
+	if !p.left.Load() && intake.Left(p.ctx) {
+		p.left.Store(true)
+		p.leave()
+		return false
+	}
+	return p.lease.Enter()
+}
+
 // writePart bounds how long the end of a lease waits for requests whose writing has begun: the first byte of those was
 // written before.
 const writePart = 250 * time.Millisecond
@@ -128,7 +147,7 @@
 // finds a count of 0 while another attempt is still out would take a request that runs for one that was never sent.
 func (x *exchange) attempt(ctx context.Context, a engine.Attempt) upstream.Reply {
 	x.begun.Add(1)
-	rep := x.pool.AttemptBy(ctx, a.Upstream, x.request, a.Deadline, a.By)
+	rep := x.pool.AttemptWithin(ctx, a.Upstream, x.request, upstream.Terms{Deadline: a.Deadline, By: a.By, Caller: a.Caller})
 	if rep.Result == balancer.Moot || rep.Result == balancer.ConnectFailed {
 		x.begun.Add(-1)
 	}
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -55,6 +55,7 @@
 	read  bool // the body has been, or its beginning
 	rest  bool // it goes on
 	paced *paced
+	leave context.CancelFunc // ends r's context: its client is known to have gone
 	taken figures.Taken
 	cut   bool // its answer can't be had whole, and its client is to see that
 
@@ -64,11 +65,22 @@
 }
 
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !intake.Take(r.Context()) { // it came as its connection was shut: its client sends it again
+		panic(http.ErrAbortHandler)
+	}
+	if s.over.Load() {
+		w.Header().Set("Connection", "close")
+		s.finish(w, engine.Answer{Kind: engine.Closed})
+		return
+	}
 	if strings.HasPrefix(r.URL.Path, "/-/") {
 		s.own(w, r)
 		return
 	}
-	v := &visit{server: s, w: w, r: r, begun: s.d.shared.clock.Now()}
+	ctx, leave := context.WithCancel(r.Context())
+	defer leave()
+	r = r.WithContext(ctx)
+	v := &visit{server: s, w: w, r: r, leave: leave, begun: s.d.shared.clock.Now()}
 	defer v.letGo()
 	for {
 		routing := s.d.routing.Load()
@@ -130,6 +142,9 @@
 			return false
 		}
 		v.read = true
+		if !v.rest {
+			intake.InHand(r.Context(), v.leave)
+		}
 		v.begun = sh.clock.Now()
 	}
 	id := req.ID
@@ -141,7 +156,7 @@
 	}
 	lease := routing.leases[req.Route]
 	if e != nil { // its operations are counted each
-		c := &graphqlCall{server: v.server, w: w, r: r, svc: svc, req: req, id: id, endpoint: e, lease: lease, begun: v.begun,
+		c := &graphqlCall{server: v.server, w: w, r: r, leave: v.leave, svc: svc, req: req, id: id, endpoint: e, lease: lease, begun: v.begun,
 			taken: &v.entries}
 		return c.serve(v.body)
 	}
@@ -157,7 +172,7 @@
 	} else {
 		out = upstream.NewRequest(req.Method, req.Target, req.Host, req.Header, v.body)
 	}
-	out.Gate, out.Written = lease, v.d.figures.Sent
+	out.Gate, out.Written = &presence{lease: lease, ctx: ctx, leave: v.leave}, v.d.figures.Sent
 	x := &exchange{pool: svc.pool, request: out, engine: svc.engine}
 	defer x.end()
 	pass, refused := v.door(r, svc, &req, v.begun, len(v.body))
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -33,6 +33,9 @@
 	// Streamed says that the body is passed on as it comes: Expires bounds what that may take, and Uploaded brings the time from
 	// which the caller waits. Such a call is not copied, and not sent again once a Reply says Spent.
 	Streamed bool
+	// Wanted, where there is one, ends once nobody waits for the answer: no attempt begins after it, and those that have begun run
+	// on, whatever CancelWithCaller says.
+	Wanted context.Context
 }
 
 // Attempt is one send that the module has decided on.
@@ -46,6 +49,7 @@
 	By       time.Time // its last byte is to be written before, or it is Moot: a repeat whose group forgets; zero: at any time
 	Inline   bool      // the caller of Do carries it out: Do does not return before it has ended
 	Cancel   context.CancelCauseFunc
+	Caller   context.Context // ends when nobody waits for the answer: what has not begun by then is Moot
 }
 
 // Reply is how an attempt ended. Value is the front's own, and belongs to the caller if this attempt is the answer.
@@ -239,6 +243,9 @@
 	if !f.done && !e.cancelAll && ctx.Done() != nil {
 		defer context.AfterFunc(ctx, func() { e.leave(f) })()
 	}
+	if !f.done && c.Wanted != nil {
+		defer context.AfterFunc(c.Wanted, func() { e.leave(f) })()
+	}
 	for {
 		switch {
 		case f.done: // first: what was decided before the end is not carried out after it
@@ -473,7 +480,10 @@
 	}
 	a.Context, a.cancel = context.WithCancelCause(parent)
 	a.at = Attempt{ID: f.call.ID, Number: len(f.attempts), Upstream: s.Upstream, Zone: s.Zone, Cell: s.Cell, Deadline: time.Now().Add(limit),
-		Cancel: a.cancel}
+		Cancel: a.cancel, Caller: f.ctx}
+	if f.call.Wanted != nil {
+		a.at.Caller = f.call.Wanted
+	}
 	if s.By > 0 {
 		a.at.By = time.Now().Add(s.By - now)
 	}
--- a/internal/intake/conns.go
+++ b/internal/intake/conns.go
@@ -1,150 +1,140 @@
 package intake
 
 import (
-	"context"
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
-	"sync/atomic"
 	"time"
-
-	"orchiddrift/internal/framing"
 )
 
 const (
 	usualGap  = 2 * time.Second        // clients may take this long between two requests on a connection
 	firstSoon = 500 * time.Millisecond // and bring the first within this
+	queueFor  = 20 * time.Millisecond  // a listener that is closed goes on for so long with what has already come
 )
 
 // Conns is the listener for clients. It bounds their connections: at the limit it closes the one that
-// is needed least, and accepts no more until there is room.
+// is needed least, and accepts no more until there is room. A connection counts from its accept until its socket is closed.
 type Conns struct {
 	net.Listener
 	most   int
 	secure *Secure // nil: connections are not encrypted
 
 	paused bool // under mu: what waits is left to another process
+
 	mu     sync.Mutex
 	room   *sync.Cond
 	closed bool
-	conns  map[net.Conn]clientConn
+	ended  bool // nothing more is accepted
+	conns  map[*conn]*record
+	dying  int // of them: their sockets are closed, and the server has not seen it
 }
 
-type clientConn struct {
-	quiet time.Time // without a request since then; zero: busy
+// record is what is known of a connection beside its own state.
+type record struct {
+	quiet time.Time // its latest request ended, or it was accepted
 	asked bool      // it has brought a request
+	dying bool
 }
 
 // NewConns bounds l's connections to most; they are encrypted where secure is not nil.
 func NewConns(l net.Listener, most int, secure *Secure) *Conns {
-	c := &Conns{Listener: l, most: most, secure: secure, conns: map[net.Conn]clientConn{}}
+	c := &Conns{Listener: l, most: most, secure: secure, conns: map[*conn]*record{}}
 	c.room = sync.NewCond(&c.mu)
 	return c
 }
 
+// Accept is net.Listener's.
 func (c *Conns) Accept() (net.Conn, error) {
 	c.mu.Lock()
-	for (c.paused || len(c.conns) >= c.most) && !c.closed {
+	for (c.paused || len(c.conns)-c.dying >= c.most) && !c.closed {
 		if !c.paused {
 			c.closeOne()
+			if len(c.conns)-c.dying < c.most {
+				break
+			}
 		}
 		c.room.Wait()
 	}
 	c.mu.Unlock()
-	conn, err := c.Listener.Accept()
+	accepted, err := c.Listener.Accept()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if err != nil {
+		if c.closed {
+			c.ended = true
+			_ = c.Listener.Close() // it may have been
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				err = net.ErrClosed
+			}
+		}
 		return nil, err
 	}
+	one := newConn(accepted)
+	c.conns[one] = &record{quiet: time.Now()}
 	if c.secure != nil {
-		return c.secure.over(conn), nil
-	}
-	return &watched{Conn: conn}, nil
-}
-
-// watched is a connection whose requests' framing is followed.
-type watched struct {
-	net.Conn
-	watch framing.Watch // of who reads; the library has one reader at a time
-	twice atomic.Bool
-}
-
-func (w *watched) Read(p []byte) (int, error) {
-	n, err := w.Conn.Read(p)
-	if w.watch.Feed(p[:n]); w.watch.Twice() {
-		w.twice.Store(true)
+		return c.secure.over(one), nil
 	}
-	return n, err
-}
-
-// CloseWrite is for the library, which so has a client read its last answer.
-func (w *watched) CloseWrite() error {
-	if c, ok := w.Conn.(interface{ CloseWrite() error }); ok {
-		return c.CloseWrite()
-	}
-	return errors.ErrUnsupported
-}
-
-type watchedKey struct{}
-
-// Context keeps the connection for FramedOnce.
-func (c *Conns) Context(ctx context.Context, conn net.Conn) context.Context {
-	w, ok := conn.(*watched)
-	if s, is := conn.(*secured); is {
-		w, ok = s.watched, true
-	}
-	if !ok {
-		return ctx
-	}
-	return context.WithValue(ctx, watchedKey{}, w)
-}
-
-// FramedOnce tells whether the requests of ctx's connection are known to frame their bodies in one way each.
-func FramedOnce(ctx context.Context) bool {
-	w, ok := ctx.Value(watchedKey{}).(*watched)
-	return ok && !w.twice.Load()
+	return one, nil
 }
 
 // closeOne makes room. Guards against clients that connect by hundreds and say nothing, at the cost of those that
-// ask: a connection that never brought a request goes before one that did, unless it is about to.
+// ask: a connection that never brought a request goes before one that did, unless it is about to. One that has its last
+// answer goes first.
 func (c *Conns) closeOne() {
 	now := time.Now()
-	var worst net.Conn
-	rank := func(of clientConn) int {
+	rank := func(one *conn, of *record) int {
 		switch quiet := now.Sub(of.quiet); {
-		case !of.asked && quiet < firstSoon:
+		case of.dying || one.state() == active:
 			return 0
-		case of.asked && quiet < usualGap:
+		case one.state() == shut:
+			return 5
+		case !of.asked && quiet < firstSoon:
 			return 1
-		case of.asked:
+		case of.asked && quiet < usualGap:
 			return 2
+		case of.asked:
+			return 3
 		}
-		return 3
+		return 4
 	}
-	for conn, is := range c.conns {
-		if is.quiet.IsZero() {
-			continue
+	for { // one may begin a request as it is chosen
+		var worst *conn
+		most := 0
+		for one, of := range c.conns {
+			if r := rank(one, of); r > most || r > 0 && r == most && of.quiet.Before(c.conns[worst].quiet) {
+				worst, most = one, r
+			}
 		}
-		than := c.conns[worst]
-		if worst == nil || rank(is) > rank(than) || rank(is) == rank(than) && is.quiet.Before(than.quiet) {
-			worst = conn
+		if worst == nil {
+			return
+		}
+		if worst.drop() {
+			c.conns[worst].dying = true
+			c.dying++
+			return
 		}
-	}
-	if worst != nil {
-		worst.Close()
-		c.conns[worst] = clientConn{} // gone once the server has seen it
 	}
 }
 
+// Close ends the listener. What waits in its queue is still taken, unless it is left to another process.
 func (c *Conns) Close() error {
 	c.mu.Lock()
-	was := c.closed
+	was, left := c.closed, c.paused || len(c.conns)-c.dying >= c.most
 	c.closed = true
 	c.mu.Unlock()
 	if was {
 		return nil
 	}
 	c.room.Broadcast()
+	if l, ok := c.Listener.(interface{ SetDeadline(time.Time) error }); ok && !left && l.SetDeadline(time.Now().Add(queueFor)) == nil {
+		return nil // Accept closes it
+	}
+	c.mu.Lock()
+	c.ended = true
+	c.mu.Unlock()
 	return c.Listener.Close()
 }
 
@@ -171,30 +161,58 @@
 	return len(c.conns)
 }
 
-// CloseQuiet closes all connections that have carried no request for that long.
-func (c *Conns) CloseQuiet(least time.Duration) {
+// Over tells whether nothing more is accepted, and all connections have ended.
+func (c *Conns) Over() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for conn, is := range c.conns {
-		if !is.quiet.IsZero() && time.Since(is.quiet) >= least {
-			conn.Close()
+	return c.ended && len(c.conns) == 0
+}
+
+// CloseQuiet closes all connections that have carried no request for that long, and on which none has come: see conn.rest.
+func (c *Conns) CloseQuiet(least time.Duration) {
+	c.mu.Lock()
+	var quiet []*conn
+	for one, of := range c.conns {
+		if one.state() == idle && time.Since(of.quiet) >= least {
+			quiet = append(quiet, one)
 		}
 	}
+	c.mu.Unlock()
+	for _, one := range quiet {
+		one.rest()
+	}
+}
+
+// Drop closes all connections at once.
+func (c *Conns) Drop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for one := range c.conns {
+		one.kill()
+	}
 }
 
 // State follows the server's connections.
-func (c *Conns) State(conn net.Conn, s http.ConnState) {
+func (c *Conns) State(of net.Conn, s http.ConnState) {
+	one := connOf(of)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	r := c.conns[one]
+	if r == nil {
+		return
+	}
 	switch s {
-	case http.StateNew:
-		c.conns[conn] = clientConn{quiet: time.Now()}
 	case http.StateIdle:
-		c.conns[conn] = clientConn{quiet: time.Now(), asked: true}
+		r.quiet, r.asked = time.Now(), true
+		one.answered()
 	case http.StateActive:
-		c.conns[conn] = clientConn{asked: true}
+		r.asked = true
+		one.begin()
 	case http.StateClosed, http.StateHijacked:
-		delete(c.conns, conn)
+		if r.dying {
+			c.dying--
+		}
+		delete(c.conns, one)
 	}
 	c.room.Broadcast()
 }
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -189,7 +189,7 @@
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		for conn, is := range c.conns {
-			if is.quiet.IsZero() {
+			if is.dying {
 				go c.State(conn, http.StateClosed)
 				return true
 			}
--- a/internal/intake/secure.go
+++ b/internal/intake/secure.go
@@ -5,7 +5,6 @@
 	"crypto/tls"
 	"errors"
 	"io"
-	"net"
 	"time"
 )
 
@@ -18,14 +17,15 @@
 // secured is an encrypted connection whose requests' framing is followed: the watch reads what was decrypted. The library takes it for
 // one that is not encrypted, but for ConnectionState.
 type secured struct {
-	*watched
+	*conn
 	tls  *tls.Conn
 	most time.Duration
 }
 
-func (s *Secure) over(conn net.Conn) *secured {
-	c := tls.Server(conn, s.Config)
-	return &secured{&watched{Conn: c}, c, s.Handshake}
+func (s *Secure) over(c *conn) *secured {
+	t := tls.Server(c.socket, s.Config)
+	c.Conn = t
+	return &secured{c, t, s.Handshake}
 }
 
 // ConnectionState has the library's goroutine of this connection do the handshake, before it reads a request. One that fails shows at
--- a/internal/repeatkeeper/keeper.go
+++ b/internal/repeatkeeper/keeper.go
@@ -1,6 +1,6 @@
 // Package repeatkeeper drives a repeats.Store: it runs what is to be sent, has repeats wait for it, and hands out ends. It is safe
 // for concurrent use. A request runs on the goroutine of the client that came first, and goes on when that one leaves: others may
-// wait for its end, and what it brought is kept for those who come again.
+// wait for its end, and what it brought is kept for those who come again. Once all have left nothing more of it is begun.
 package repeatkeeper
 
 import (
@@ -86,6 +86,10 @@
 }
 
 type flight struct {
+	wanted  context.Context // ends once all have left that wait for its end
+	give    context.CancelFunc
+	waiting int // under mu
+
 	done   chan struct{}
 	same   chan struct{} // where keys are shared: closed once it is known that the key is this request's elsewhere too, or with done
 	end    Ended
@@ -125,8 +129,8 @@
 const saidEvery = 10 * time.Second
 
 // Do gives a client of a key its end. Where the request is to be sent, run is called, which must end by itself and not with this
-// client: others may wait for it. One that waits is told Fail at ctx's deadline, and else has left when ctx ends.
-func (k *Keeper) Do(ctx context.Context, id repeats.ID, print repeats.Print, run func(prior []repeats.Send, s Sends) Ended) Result {
+// client: others may wait for it, and wanted ends once none does. One that waits is told Fail at ctx's deadline, and else has left when ctx ends.
+func (k *Keeper) Do(ctx context.Context, id repeats.ID, print repeats.Print, run func(wanted context.Context, prior []repeats.Send, s Sends) Ended) Result {
 	for {
 		r, again := k.do(ctx, id, print, run)
 		if again == nil {
@@ -141,7 +145,7 @@
 }
 
 // do is Do; where it returns a channel the key is not decided on before that is closed.
-func (k *Keeper) do(ctx context.Context, id repeats.ID, print repeats.Print, run func(prior []repeats.Send, s Sends) Ended) (Result, <-chan struct{}) {
+func (k *Keeper) do(ctx context.Context, id repeats.ID, print repeats.Print, run func(wanted context.Context, prior []repeats.Send, s Sends) Ended) (Result, <-chan struct{}) {
 	now := k.now()
 	k.mu.Lock()
 	window := k.window
@@ -156,7 +160,8 @@
 	var f *flight
 	switch d.Verdict {
 	case repeats.Run:
-		f = &flight{done: make(chan struct{})}
+		f = &flight{done: make(chan struct{}), waiting: 1}
+		f.wanted, f.give = context.WithCancel(context.Background())
 		if k.o.Shared != nil {
 			f.same = make(chan struct{})
 		}
@@ -164,6 +169,7 @@
 		k.running.Add(1)
 	case repeats.Wait:
 		f = k.flights[id]
+		f.waiting++
 	case repeats.Refuse:
 		k.refusal(now)
 	case repeats.Conflict:
@@ -193,6 +199,7 @@
 		}()
 	case d.Verdict == repeats.Run:
 		defer k.running.Done()
+		defer context.AfterFunc(ctx, func() { k.leave(f) })()
 		k.run(ctx, meeting, f, run)
 		return Result{Ended: f.end, First: !f.theirs}, nil
 	}
@@ -201,6 +208,7 @@
 		return Result{Ended: f.end, First: d.Verdict == repeats.Run && !f.theirs}, nil
 	case <-ctx.Done():
 	}
+	k.leave(f)
 	if d.Verdict == repeats.Wait {
 		k.mu.Lock()
 		if k.flights[id] == f { // it still runs
@@ -214,6 +222,15 @@
 	return Result{Left: true}, nil
 }
 
+// leave says that a client waits no longer.
+func (k *Keeper) leave(f *flight) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if f.waiting--; f.waiting == 0 {
+		f.give()
+	}
+}
+
 // refusal logs that keys are refused, now and then.
 func (k *Keeper) refusal(now time.Duration) {
 	if k.refused++; k.refused > 1 && now-k.said < saidEvery {
@@ -253,7 +270,7 @@
 
 // run sends a request, once it is on record, and claimed where processes share their keys. Its end is told before it is on record:
 // should the process end between the two, the record says that it ran, and a repeat is not sent.
-func (k *Keeper) run(ctx context.Context, m repeats.Meeting, f *flight, run func([]repeats.Send, Sends) Ended) {
+func (k *Keeper) run(ctx context.Context, m repeats.Meeting, f *flight, run func(context.Context, []repeats.Send, Sends) Ended) {
 	id := m.ID
 	var end Ended
 	var claim repeatshare.Claim
@@ -276,7 +293,7 @@
 		for i := range prior {
 			prior[i].Sent -= k.offset
 		}
-		end = run(prior, sends{k, id})
+		end = run(f.wanted, prior, sends{k, id})
 	}
 	k.step(3)
 	kind := repeats.Uncertain
@@ -295,6 +312,7 @@
 	delete(k.flights, id)
 	k.mu.Unlock()
 	f.end = end
+	f.give()
 	close(f.done)
 	same()
 	k.step(4)
--- a/internal/repeatkeeper/keeper_test.go
+++ b/internal/repeatkeeper/keeper_test.go
@@ -66,7 +66,7 @@
 	return k
 }
 
-func paid([]repeats.Send, Sends) Ended {
+func paid(context.Context, []repeats.Send, Sends) Ended {
 	return Ended{Verdict: repeats.Replay, Answer: &repeats.Answer{Status: 200, Body: []byte("paid")}}
 }
 
@@ -123,7 +123,7 @@
 		results := make(chan Result, 20)
 		ask := func(ctx context.Context) {
 			go func() {
-				results <- k.Do(ctx, id(1), repeats.Print{}, func([]repeats.Send, Sends) Ended { return <-end })
+				results <- k.Do(ctx, id(1), repeats.Print{}, func(context.Context, []repeats.Send, Sends) Ended { return <-end })
 			}()
 			synctest.Wait()
 		}
--- a/internal/upstream/by_test.go
+++ b/internal/upstream/by_test.go
@@ -29,7 +29,7 @@
 	by := time.Now().Add(20 * time.Millisecond)
 	repeat := make(chan balancer.Result, 1)
 	go func() {
-		repeat <- u.AttemptBy(t.Context(), "s", testRequest("POST", "repeat"), time.Time{}, by).Result
+		repeat <- u.AttemptWithin(t.Context(), "s", testRequest("POST", "repeat"), Terms{By: by}).Result
 	}()
 	time.Sleep(time.Until(by.Add(time.Millisecond)))
 	close(release)
@@ -39,7 +39,7 @@
 	if got := <-repeat; got != balancer.Moot {
 		t.Errorf("the repeat: %v", got)
 	}
-	if got := u.AttemptBy(t.Context(), "s", testRequest("POST", "in time"), time.Time{}, time.Now().Add(time.Minute)).Result; got != balancer.OK {
+	if got := u.AttemptWithin(t.Context(), "s", testRequest("POST", "in time"), Terms{By: time.Now().Add(time.Minute)}).Result; got != balancer.OK {
 		t.Errorf("one in time: %v", got)
 	}
 	if n := len(s.Requests()); n != 2 {
@@ -64,7 +64,7 @@
 	}()
 	slow := testPool(t, 1, testkit.Entry("s", l.Addr().String(), "Ready"))
 	large := NewRequest(http.MethodPost, "/record/1", "s", nil, make([]byte, 32<<20))
-	if got := slow.AttemptBy(t.Context(), "s", large, time.Time{}, time.Now().Add(50*time.Millisecond)).Result; got != balancer.Moot {
+	if got := slow.AttemptWithin(t.Context(), "s", large, Terms{By: time.Now().Add(50 * time.Millisecond)}).Result; got != balancer.Moot {
 		t.Errorf("a body that is taken too slowly: %v", got)
 	}
 	close(repeat)
--- /dev/null
+++ b/internal/upstream/caller_test.go
@@ -0,0 +1,67 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"orchiddrift/balancer"
+	"orchiddrift/internal/standin"
+	"orchiddrift/internal/testkit"
+	"orchiddrift/internal/testkit/base"
+)
+
+// Guards against attempts that begin for nobody: their caller leaves while they wait for a connection to come up, or for one that
+// another request has, or they are called off before their first byte. They prove not to have run, and end at once.
+func TestNothingBeginsForACallerThatLeft(t *testing.T) {
+	late := base.NewLate(t)
+	release := make(chan struct{})
+	s := testkit.Raw(t, func(c net.Conn, g standin.Got) bool {
+		<-release
+		return standin.Says(standin.OK200(""))(c, g)
+	})
+	caller, leave := context.WithCancel(t.Context())
+	defer leave()
+	ended := make(chan balancer.Result, 3)
+	attempt := func(u *Pool) {
+		ended <- u.AttemptWithin(t.Context(), "s", testRequest("GET", ""), Terms{Caller: caller}).Result
+	}
+	comesUp := testPool(t, 4, testkit.Entry("s", late.Address, "Ready"))
+	go attempt(comesUp)
+	busy := testPool(t, 1, testkit.Entry("s", s.Address, "Ready"))
+	first := make(chan balancer.Result, 1)
+	go func() { first <- busy.Attempt(t.Context(), "s", testRequest("GET", ""), time.Time{}).Result }()
+	testkit.Eventually(t, "another request has the connection", func() bool { return len(s.Requests()) == 1 })
+	go attempt(busy)
+	testkit.Eventually(t, "both wait", func() bool { return busy.slots.Waiting("") == 1 && comesUp.slots.Held() == 1 })
+	left := time.Now()
+	leave()
+	for range 2 {
+		if got := <-ended; got != balancer.Moot {
+			t.Errorf("one that waited: %v", got)
+		}
+	}
+	if took := time.Since(left); took > testkit.Patience/2 {
+		t.Errorf("they waited on for %v", took)
+	}
+	late.ComeUp()
+	close(release)
+	if got := <-first; got != balancer.OK {
+		t.Errorf("the one that had begun: %v", got)
+	}
+	off, end := context.WithCancel(t.Context())
+	end()
+	if got := busy.AttemptWithin(off, "s", testRequest("GET", ""), Terms{}).Result; got != balancer.Moot {
+		t.Errorf("one that was called off: %v", got)
+	}
+	if got := busy.AttemptWithin(t.Context(), "s", testRequest("GET", ""), Terms{Caller: caller}).Result; got != balancer.Moot {
+		t.Errorf("one whose caller had left: %v", got)
+	}
+	if got := comesUp.Attempt(t.Context(), "s", testRequest("GET", ""), time.Time{}).Result; got != balancer.OK {
+		t.Errorf("a later one: %v", got)
+	}
+	if n, m := len(s.Requests()), late.Came(); n != 1 || m != 1 {
+		t.Errorf("%d and %d requests came, 1 and 1 were wanted", n, m)
+	}
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -123,18 +123,33 @@
 // Attempt sends a request to an upstream once, and waits for its end or that of ctx. The upstream is told to answer
 // until deadline; zero: it is told nothing.
 func (u *Pool) Attempt(ctx context.Context, name string, r *Request, deadline time.Time) Reply {
-	return u.AttemptBy(ctx, name, r, deadline, time.Time{})
+	return u.AttemptWithin(ctx, name, r, Terms{Deadline: deadline})
 }
 
-// AttemptBy is Attempt for a request whose last byte is to be written before by; what is not has not been sent. Zero: at any time.
-func (u *Pool) AttemptBy(ctx context.Context, name string, r *Request, deadline, by time.Time) Reply {
+// Terms bound one attempt.
+type Terms struct {
+	Deadline time.Time       // the upstream is told to answer until then; zero: it is told nothing
+	By       time.Time       // the last byte is to be written before; what is not has not been sent. Zero: at any time
+	Caller   context.Context // once it has ended nobody waits for the answer, and nothing is begun; nil: it does not end
+}
+
+// left tells whether nobody waits for the answer any more.
+func (t *Terms) left() bool { return t.Caller != nil && t.Caller.Err() != nil }
+
+// late tells whether the last byte can't be written in time any more.
+func (t *Terms) late() bool { return !t.By.IsZero() && !time.Now().Before(t.By) }
+
+// AttemptWithin is Attempt within terms.
+func (u *Pool) AttemptWithin(ctx context.Context, name string, r *Request, t Terms) Reply {
 	at, ok := u.dir.Place(name)
 	if !ok {
 		return Reply{Result: balancer.Moot}
 	}
 	for {
-		c, reused, err := u.connection(ctx, name, at)
+		c, reused, err := u.connectionFor(ctx, t.Caller, name, at)
 		switch {
+		case err != nil && t.left():
+			return Reply{Result: balancer.Moot}
 		case errors.Is(err, errSaturated): // says nothing of the upstream
 			return Reply{Result: balancer.Moot}
 		case err != nil && ctx.Err() != nil && !errors.Is(context.Cause(ctx), context.DeadlineExceeded):
@@ -142,7 +157,7 @@
 		case err != nil:
 			return Reply{Result: balancer.ConnectFailed}
 		}
-		rep, reusable, lingers := u.exchange(ctx, c, r, deadline, by)
+		rep, reusable, lingers := u.exchange(ctx, c, r, t)
 		switch {
 		case lingers: // it is put back, or closed, by itself, or by whoever ends the Reply's Rest
 		case reusable:
@@ -159,7 +174,7 @@
 
 // exchange writes the request and reads its answer, with nothing else of the connection's running beside it: what
 // was written and what came is known here to the byte. A connection is reusable only if nothing is left of it.
-func (u *Pool) exchange(ctx context.Context, c *poolConn, r *Request, deadline, by time.Time) (rep Reply, reusable, lingers bool) {
+func (u *Pool) exchange(ctx context.Context, c *poolConn, r *Request, t Terms) (rep Reply, reusable, lingers bool) {
 	var gaveUp chan struct{} // closed once giveUp has ended
 	if c.secure != nil {
 		gaveUp = make(chan struct{})
@@ -187,14 +202,15 @@
 	}
 	buffer := outgoing.Get().(*[]byte)
 	defer outgoing.Put(buffer)
-	*buffer = r.appendTo((*buffer)[:0], deadline)
+	*buffer = r.appendTo((*buffer)[:0], t.Deadline)
 	// Guards against sends to an upstream that discovery reported draining between the decision and the write,
 	// while a connection was made, say.
 	if !u.dir.Ready(c.name, c.at) {
 		return Reply{Result: balancer.Moot}, false, false
 	}
-	late := func() bool { return !by.IsZero() && !time.Now().Before(by) }
-	if late() { // it waited for its connection, say
+	// It may have waited for its connection: nothing is begun that nobody waits for, that has been called off, or that its group
+	// would take for a new request.
+	if t.left() || ctx.Err() != nil || t.late() {
 		return Reply{Result: balancer.Moot}, true, false
 	}
 	if r.Gate != nil && !r.Gate.Enter() {
@@ -202,14 +218,14 @@
 	}
 	var up *upload // a long body's
 	if r.long() {
-		up = r.start(c, *buffer, by)
+		up = r.start(c, *buffer, t.By)
 		defer func() {
 			whole := up.stop()
 			reusable = c.SetWriteDeadline(time.Time{}) == nil && whole && reusable
 		}()
 	} else {
-		if !by.IsZero() {
-			_ = c.SetWriteDeadline(by) // the write shows it
+		if !t.By.IsZero() {
+			_ = c.SetWriteDeadline(t.By) // the write shows it
 		}
 		out, err := c.send(*buffer)
 		if r.Gate != nil {
@@ -219,12 +235,12 @@
 			return ended(balancer.Reset), false, false
 		}
 		if err != nil {
-			if late() {
+			if t.late() {
 				return Reply{Result: balancer.Moot}, false, false
 			}
 			return ended(balancer.ConnectFailed), false, false
 		}
-		if !by.IsZero() {
+		if !t.By.IsZero() {
 			_ = c.SetWriteDeadline(time.Time{})
 		}
 		if r.Written != nil {
@@ -249,7 +265,7 @@
 		case whole || turnedAway(resp, err):
 		case in.limited.left == httphead.MaxBytes: // its last byte never went out, and nothing came back
 			result := balancer.ConnectFailed
-			if ctx.Err() != nil || late() {
+			if ctx.Err() != nil || t.late() {
 				result = balancer.Moot
 			}
 			return r.unsent(result), false, false
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -159,9 +159,20 @@
 // connection returns a connection to an upstream: the one that was used last of those that have rested, or a new
 // one. At the limit it closes the one idle for longest, and where all are busy it waits until ctx ends.
 func (u *Pool) connection(ctx context.Context, name string, at directory.Place) (c *poolConn, reused bool, err error) {
+	return u.connectionFor(ctx, nil, name, at)
+}
+
+// connectionFor is connection for a caller: where one has to be waited for, the wait ends with the caller too.
+func (u *Pool) connectionFor(ctx, caller context.Context, name string, at directory.Place) (c *poolConn, reused bool, err error) {
 	if c = u.take(name, at); c != nil {
 		return c, true, nil
 	}
+	if caller != nil && caller.Done() != nil {
+		var end context.CancelFunc
+		ctx, end = context.WithCancel(ctx)
+		defer end()
+		defer context.AfterFunc(caller, end)()
+	}
 	if err = u.slot(ctx); err != nil {
 		return nil, false, err
 	}
--- a/internal/upstream/proof_test.go
+++ b/internal/upstream/proof_test.go
@@ -216,7 +216,7 @@
 					} else {
 						s.Conn, conn.Conn = conn.Conn, s
 					}
-					rep, reusable, _ := u.exchange(t.Context(), conn, r, time.Time{}, time.Time{})
+					rep, reusable, _ := u.exchange(t.Context(), conn, r, Terms{})
 					u.discard(conn)
 					if r.Upload != nil {
 						r.Upload.End()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -164,7 +164,7 @@
 	if err := c.Conn.(*net.TCPConn).CloseWrite(); err != nil { // the write will fail
 		t.Fatal(err)
 	}
-	rep, reusable, _ := u.exchange(t.Context(), c, testRequest("POST", "b"), time.Time{}, time.Time{})
+	rep, reusable, _ := u.exchange(t.Context(), c, testRequest("POST", "b"), Terms{})
 	u.discard(c)
 	if rep.Result != balancer.ConnectFailed || reusable {
 		t.Errorf("result %d, reusable %v", rep.Result, reusable)
@@ -181,7 +181,7 @@
 			t.Fatal(err)
 		}
 		u.dir.Apply(testkit.Listing(t, 2, false, testkit.Entry("s", s.Address, status)))
-		if rep, _, _ := u.exchange(t.Context(), c, testRequest("GET", ""), time.Time{}, time.Time{}); rep.Result != balancer.Moot {
+		if rep, _, _ := u.exchange(t.Context(), c, testRequest("GET", ""), Terms{}); rep.Result != balancer.Moot {
 			t.Errorf("%s: result %d", status, rep.Result)
 		}
 		u.discard(c)
--- a/orchidgrpc/attempt.go
+++ b/orchidgrpc/attempt.go
@@ -21,6 +21,7 @@
 	upstream string
 	place    directory.Place
 	by       time.Time               // its pick is to come before; zero: at any time
+	caller   context.Context         // and before this ends
 	cancel   context.CancelCauseFunc // ends the RPC
 
 	mu       sync.Mutex
@@ -66,7 +67,8 @@
 	case a.denied:
 		return errNoConnect
 	case !a.plugin.directory.Ready(a.upstream, a.place), // drained or gone since the decision
-		!a.by.IsZero() && !time.Now().Before(a.by): // or a repeat that came too late
+		!a.by.IsZero() && !time.Now().Before(a.by), // or a repeat that came too late
+		a.caller.Err() != nil:                      // or nobody waits for the answer
 		a.denied, a.evidence.drained = true, true
 		return errDrained
 	}
--- a/orchidgrpc/call.go
+++ b/orchidgrpc/call.go
@@ -76,7 +76,7 @@
 	if !ok {
 		return nil
 	}
-	return &attempt{Context: ctx, plugin: c.p, upstream: a.Upstream, place: place, by: a.By, cancel: a.Cancel}
+	return &attempt{Context: ctx, plugin: c.p, upstream: a.Upstream, place: place, by: a.By, caller: a.Caller, cancel: a.Cancel}
 }
 
 // ended says what an RPC's end was for the module. An error that is the application's own answer counts as served.
--- a/orchidgrpc/door.go
+++ b/orchidgrpc/door.go
@@ -18,8 +18,13 @@
 		return c.p.engine.Do(ctx, c.Call, carrier)
 	}
 	md, _ := metadata.FromOutgoingContext(ctx)
+	waits, end := context.WithCancel(ctx)
+	defer end()
+	if c.Wanted != nil {
+		defer context.AfterFunc(c.Wanted, end)()
+	}
 	marked := first(md, strings.ToLower(k.RepeatHeader()))
-	pass, verdict, in := k.Enter(ctx, door.Who{Tenant: c.Tenant, Header: func(name string) string { return first(md, strings.ToLower(name)) }},
+	pass, verdict, in := k.Enter(waits, door.Who{Tenant: c.Tenant, Header: func(name string) string { return first(md, strings.ToLower(name)) }},
 		door.Arrival{Class: c.Class, Hint: c.Hint, Came: c.p.engine.Clock().Now(), Expires: c.Expires,
 			Repeat: marked != "" && marked != "0", Print: c.print})
 	switch verdict {
--- a/orchidgrpc/repeats.go
+++ b/orchidgrpc/repeats.go
@@ -43,7 +43,8 @@
 	own := *u.call // the call that is sent has no word of this caller's end
 	sent := &unaryCall{call: &own, req: proto.Clone(req), reply: u.like.fresh(), like: u.like, cc: u.cc, invoker: u.invoker, plain: u.plain}
 	r := u.p.repeats.Do(ctx, repeats.ID{Tenant: u.Tenant, Class: u.Class, Key: key}, repeats.Print(h.Sum(nil)[:16]),
-		func(prior []repeats.Send, sends repeatkeeper.Sends) repeatkeeper.Ended {
+		func(wanted context.Context, prior []repeats.Send, sends repeatkeeper.Sends) repeatkeeper.Ended {
+			sent.Wanted = wanted
 			for _, x := range prior {
 				sent.Prior = append(sent.Prior, balancer.Prior{Zone: x.Zone, Cell: x.Cell, Sent: x.Sent})
 			}
