freshness: a change is told 6 s after discovery can be reached, whatever calls came to

Need: the operators' term that goes before older ones: a change counts as told 6 s after discovery had it and could be reached, whatever is allowed after calls that failed, were refused or given up. Without a watch the waits were bounded by the settings' longer times.

At fault: waitMost 8 s and AskWithin*3/5, with jitter up to 9 s between two calls, and due = now + 4 x AskWithin in broken().

First waits grow with the fleet, 5 ms a sidecar, so that watches that end together are not asked for again together. The deadline after a watch that ended is told + 6 s, like the others. TestDue has the new deadlines.

--- a/internal/freshness/budget.go
+++ b/internal/freshness/budget.go
@@ -17,6 +17,14 @@
 //	                                                                         sum 6 s
 //
 // Calls that fail at once are made again sooner, after a part of what is left.
+//
+// Where there is no watch, whatever calls came to, a change counts as told toldSilent after discovery had it and could be reached. That
+// moment is not known here, so that the waits alone have to fit, counted from a return of discovery just after a call was made:
+//
+//	connectLeast, or patienceMost     the call that just missed it fails, or is doubted     1 s, or 3 s with no wait after it
+//	waitMost with its jitter          until the next call                                   3.3 s
+//	the first word                    discovery gives a call up that waits longer           1 s
+//	                                                                                  sum 5.3 s
 const (
 	beat       = 2 * time.Second
 	slack      = 500 * time.Millisecond // late by a busy network, or a core that others share
@@ -32,19 +40,19 @@
 	patienceLeast = time.Second
 	patienceMost  = toldSilent / 2
 
-	heldFailed = 4 // times AskWithin that the list holds after a call that failed
-	askUntold  = 10 * time.Second
+	askUntold = 10 * time.Second
 )
 
 // Waits before a call is made again that ended: they double from first to most, each drawn between half and one and a half of
 // that. Asked discoveries are shared by the fleet and have to be spared while they are down; an agent at hand costs nothing.
 const (
-	waitFirst   = time.Second
-	waitMost    = 8 * time.Second
-	waitPressed = 250 * time.Millisecond // the first while a deadline is near
-	waitOverdue = 4 * time.Second        // the most once the list may be too old
-	leftPart    = 3                      // of what is left until a deadline, at most one part of so many is waited
-	waitLeast   = 200 * time.Millisecond
+	waitFirst    = time.Second
+	waitEach     = 5 * time.Millisecond    // or by sidecar, where that is more: a fleet whose watches all end asks 200 times a second
+	waitMost     = 2200 * time.Millisecond // see above
+	waitPressed  = 250 * time.Millisecond  // the first while a deadline is near
+	leftPart     = 3                       // of what is left until a deadline, at most one part of so many is waited
+	mostSidecars = 1000                    // beyond, the most is waited all the same
+	waitLeast    = 200 * time.Millisecond
 
 	pushedFirst    = 50 * time.Millisecond
 	pushedMost     = 120 * time.Millisecond // within the grace, with its jitter
@@ -85,13 +93,10 @@
 	if m.o.Pushed {
 		return m.jitter(min(pushedFirst<<n, pushedMost))
 	}
-	d := min(waitFirst<<n, waitMost, m.o.askWithin()*3/5) // with its jitter still within that after discovery is back
-	switch left := m.due - now; {
-	case !m.pressed:
-	case left > 0:
+	first := max(waitFirst, time.Duration(min(m.o.Sidecars, mostSidecars))*waitEach)
+	d := min(first<<n, waitMost, m.o.askWithin()*3/5) // with its jitter still within that after discovery is back
+	if left := m.due - now; m.pressed && left > 0 {
 		d = max(min(d, waitPressed<<n, left/leftPart), waitLeast)
-	default:
-		d = min(d, waitOverdue)
 	}
 	return m.jitter(d)
 }
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -114,11 +114,10 @@
 	if i < 0 {
 		return nil
 	}
-	c := m.calls[i]
 	m.calls = slices.Delete(m.calls, i, i+1)
 	m.fails++
-	if !m.pressed && !m.standing(now) {
-		m.broken(now, c.spoke)
+	if m.o.Pushed && !m.pressed && !m.standing(now) { // else there is no deadline but for the waits: see budget.go
+		m.pressed, m.due = true, now+toldPushed
 	}
 	m.hold = now + m.wait(now)
 	return nil
@@ -132,18 +131,6 @@
 	m.due = min(m.due, since+toldSilent)
 }
 
-// broken sets the deadline once there is no watch: not silent, but ended.
-func (m *Machine) broken(now time.Duration, spoke bool) {
-	switch {
-	case m.o.Pushed:
-		m.pressed, m.due = true, now+toldPushed
-	case spoke:
-		m.due = now + m.o.askWithin()
-	default: // a call that failed
-		m.due = max(m.due, now+heldFailed*m.o.askWithin())
-	}
-}
-
 // Tick looks at what has been waited for long enough. It is called at Next, or at any time.
 func (m *Machine) Tick(now time.Duration) []Action {
 	if len(m.calls) == 0 {
--- a/internal/freshness/model_test.go
+++ b/internal/freshness/model_test.go
@@ -29,8 +29,8 @@
 // fault is something that befalls a list.
 type fault struct {
 	at   time.Duration
-	what string        // silent, reset, down, refuse, late
-	len  time.Duration // of down and refuse: how long; of late: how late the calls made until at+5 s are
+	what string        // silent, reset, down, refuse, late, cut: calls made then end after 1 s, and those open fall silent
+	len  time.Duration // of down, refuse and cut: how long; of late: how late the calls made until at+5 s are
 }
 
 // world is a discovery, and what the rules say of one sidecar that follows it. It is told by the platform's protocol: what is
@@ -103,6 +103,10 @@
 			w.at(w.now+2*ms, func() { w.end(id, true) })
 			continue
 		}
+		if cut, _ := w.down(w.now, "cut"); cut {
+			w.at(w.now+time.Second, func() { w.end(id, true) })
+			continue
+		}
 		w.at(w.now+w.late(w.now), func() { w.answer(id) })
 	}
 }
@@ -177,7 +181,20 @@
 	return all
 }
 
-// rule sets, for each change that has not been heard of, when it counts as told.
+// reached is when a call made from then on is answered: discovery has the change, and can be reached.
+func (w *world) reached(t time.Duration) time.Duration {
+	for range len(w.faults) + 1 {
+		for _, f := range w.faults {
+			if (f.what == "down" || f.what == "refuse" || f.what == "cut") && t >= f.at && t < f.at+f.len {
+				t = f.at + f.len
+			}
+		}
+	}
+	return t
+}
+
+// rule sets, for each change that has not been heard of, when it counts as told. Whatever is allowed after calls that failed, were
+// refused or given up, that is 6 s after discovery had it and could be reached.
 func (w *world) rule() {
 	stands := slices.ContainsFunc(w.open(), func(c *worldCall) bool { return c.answered && !c.silent })
 	if stands {
@@ -191,16 +208,25 @@
 		}
 		switch {
 		case w.silent >= 0:
-			due = max(made, w.silent+6*time.Second)
+			missed := w.silent + 6*time.Second
+			for _, f := range w.faults { // it could not be reached
+				if f.what == "cut" && f.at <= missed && f.at+f.len > w.silent {
+					missed = max(missed, f.at+f.len+6*time.Second)
+				}
+			}
+			due = max(made, missed)
 		case w.pushed && off:
 			due = f.at + f.len
 		case w.pushed:
 			due = made
 		case w.ended >= 0 && off:
-			due = f.at + f.len + askUntold
+			due = w.reached(made) + askUntold
 		case w.ended >= 0:
 			due = made + w.heldFor
 		}
+		if strict := w.reached(made) + 6*time.Second; due < 0 || strict < due {
+			due = strict
+		}
 		if due >= 0 && (w.dueAt[i] < 0 || due < w.dueAt[i]) {
 			w.dueAt[i] = due
 		}
@@ -216,7 +242,7 @@
 	}
 	for _, f := range w.faults {
 		switch f.what {
-		case "silent":
+		case "silent", "cut":
 			w.at(f.at, func() {
 				for _, id := range w.ids() {
 					if w.calls[id].silent = true; w.silent < 0 {
@@ -358,6 +384,9 @@
 	{"reset, and calls are refused", false, []fault{{7 * time.Second, "reset", 0}, {7 * time.Second, "refuse", 3 * time.Second}}},
 	{"down", false, []fault{{7 * time.Second, "down", 8 * time.Second}}},
 	{"down for long", false, []fault{{7 * time.Second, "down", 2 * time.Minute}}},
+	{"down, and calls at its return are late", false, []fault{{7 * time.Second, "down", 33 * time.Second}, {40 * time.Second, "late", time.Second}}},
+	{"cut off", false, []fault{{7 * time.Second, "cut", 20 * time.Second}, {27 * time.Second, "late", time.Second}}},
+	{"down, then refused", false, []fault{{7 * time.Second, "down", 5 * time.Second}, {12 * time.Second, "refuse", 20 * time.Second}, {32 * time.Second, "late", time.Second}}},
 	{"pushed: a watch falls silent", true, []fault{{7 * time.Second, "silent", 0}}},
 	{"pushed: silent twice", true, []fault{{7 * time.Second, "silent", 0}, {9600 * ms, "silent", 0}}},
 	{"pushed: reset", true, []fault{{7 * time.Second, "reset", 0}}},
@@ -390,7 +419,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			worst := map[string]time.Duration{}
-			for seed := range uint64(8) {
+			for seed := range uint64(40) {
 				for name, f := range map[string]follower{
 					"now":    New(Options{Pushed: c.pushed, Sidecars: 1 + int(seed)*50}, rng(seed)),
 					"before": &before{rng: rng(seed), pushed: c.pushed},
@@ -420,7 +449,7 @@
 		var faults []fault
 		for at := time.Second; at < 100*time.Second; {
 			at += time.Duration(rapid.IntRange(0, 12000).Draw(t, "after")) * ms
-			kind := rapid.SampledFrom([]string{"silent", "reset", "down", "late silent", "refused"}).Draw(t, "fault")
+			kind := rapid.SampledFrom([]string{"silent", "reset", "down", "late silent", "refused", "cut"}).Draw(t, "fault")
 			length := time.Duration(rapid.IntRange(1, 1000).Draw(t, "ms")) * ms
 			switch kind {
 			case "silent", "reset":
@@ -432,13 +461,13 @@
 			case "refused":
 				faults = append(faults, fault{at, "silent", 0}, fault{at, "refuse", 3 * length})
 				at += 6 * time.Second
-			case "down":
+			case "down", "cut":
 				faults = append(faults, fault{at, kind, 10 * length})
-				at += 10*length + 4*askUntold
+				at += 10*length + 6*time.Second
 			}
 		}
-		if pushed { // an agent answers at once
-			faults = slices.DeleteFunc(faults, func(f fault) bool { return f.what == "late" })
+		if pushed { // an agent is at hand, and answers at once
+			faults = slices.DeleteFunc(faults, func(f fault) bool { return f.what == "late" || f.what == "cut" })
 		}
 		w := &world{f: New(Options{Pushed: pushed, Sidecars: rapid.IntRange(1, 400).Draw(t, "sidecars")}, rng(rapid.Uint64().Draw(t, "seed"))),
 			pushed: pushed, faults: faults, changes: changesEvery(151*ms, worldEnd-40*time.Second)}
@@ -463,7 +492,8 @@
 		{"reset", false, []fault{{7 * time.Second, "reset", 0}}, 2, 1},
 		{"silent, and calls are refused", false, []fault{{7 * time.Second, "silent", 0}, {9 * time.Second, "refuse", 3 * time.Second}}, 12, 6},
 		{"silent, and calls are refused for long", false, []fault{{7 * time.Second, "silent", 0}, {9 * time.Second, "refuse", 2 * time.Minute}}, 70, 6},
-		{"down for two minutes", false, []fault{{7 * time.Second, "down", 2 * time.Minute}}, 30, 2},
+		{"down for two minutes", false, []fault{{7 * time.Second, "down", 2 * time.Minute}}, 66, 2}, // one in 2.2 s: what is changed is told 6 s after its return
+		{"cut off for two minutes", false, []fault{{7 * time.Second, "cut", 2 * time.Minute}}, 66, 2},
 		{"first answers take 1 s", false, []fault{{0, "late", time.Second}}, 1, 1},
 		{"pushed, down for two minutes", true, []fault{{7 * time.Second, "down", 2 * time.Minute}}, 260, 4},
 	} {
@@ -494,8 +524,8 @@
 		{"silent at 3.5 s", func() { m.Tick(3500 * ms) }, 7 * time.Second, false},
 		{"the call made then fails", func() { m.Ended(4*time.Second, 2) }, 7 * time.Second, false},
 		{"and the silent one speaks", func() { m.Heard(5*time.Second, 1) }, 11 * time.Second, true},
-		{"it ends", func() { m.Ended(6*time.Second, 1) }, 9 * time.Second, false},
-		{"another address", func() { m.Redirect(6100 * ms) }, 9 * time.Second, false},
+		{"it ends", func() { m.Ended(6*time.Second, 1) }, 11 * time.Second, false},
+		{"another address", func() { m.Redirect(6100 * ms) }, 10100 * ms, false},
 	}
 	for _, s := range steps {
 		s.do()
--- a/internal/procs/leaving_test.go
+++ b/internal/procs/leaving_test.go
@@ -150,7 +150,8 @@
 
 // Guards against requests to upstreams announced as leaving, with processes: a quarter of the upstreams drain where the list
 // cannot be heard of at once. Asked: all watches are reset, the calls made then wait for their answer, fall silent before it comes,
-// as all others do, and what they miss counts as told 6 s later. Pushed: the agent breaks all watches and takes no call for a while;
+// as all others do, and what they miss counts as told 6 s later. Down: all calls fail for 10 s, and what discovery has at its return counts
+// as told 6 s later. Pushed: the agent breaks all watches and takes no call for a while;
 // what it has at its return counts at once. With the waits before this was mended requests came 1 to 3 s too late.
 func TestNothingGoesToUpstreamsAnnouncedAsLeaving(t *testing.T) {
 	sidecars, upstreams, rate := 4, 8, 20.0
@@ -159,8 +160,9 @@
 	} else if testing.Short() {
 		t.Skip("takes 12 s")
 	}
-	for _, pushed := range []bool{false, true} {
-		t.Run(fmt.Sprintf("pushed=%v", pushed), func(t *testing.T) {
+	for _, how := range []string{"asked", "down", "pushed"} {
+		t.Run(how, func(t *testing.T) {
+			pushed := how == "pushed"
 			r := New(t, 1)
 			disco := standin.NewDiscovery()
 			if *fleet && !pushed { // it takes all calls in 2 s, and none that would wait for more than 1 s
@@ -170,17 +172,25 @@
 			begun := len(disco.Calls())
 			drained := f.names[:upstreams/4]
 			var due, drainedAt time.Time
-			if pushed {
+			switch how {
+			case "pushed":
 				disco.Down(true)
 				settled(time.Now().Add(3100 * time.Millisecond))
 				disco.Drain(drained...)
 				drainedAt = time.Now()
 				disco.Down(false)
 				due = time.Now()
-			} else {
+			case "down":
+				disco.Down(true)
+				settled(time.Now().Add(10 * time.Second)) // so long that waits have grown to their most
+				disco.Drain(drained...)
+				drainedAt = time.Now()
+				disco.Down(false)
+				due = time.Now().Add(6 * time.Second)
+			default:
 				disco.Hold(900 * time.Millisecond)
 				disco.Break()
-				settled(time.Now().Add(1600 * time.Millisecond)) // each calls again after 0.5 to 1.5 s
+				settled(time.Now().Add(1600*time.Millisecond + time.Duration(sidecars)*3*time.Millisecond)) // each calls again after 0.5 to 1.5 s, or 2.6 s
 				disco.Hold(0)
 				disco.Mute()
 				due = time.Now().Add(6 * time.Second)
@@ -200,7 +210,7 @@
 				}
 				most = max(most, j-i)
 			}
-			record := map[string]any{"sidecars": sidecars, "upstreams": upstreams, "pushed": pushed, "late": n, "worst_ms": worst.Milliseconds(),
+			record := map[string]any{"sidecars": sidecars, "upstreams": upstreams, "how": how, "late": n, "worst_ms": worst.Milliseconds(),
 				"all_have_the_news_ms": all.Sub(drainedAt).Milliseconds(), "due_ms": due.Sub(drainedAt).Milliseconds(), "calls": len(calls), "calls_in_a_second": most,
 				"served": f.served.Load(), "failed": f.failed.Load()}
 			line, _ := json.Marshal(record)
