balancer: the sum of a fleet's sends to cold upstreams is searched over sizes, lulls and restarts

Need: cold upstreams fall under the sum of all processes, and the operators want it within N + 2 x root of N + 2 of what the settings allow, with 4, 20, 30 and 300 processes that share nothing.

Change: a fleet of modules in virtual time that hear of the start at one moment, traffic uneven (log-normal, some four times the mean), the warm upstreams so slow that every request would be better off at a cold one; lulls and bursts, errors and retries, requests of a quarter to four times the work, processes that start anew in the ramp, other settings. The window is looked at at each send. rapid searches random ones.

Found: nothing to mend.

--- /dev/null
+++ b/balancer/ramp_test.go
@@ -0,0 +1,265 @@
+package balancer
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// ramp is a fleet of sidecars that share nothing, before upstreams of which some start at one moment, of which all hear at once.
+type ramp struct {
+	processes, upstreams, cold int
+	perSec                     float64                           // mean requests that an upstream can serve in a second
+	load                       float64                           // part of that which is asked for, over all
+	traffic                    func(since time.Duration) float64 // times the mean, from the start on; nil: 1
+	restarts                   bool                              // some processes start anew in the ramp
+	fails                      float64                           // share of attempts that end with an error, and are made again
+	// of other customers' settings; absent: testSettings
+	multiple, coldFrom float64
+	window, warmUp     time.Duration
+	cost               bool // requests tell their work, from a quarter to four times the mean
+}
+
+// played is what came of a ramp: the most that was sent in a window, in parts of what it may be, over all cold upstreams, and the
+// work that they got while warming up, in parts of what they could have done.
+type rampPlayed struct {
+	worst float64
+	over  int // cold upstreams that got more in some window
+	work  float64
+}
+
+type rampEnd struct {
+	at time.Duration
+	b  int
+	e  Outcome
+}
+
+type rampEnds []rampEnd
+
+func (h rampEnds) Len() int           { return len(h) }
+func (h rampEnds) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h rampEnds) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *rampEnds) Push(x any)        { *h = append(*h, x.(rampEnd)) }
+func (h *rampEnds) Pop() any {
+	x := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return x
+}
+
+func (r ramp) play(t interface{ Fatal(...any) }, seed uint64) rampPlayed {
+	g := rand.New(rand.NewPCG(seed, 99))
+	s := testSettings()
+	s.Balancers = r.processes
+	s.Classes = []Class{{Name: "c", Aim: 2 * time.Second, Deadline: 10 * time.Second, Worth: 1}}
+	if r.multiple > 0 {
+		s.FallMultiple, s.FallTime, s.ColdFrom, s.WarmUp = r.multiple, r.window, r.coldFrom, r.warmUp
+	}
+	var entries []Member
+	for i := range r.upstreams {
+		entries = append(entries, Member{Upstream: fmt.Sprint("u", i), Zone: "a", Machine: "m"})
+	}
+	now := time.Minute
+	all := make([]*Balancer, r.processes)
+	wake := make([]time.Duration, r.processes)
+	ends := &rampEnds{}
+	sent := make([][]time.Duration, r.cold)
+	coldFrom := time.Duration(math.MaxInt64)
+	fresh := func(i int) {
+		b, err := New(s, g.Uint64())
+		if err != nil {
+			t.Fatal(err)
+		}
+		all[i], wake[i] = b, 0
+	}
+	var do func(i int, e Event)
+	do = func(i int, e Event) {
+		for _, a := range all[i].Handle(now, e, nil) {
+			switch a.Kind {
+			case SetTimer:
+				wake[i] = a.At
+			case Send:
+				var u int
+				_, _ = fmt.Sscanf(a.Upstream, "u%d", &u)
+				if u < r.cold && now >= coldFrom {
+					sent[u] = append(sent[u], now)
+				}
+				out := Outcome{ID: a.ID, Attempt: a.Attempt, Result: OK, Finished: true, Elapsed: time.Duration(20+g.IntN(20)) * ms}
+				if u >= r.cold { // the others are full: each request would be better off at a cold one
+					out.Elapsed += 300 * ms
+				}
+				if g.Float64() < r.fails {
+					out.Result, out.Finished = ServerError, false
+				}
+				heap.Push(ends, rampEnd{now + out.Elapsed, i, out})
+			}
+		}
+	}
+	weights, total := make([]float64, r.processes), 0.0
+	for i := range weights {
+		weights[i] = math.Exp(0.9 * g.NormFloat64()) // some have several times the mean
+		total += weights[i]
+	}
+	pick := func() int {
+		x := g.Float64() * total
+		for i, w := range weights {
+			if x -= w; x < 0 {
+				return i
+			}
+		}
+		return len(weights) - 1
+	}
+	for i := range all {
+		fresh(i)
+		do(i, Members{Kind: Full, Entries: entries})
+	}
+	mean := r.load * r.perSec * float64(r.upstreams)
+	begin := now + 20*time.Second
+	n, owed, restarted := 0, 0.0, 0
+	for ; now < begin+s.WarmUp; now += ms {
+		if now == begin {
+			coldFrom = now
+			for i := range r.cold {
+				entries[i].CameUp = now
+			}
+			for i := range all {
+				do(i, Members{Kind: Full, Entries: entries})
+			}
+		}
+		if r.restarts && now > begin && restarted < r.processes/4 && now > begin+time.Duration(restarted+1)*s.WarmUp/time.Duration(r.processes/4+1) {
+			i := restarted * 4
+			restarted++
+			for j := len(*ends) - 1; j >= 0; j-- { // they are another process's
+				if (*ends)[j].b == i {
+					heap.Remove(ends, j)
+				}
+			}
+			fresh(i)
+			do(i, Members{Kind: Full, Entries: entries})
+		}
+		for len(*ends) > 0 && (*ends)[0].at <= now {
+			e := heap.Pop(ends).(rampEnd)
+			do(e.b, e.e)
+		}
+		times := 1.0
+		if r.traffic != nil && now >= begin {
+			times = r.traffic(now - begin)
+		}
+		for owed += mean * times / 1000; owed > 0; owed -= g.ExpFloat64() {
+			n++
+			i := pick()
+			q := Request{ID: fmt.Sprint(n), Class: "c", Expires: now + 8*time.Second}
+			if r.cost {
+				q.Hint = time.Duration(float64(20*ms) * math.Exp(0.7*g.NormFloat64()))
+			}
+			do(i, q)
+		}
+		for i, at := range wake {
+			if at > 0 && at <= now {
+				wake[i] = 0
+				do(i, Wake{})
+			}
+		}
+	}
+	var p rampPlayed
+	for _, times := range sent {
+		over := false
+		for j, from := 0, 0; j < len(times); j++ {
+			for times[j]-times[from] >= s.FallTime {
+				from++
+			}
+			warm := min(1, s.ColdFrom+(1-s.ColdFrom)*float64(times[j]-begin)/float64(s.WarmUp))
+			allowed := s.FallMultiple * warm * r.perSec * s.FallTime.Seconds()
+			x := float64(j-from+1) / (allowed + 2*math.Sqrt(allowed) + 2)
+			p.worst = max(p.worst, x)
+			over = over || x > 1
+		}
+		if over {
+			p.over++
+		}
+		p.work += float64(len(times)) / (r.perSec * s.WarmUp.Seconds() * (1 + s.ColdFrom) / 2) / float64(r.cold)
+	}
+	return p
+}
+
+var ramps = []struct {
+	name string
+	ramp
+}{
+	{"4 processes", ramp{processes: 4, upstreams: 12, cold: 4, perSec: 8, load: 0.95}},
+	{"20 processes", ramp{processes: 20, upstreams: 20, cold: 6, perSec: 8, load: 0.95}},
+	{"30 processes", ramp{processes: 30, upstreams: 20, cold: 6, perSec: 8, load: 0.95}},
+	{"30 processes, little traffic", ramp{processes: 30, upstreams: 60, cold: 20, perSec: 2, load: 0.95}},
+	{"300 processes", ramp{processes: 300, upstreams: 100, cold: 20, perSec: 8, load: 0.95}},
+	{"300 processes, little traffic", ramp{processes: 300, upstreams: 100, cold: 20, perSec: 2, load: 0.95}},
+	{"30 processes, a lull and a burst", ramp{processes: 30, upstreams: 20, cold: 6, perSec: 8, load: 0.95, traffic: lull}},
+	{"300 processes, a lull and a burst", ramp{processes: 300, upstreams: 100, cold: 20, perSec: 8, load: 0.95, traffic: lull}},
+	{"300 processes, two lulls, little traffic", ramp{processes: 300, upstreams: 100, cold: 20, perSec: 2, load: 0.95, traffic: lull}},
+	{"300 processes before few, lulls and bursts", ramp{processes: 300, upstreams: 10, cold: 3, perSec: 100, load: 0.95, traffic: lull}},
+	{"300 processes before few, little traffic", ramp{processes: 300, upstreams: 10, cold: 3, perSec: 20, load: 0.95, traffic: lull}},
+	{"100 processes before few", ramp{processes: 100, upstreams: 6, cold: 2, perSec: 20, load: 0.95, traffic: lull}},
+	{"20 processes, some start anew", ramp{processes: 20, upstreams: 20, cold: 6, perSec: 8, load: 0.95, restarts: true}},
+	{"300 processes, some start anew", ramp{processes: 300, upstreams: 100, cold: 20, perSec: 4, load: 0.95, restarts: true}},
+	{"30 processes, errors and retries", ramp{processes: 30, upstreams: 20, cold: 6, perSec: 8, load: 0.7, fails: 0.2}},
+	{"30 processes, large and small requests", ramp{processes: 30, upstreams: 20, cold: 6, perSec: 8, load: 0.95, cost: true}},
+	{"30 processes, a short window", ramp{processes: 30, upstreams: 12, cold: 4, perSec: 25, load: 0.95, traffic: lull, multiple: 2.5,
+		window: time.Second, coldFrom: 0.31, warmUp: 8500 * ms}},
+	{"20 processes, most are cold", ramp{processes: 20, upstreams: 20, cold: 14, perSec: 8, load: 0.6}},
+	{"300 processes, most are cold", ramp{processes: 300, upstreams: 60, cold: 40, perSec: 8, load: 0.6}},
+}
+
+// The same over random sizes, traffic and settings.
+func TestTheRampsSumInRandomOrders(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		r := ramp{processes: rapid.SampledFrom([]int{4, 20, 30, 60}).Draw(t, "processes"), upstreams: rapid.IntRange(3, 40).Draw(t, "upstreams"),
+			perSec: rapid.Float64Range(1, 20).Draw(t, "perSec"), load: rapid.Float64Range(0.3, 0.95).Draw(t, "load"),
+			restarts: rapid.Bool().Draw(t, "restarts"), cost: rapid.Bool().Draw(t, "cost"), fails: rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "fails"),
+			multiple: rapid.Float64Range(2, 4).Draw(t, "multiple"), coldFrom: rapid.Float64Range(0.2, 0.6).Draw(t, "coldFrom"),
+			window: time.Duration(rapid.IntRange(500, 2000).Draw(t, "window")) * ms, warmUp: time.Duration(rapid.IntRange(4000, 10000).Draw(t, "warmUp")) * ms}
+		r.cold = max(1, r.upstreams/rapid.IntRange(2, 5).Draw(t, "cold"))
+		every, quiet := time.Duration(rapid.IntRange(200, 6000).Draw(t, "every"))*ms, rapid.Float64Range(0, 0.9).Draw(t, "quiet")
+		r.traffic = func(since time.Duration) float64 {
+			if float64(since%every) < quiet*float64(every) {
+				return 0.02
+			}
+			return 1.5
+		}
+		if p := r.play(t, rapid.Uint64().Draw(t, "seed")); p.over > 0 {
+			t.Fatalf("%d of %d cold upstreams got up to %.2f of what they may", p.over, r.cold, p.worst)
+		}
+	})
+}
+
+// lull has hardly any traffic but in bursts.
+func lull(since time.Duration) float64 {
+	if since%(5*time.Second) < 3*time.Second {
+		return 0.02
+	}
+	return 1.5
+}
+
+// Guards against cold upstreams that fall under the sum of all sidecars: it stays within what the settings allow, N, by 2 x root of N + 2
+// in every window. Shares add up: traffic is uneven, each process's part is often well below one request, and all hear of the start
+// at once.
+func TestTheRampsSum(t *testing.T) {
+	for _, c := range ramps {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var worst, work float64
+			over, plays := 0, 3
+			for seed := range uint64(plays) {
+				p := c.play(t, seed)
+				worst, work, over = max(worst, p.worst), work+p.work/float64(plays), over+p.over
+			}
+			t.Logf("at most %.2f of what a window may bring, %d of %d over; %.2f of the work that they could do", worst, over, plays*c.cold, work)
+			if over > 0 {
+				t.Errorf("%d of %d cold upstreams got up to %.2f of what they may", over, plays*c.cold, worst)
+			}
+		})
+	}
+}
