freshness: waits for a list that is pushed follow the settings' grace, not one deployment's

Need: other customers' settings. What an agent has counts as told at once, and the settings say for how long something may still be sent against it (DrainGraceMs). The waits before a broken watch is opened again were made for 250 ms: 25 to 180 ms, 150 ms for a first word.

Seen: reading every constant against the settings; settings.Decode passed DrainGraceMs over. With 80 ms of grace, calls after up to 180 ms. Change: the waits are parts of the grace, at most of 250 ms as before; settings hand it on. Measured: go test -run 'LessGrace|TooLate' ./internal/freshness: graces of 80 to 400 ms kept in all cases; for 250 ms all is as before.

--- a/internal/config/plan.go
+++ b/internal/config/plan.go
@@ -84,7 +84,8 @@
 
 // Freshness is how its list at Discovery is followed.
 func (s *ServicePlan) Freshness() freshness.Options {
-	return freshness.Options{Pushed: !s.Settings.MustSubscribe, AskWithin: s.Settings.AskWithin, Sidecars: s.Settings.Balancers}
+	return freshness.Options{Pushed: !s.Settings.MustSubscribe, AskWithin: s.Settings.AskWithin, Sidecars: s.Settings.Balancers,
+		Grace: s.Settings.Grace}
 }
 
 // Platform is the name of the service that the platform's file tells of.
--- a/internal/freshness/budget.go
+++ b/internal/freshness/budget.go
@@ -30,7 +30,7 @@
 	slack      = 500 * time.Millisecond // late by a busy network, or a core that others share
 	silence    = beat + slack
 	toldSilent = 6 * time.Second
-	toldPushed = 250 * time.Millisecond // the grace alone: what an agent has counts as told
+	graceMost  = 250 * time.Millisecond // of the settings' grace, used for lists that are pushed: what an agent has counts as told
 	toldMoved  = 4 * time.Second        // after a reload what the new address has to tell counts as told
 
 	spreadEach = 2 * time.Millisecond // of a fleet's calls, by sidecar: 500 a second at most
@@ -54,10 +54,11 @@
 	mostSidecars = 1000                    // beyond, the most is waited all the same
 	waitLeast    = 200 * time.Millisecond
 
-	pushedFirst    = 50 * time.Millisecond
-	pushedMost     = 120 * time.Millisecond // within the grace, with its jitter
-	pushedPatience = 150 * time.Millisecond // for the agent's first word
-	pushedQuiet    = 500 * time.Millisecond // it doubles up to this
+	// Of the grace, in percent.
+	pushedFirst    = 20
+	pushedMost     = 48  // with its jitter, and a connect, within it
+	pushedPatience = 60  // for the agent's first word
+	pushedQuiet    = 200 // it doubles up to this
 )
 
 func (o *Options) askWithin() time.Duration {
@@ -67,6 +68,15 @@
 	return askUntold
 }
 
+func (o *Options) grace() time.Duration {
+	if o.Grace > 0 {
+		return min(o.Grace, graceMost)
+	}
+	return graceMost
+}
+
+func (o *Options) part(percent int) time.Duration { return o.grace() * time.Duration(percent) / 100 }
+
 // spread is drawn once for each watch, so that a fleet's calls are spread and one sidecar's deadline is kept.
 func (m *Machine) spread() time.Duration {
 	most := min(time.Duration(m.o.Sidecars)*spreadEach, spreadMost)
@@ -79,7 +89,7 @@
 // patience is how long a call made at begun may say nothing before another is made beside it.
 func (m *Machine) patience(begun time.Duration) time.Duration {
 	if m.o.Pushed {
-		return min(pushedPatience<<min(m.quiet, 8), pushedQuiet)
+		return min(m.o.part(pushedPatience)<<min(m.quiet, 8), m.o.part(pushedQuiet))
 	}
 	if m.due <= begun { // too late already: discovery is spared
 		return patienceMost
@@ -91,7 +101,7 @@
 func (m *Machine) wait(now time.Duration) time.Duration {
 	n := min(max(m.fails-1, 0), 16)
 	if m.o.Pushed {
-		return m.jitter(min(pushedFirst<<n, pushedMost))
+		return m.jitter(min(m.o.part(pushedFirst)<<n, m.o.part(pushedMost)))
 	}
 	first := max(waitFirst, time.Duration(min(m.o.Sidecars, mostSidecars))*waitEach)
 	d := min(first<<n, waitMost, m.o.askWithin()*3/5) // with its jitter still within that after discovery is back
@@ -108,7 +118,7 @@
 // Describe tells how old a list may be.
 func (o Options) Describe() string {
 	if o.Pushed {
-		return fmt.Sprintf("pushed: a watch that breaks is opened again within %v, one that is silent doubted after %v", pushedMost*3/2, silence)
+		return fmt.Sprintf("pushed: a watch that breaks is opened again within %v, one that is silent doubted after %v", o.part(pushedMost)*3/2, silence)
 	}
 	return fmt.Sprintf("asked: a watch doubted after %v of silence, the list too old after %v of it, or %v without a watch", silence, toldSilent, o.askWithin())
 }
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -19,6 +19,7 @@
 	Pushed    bool          // the list is pushed to an agent at hand: calls cost nothing, and what it has counts as told at once
 	AskWithin time.Duration // without a watch the list holds for so long from the last call; 0: not told
 	Sidecars  int           // that follow the same list
+	Grace     time.Duration // for what is sent after a change counts as told; 0: not told
 }
 
 // CallID names a call, from 1 up.
@@ -117,7 +118,7 @@
 	m.calls = slices.Delete(m.calls, i, i+1)
 	m.fails++
 	if m.o.Pushed && !m.pressed && !m.standing(now) { // else there is no deadline but for the waits: see budget.go
-		m.pressed, m.due = true, now+toldPushed
+		m.pressed, m.due = true, now+m.o.grace()
 	}
 	m.hold = now + m.wait(now)
 	return nil
@@ -126,7 +127,7 @@
 // doubt sets the deadline of a call that may have been silent since it last spoke, or was made.
 func (m *Machine) doubt(now, since time.Duration) {
 	if m.pressed = true; m.o.Pushed {
-		since = now + toldPushed - toldSilent
+		since = now + m.o.grace() - toldSilent
 	}
 	m.due = min(m.due, since+toldSilent)
 }
--- a/internal/freshness/model_test.go
+++ b/internal/freshness/model_test.go
@@ -440,6 +440,25 @@
 	}
 }
 
+// The same for settings that give less grace: the waits are of the grace, and no deployment's.
+func TestLessGraceIsKept(t *testing.T) {
+	for _, grace := range []time.Duration{80 * ms, 120 * ms, 200 * ms, 400 * ms} {
+		worst := time.Duration(0)
+		for _, c := range cases {
+			for seed := range uint64(8) {
+				w := &world{f: New(Options{Pushed: c.pushed, Sidecars: 300, Grace: grace}, rng(seed)), pushed: c.pushed, faults: c.faults,
+					changes: changesEvery(37*ms, 60*time.Second)}
+				if w.run(worldEnd); c.pushed {
+					worst = max(worst, w.worst)
+				}
+			}
+		}
+		if worst > grace {
+			t.Errorf("of a grace of %v a change is heard of after %v", grace, worst)
+		}
+	}
+}
+
 // The same in random orders, with calls that are late or refused. A list can't be had where all calls fail until it is due, so no
 // more befalls it than one silence or one outage at a time, with calls late by up to 1 s.
 func TestNoChangeIsHeardTooLateInRandomOrders(t *testing.T) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -16,6 +16,7 @@
 type Settings struct {
 	balancer.Settings
 	ConnIdle  time.Duration // upstreams close connections that are idle for this long; 0: not told
+	Grace     time.Duration // after a change counts as told nothing may be sent against it; 0: not told
 	AskWithin time.Duration // a list that is asked for holds for so long after the last call, where no watch stands; 0: not told
 }
 
@@ -27,7 +28,7 @@
 		return Settings{}, fmt.Errorf("not a settings object: %w", err)
 	}
 	return Settings{Settings: o.settings(), ConnIdle: Milliseconds(o.Limits.ConnIdleMs),
-		AskWithin: max(0, Milliseconds(o.Rules.MustAskInMs))}, nil
+		Grace: max(0, Milliseconds(o.Rules.DrainGraceMs)), AskWithin: max(0, Milliseconds(o.Rules.MustAskInMs))}, nil
 }
 
 // Milliseconds converts a number of milliseconds, counted in whole microseconds as the settings' source does. What
@@ -57,7 +58,7 @@
 	}
 	OverShareWorth float64
 	Prices         struct{ CrossZone float64 }
-	Rules          struct{ ColdFrom, WarmUpMs, FallMs, FallMultiple, MustAskInMs float64 }
+	Rules          struct{ ColdFrom, WarmUpMs, FallMs, FallMultiple, MustAskInMs, DrainGraceMs float64 }
 	Tenants        []struct {
 		Name     string
 		Fraction float64
