--- /dev/null
+++ b/internal/daemon/sites_test.go
@@ -0,0 +1,271 @@
+package daemon
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"orchiddrift/internal/config"
+	"orchiddrift/internal/standin"
+	"orchiddrift/internal/testkit"
+)
+
+// site is a deployment as deploy/sites describes it: the part that the settings of its sidecars tell.
+type site struct {
+	Name string
+	Day  struct {
+		Tick float64 `toml:"tick_ms"`
+	}
+	Load struct {
+		WorthBy string `toml:"worth_by"`
+	}
+	Net     struct{ Zones []string }
+	Clients struct {
+		MaxRetryAfter float64 `toml:"max_retry_after_ms"`
+	}
+	Discovery struct{ Mode string }
+	Allow     struct {
+		Probes       bool
+		Cancel       bool
+		SecondCopies bool `toml:"second_copies"`
+		RetryAfter   bool `toml:"retry_after"`
+		MaxAttempts  int  `toml:"max_attempts"`
+	}
+	Rules struct {
+		Grace    float64 `toml:"drain_grace_ms"`
+		Multiple float64 `toml:"fall_multiple"`
+		Fall     float64 `toml:"fall_ms"`
+	}
+	Prices struct {
+		CrossZone float64 `toml:"cross_zone"`
+	}
+	Tier []struct {
+		Conn struct {
+			Idle    float64 `toml:"idle_s"`
+			Connect float64 `toml:"connect_timeout_ms"`
+		}
+		Kind []struct {
+			Name     string
+			ColdFrom []float64 `toml:"cold_from"`
+			Cold     []float64 `toml:"cold_s"`
+		}
+	}
+	Class []struct {
+		Name     string
+		Aim      float64 `toml:"aim_ms"`
+		Deadline float64 `toml:"deadline_ms"`
+		Worth    float64
+		Late     float64 `toml:"late_worth"`
+		Effect   string
+		Group    string
+		Window   float64 `toml:"window_ms"`
+	}
+	Tenant []struct {
+		Name  string
+		Share float64
+	}
+}
+
+// sites are the deployments of deploy/sites, by their files' names.
+func sites(t *testing.T) map[string]site {
+	t.Helper()
+	files, err := filepath.Glob("../../deploy/sites/*.toml")
+	if err != nil || len(files) < 2 {
+		t.Fatalf("%v, %v", files, err)
+	}
+	all := map[string]site{}
+	for _, path := range files {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var s site
+		if err := toml.Unmarshal(text, &s); err != nil {
+			t.Fatalf("%s: %v", path, err)
+		}
+		all[filepath.Base(path)] = s
+	}
+	return all
+}
+
+var effectWords = map[string]string{"safe": "retryable", "keyed": "dedup", "unsafe": "fragile"}
+
+// settings are those of a sidecar of the site, as the platform tells them.
+func (s *site) settings(sidecars int) map[string]any {
+	var classes []any
+	for _, c := range s.Class {
+		classes = append(classes, map[string]any{"Name": c.Name, "Semantics": effectWords[c.Effect], "KeyScope": c.Group, "DedupWindowMs": c.Window,
+			"AimMs": c.Aim, "DeadlineMs": c.Deadline, "Importance": c.Worth, "LateShare": c.Late})
+	}
+	var tenants []any
+	for _, x := range s.Tenant {
+		tenants = append(tenants, map[string]any{"Name": x.Name, "Fraction": x.Share})
+	}
+	kind, conn := s.Tier[0].Kind[0], s.Tier[0].Conn
+	return map[string]any{"Balancers": sidecars, "Classes": classes, "Tenants": tenants, "Discovery": s.Discovery.Mode, "TickMs": s.Day.Tick,
+		"WorthBy": s.Load.WorthBy, "Zone": s.Net.Zones[0], "OverShareWorth": 0.1, "Prices": map[string]any{"CrossZone": s.Prices.CrossZone},
+		"Limits": map[string]any{"Cancelling": s.Allow.Cancel, "Probes": s.Allow.Probes, "RetryAfter": s.Allow.RetryAfter, "SecondCopies": s.Allow.SecondCopies,
+			"SendCap": s.Allow.MaxAttempts, "ConnectTimeoutMs": conn.Connect, "ConnIdleMs": conn.Idle * 1000, "MaxRetryAfterMs": s.Clients.MaxRetryAfter},
+		"Rules": map[string]any{"ColdFrom": kind.ColdFrom[0], "WarmUpMs": kind.Cold[1] * 1000, "FallMs": s.Rules.Fall, "FallMultiple": s.Rules.Multiple,
+			"MustAskInMs": 9000, "DrainGraceMs": s.Rules.Grace}}
+}
+
+func (s *site) config(t *testing.T, settings map[string]any, discovery string, sockets int, known ...string) []byte {
+	t.Helper()
+	text, err := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:9000", "discovery": discovery, "seed": "1f",
+		"limits": map[string]any{"cores": 0.5, "memory_mb": 32, "sockets": sockets}, "known": json.RawMessage(testkit.List(1, true, known...)), "settings": settings})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+// Guards against a program that holds for one deployment only. Each of deploy/sites starts a daemon by its settings, with few
+// descriptors; what may be repeated, how often, how long a request has and what a refusal says are each class's, as its settings say.
+func TestEachDeploymentsSettingsCount(t *testing.T) {
+	for file, s := range sites(t) {
+		t.Run(file, func(t *testing.T) {
+			u := testkit.Raw(t, func(c net.Conn, g standin.Got) bool {
+				switch g.Header.Get("X-What") {
+				case "breaks":
+					return false
+				case "away":
+					return standin.Says("HTTP/1.1 503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n")(c, g)
+				}
+				return standin.Says(standin.OK200(g.Target))(c, g)
+			})
+			zone := strings.Replace(testkit.Entry("s", u.Address, "Ready"), `"zone":"a"`, fmt.Sprintf(`"zone":%q`, s.Net.Zones[0]), 1)
+			c, err := config.Parse(s.config(t, s.settings(1), testkit.Quiet(t).Address, 96, zone))
+			if err != nil {
+				t.Fatal(err)
+			}
+			r := start(t, c, "127.0.0.1:0")
+			ask := func(class, effect, what string) (*http.Response, int) {
+				t.Helper()
+				before := len(u.Requests())
+				req := testkit.Request(t, r.address, class, "")
+				req.Method = http.MethodPost
+				if effect == "safe" {
+					req.Method = http.MethodGet
+				}
+				req.Header.Del("Idempotency-Key")
+				req.Header.Del("X-Timeout")
+				if effect == "keyed" {
+					req.Header.Set("Idempotency-Key", "k"+req.Header.Get("X-Request-ID"))
+				}
+				req.Header.Set("X-What", what)
+				resp, _ := r.do(t, req)
+				return resp, len(u.Requests()) - before
+			}
+			for _, class := range s.Class {
+				if resp, n := ask(class.Name, class.Effect, ""); resp.StatusCode != 200 || n != 1 {
+					t.Errorf("%s: %s after %d attempts", class.Name, resp.Status, n)
+				}
+				got := u.Requests()[len(u.Requests())-1].Header.Get("X-Timeout")
+				var us int64
+				if _, err := fmt.Sscanf(got, "%du", &us); err != nil || float64(us) > class.Deadline*1000 || float64(us) < class.Deadline*1000/2 {
+					t.Errorf("%s: its upstream is told %s, its deadline is %v ms", class.Name, got, class.Deadline)
+				}
+				resp, n := ask(class.Name, class.Effect, "away")
+				if resp.StatusCode != 503 || n < 1 || n > s.Allow.MaxAttempts || (resp.Header.Get("Retry-After") != "") != s.Allow.RetryAfter {
+					t.Errorf("%s, turned away: %s, Retry-After %q, after %d attempts", class.Name, resp.Status, resp.Header.Get("Retry-After"), n)
+				}
+				if resp, n := ask(class.Name, class.Effect, "breaks"); class.Effect == "unsafe" && (n != 1 || resp.StatusCode != http.StatusBadGateway) ||
+					n > s.Allow.MaxAttempts {
+					t.Errorf("%s, broken off: %s after %d attempts", class.Name, resp.Status, n)
+				}
+			}
+			if resp, n := ask("search", "safe", ""); resp.StatusCode != http.StatusNotFound || n != 0 { // another deployment's
+				t.Errorf("a class that it does not have: %s after %d attempts", resp.Status, n)
+			}
+		})
+	}
+}
+
+// Guards against settings of a deployment that can't be used and show only under traffic: each is one clear line that names it.
+func TestABadSettingOfADeploymentIsOneLine(t *testing.T) {
+	for file, s := range sites(t) {
+		for key, spoil := range map[string]func(o map[string]any){
+			"Semantics":    func(o map[string]any) { o["Classes"].([]any)[0].(map[string]any)["Semantics"] = "often\nand often" },
+			"KeyScope":     func(o map[string]any) { o["Classes"].([]any)[1].(map[string]any)["KeyScope"] = "planet" },
+			"Deadline":     func(o map[string]any) { o["Classes"].([]any)[0].(map[string]any)["DeadlineMs"] = -1 },
+			"Tick":         func(o map[string]any) { o["TickMs"] = -1 },
+			"ColdFrom":     func(o map[string]any) { o["Rules"].(map[string]any)["ColdFrom"] = 7 },
+			"MaxAttempts":  func(o map[string]any) { o["Limits"].(map[string]any)["SendCap"] = -1 },
+			"no object":    func(o map[string]any) { o["Zone"] = 4 },
+			"ConnIdle":     func(o map[string]any) { o["Limits"].(map[string]any)["ConnIdleMs"] = -5 },
+			"FallMultiple": func(o map[string]any) { o["Rules"].(map[string]any)["FallMultiple"] = -2 },
+		} {
+			o := s.settings(1)
+			spoil(o)
+			_, err := config.Parse(s.config(t, o, "127.0.0.1:1", 96))
+			if err == nil || strings.ContainsAny(err.Error(), "\r\n") {
+				t.Errorf("%s, %s: %v", file, key, err)
+			}
+		}
+	}
+}
+
+// Guards against a class, a tenant, a zone or a kind of machine of a deployment that stands in the program or its deploy file: all of
+// them come from the settings alone.
+func TestNoDeploymentStandsInTheProgram(t *testing.T) {
+	words := map[string]string{}
+	for file, s := range sites(t) {
+		for _, c := range s.Class {
+			words[c.Name] = file
+		}
+		for _, x := range s.Tenant {
+			words[x.Name] = file
+		}
+		for _, k := range s.Tier[0].Kind {
+			words[k.Name] = file
+		}
+		for _, z := range s.Net.Zones {
+			words[z] = file
+		}
+		words[s.Name] = file
+	}
+	for _, known := range []string{"seat-search", "coach-map", "confirm-booking", "payment-record", "status-read", "history-read", "delivery-confirm", "pickup-register"} {
+		words[known] = "a customer's"
+	}
+	quoted := regexp.MustCompile("[\"`]([a-z][a-z0-9-]*)[\"`]")
+	look := func(path string) {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range quoted.FindAllStringSubmatch(string(text), -1) {
+			if of, is := words[m[1]]; is && strings.Contains(m[1], "-") {
+				t.Errorf("%s: %q of %s stands in it", path, m[1], of)
+			}
+		}
+	}
+	look("../../deploy/balancer.toml")
+	err := filepath.WalkDir("../..", func(path string, d os.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if d.IsDir() {
+			switch d.Name() {
+			case ".git", "bin", "journal", "demo", "standin", "lab", "measure", "testkit": // what stands in for a deployment
+				return filepath.SkipDir
+			}
+			return nil
+		}
+		if strings.HasSuffix(path, ".go") && !strings.HasSuffix(path, "_test.go") {
+			look(path)
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
