daemon: what was accepted before the end is served, and no reload crosses it

Seen on the code before: - TestAcceptedAsTheListenerCloses: "unexpected EOF" and "connection reset by peer": a connection counted from net/http's StateNew on, so that with nothing else open the shutdown was over before its first read; and what waited in the queue was reset as the listener closed. - TestReloadAsItEnds: a reload of a process that has ended returned nil and had started services, which nobody ended; d.finish could add to a WaitGroup that was being waited for. - cmd serve took its signal handlers back before it ended: a second SIGTERM, or a SIGHUP, in that moment ends the process by itself, non-zero. Not caused in a test: the moment lies between two lines of main.

Change: intake.Conns takes what is in the queue of a closed listener until nothing has come for 20 ms; daemon.apply refuses once the end has begun; signals are handled to the process's end.

--- a/cmd/orchiddrift/serve.go
+++ b/cmd/orchiddrift/serve.go
@@ -18,10 +18,11 @@
 }
 
 func (s serveCmd) Run() error {
+	// Signals are ours to the process's end: one that comes as the daemon has just ended would else end the process by itself, as if it
+	// had crashed.
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	_ = stop
 	reload := make(chan os.Signal, 1) // one that waits stands for all: the file is read after it
 	signal.Notify(reload, syscall.SIGHUP)
-	defer signal.Stop(reload)
 	return daemon.Run(ctx, config.Sources{Config: s.Config, Beside: s.Beside, Control: s.Control}, reload)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -99,7 +99,8 @@
 	tls       atomic.Pointer[tls.Config]
 	stopKeys  context.CancelFunc
 	retiring  sync.WaitGroup // services that only finish what they hold
-	applying  sync.Mutex     // of plan, leaving and the shares
+	applying  sync.Mutex     // of plan, leaving, the shares and ended
+	ended     bool           // nothing is applied any more
 	leaving   map[*service]bool
 	besides   sync.WaitGroup
 	rest      context.Context // of what runs besides; ends with the daemon
@@ -304,8 +305,11 @@
 	}
 }
 
-// end ends the services.
+// end ends the services. A reload that is under way is waited for, and none begins any more: it would start services that nobody ends.
 func (d *daemon) end() {
+	d.applying.Lock()
+	d.ended = true
+	d.applying.Unlock()
 	if r := d.routing.Load(); r != nil {
 		for _, s := range r.services {
 			s.close()
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -75,6 +75,9 @@
 func (d *daemon) apply(p *config.Plan) (err error) {
 	d.applying.Lock()
 	defer d.applying.Unlock()
+	if d.ended {
+		return errors.New("the process is ending")
+	}
 	now := d.routing.Load()
 	services := make(map[string]*service, len(p.Services)) // by the plan's names
 	both := slices.Clone(p.Services)                       // and those that end: they go on until the routes are others
--- a/internal/intake/conns.go
+++ b/internal/intake/conns.go
@@ -12,7 +12,8 @@
 const (
 	usualGap  = 2 * time.Second        // clients may take this long between two requests on a connection
 	firstSoon = 500 * time.Millisecond // and bring the first within this
-	queueFor  = 20 * time.Millisecond  // a listener that is closed goes on for so long with what has already come
+	queueFor  = 20 * time.Millisecond  // a listener that is closed goes on with what has already come, until so long nothing has
+	queueMost = time.Second            // and so long at most
 )
 
 // Conns is the listener for clients. It bounds their connections: at the limit it closes the one that
@@ -24,12 +25,14 @@
 
 	paused bool // under mu: what waits is left to another process
 
-	mu     sync.Mutex
-	room   *sync.Cond
-	closed bool
-	ended  bool // nothing more is accepted
-	conns  map[*conn]*record
-	dying  int // of them: their sockets are closed, and the server has not seen it
+	mu      sync.Mutex
+	room    *sync.Cond
+	closed  bool
+	ended   bool      // nothing more is accepted
+	emptied bool      // closed: nothing waits in the queue
+	until   time.Time // closed: no longer
+	conns   map[*conn]*record
+	dying   int // of them: their sockets are closed, and the server has not seen it
 }
 
 // record is what is known of a connection beside its own state.
@@ -59,7 +62,7 @@
 		c.room.Wait()
 	}
 	c.mu.Unlock()
-	accepted, err := c.Listener.Accept()
+	accepted, err := c.next()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err != nil {
@@ -72,6 +75,7 @@
 		}
 		return nil, err
 	}
+	c.emptied = false
 	one := newConn(accepted)
 	c.conns[one] = &record{quiet: time.Now()}
 	if c.secure != nil {
@@ -80,6 +84,26 @@
 	return one, nil
 }
 
+// next accepts a connection. Of a listener that is closed, one that waits in its queue; the deadline only ends the wait for others, and is
+// set anew here, since it may have passed before this was run.
+func (c *Conns) next() (net.Conn, error) {
+	for {
+		accepted, err := c.Listener.Accept()
+		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return accepted, err
+		}
+		c.mu.Lock()
+		last := !c.closed || c.emptied || time.Now().After(c.until)
+		c.emptied = true
+		c.mu.Unlock()
+		if last || c.Listener.(deadliner).SetDeadline(time.Now().Add(queueFor)) != nil {
+			return nil, err
+		}
+	}
+}
+
+type deadliner interface{ SetDeadline(time.Time) error }
+
 // closeOne makes room. Guards against clients that connect by hundreds and say nothing, at the cost of those that
 // ask: a connection that never brought a request goes before one that did, unless it is about to. One that has its last
 // answer goes first.
@@ -123,13 +147,15 @@
 func (c *Conns) Close() error {
 	c.mu.Lock()
 	was, left := c.closed, c.paused || len(c.conns)-c.dying >= c.most
-	c.closed = true
+	if c.closed = true; !was {
+		c.until = time.Now().Add(queueMost)
+	}
 	c.mu.Unlock()
 	if was {
 		return nil
 	}
 	c.room.Broadcast()
-	if l, ok := c.Listener.(interface{ SetDeadline(time.Time) error }); ok && !left && l.SetDeadline(time.Now().Add(queueFor)) == nil {
+	if l, ok := c.Listener.(deadliner); ok && !left && l.SetDeadline(time.Now()) == nil {
 		return nil // Accept closes it
 	}
 	c.mu.Lock()
