More crossings of clients that have gone, on each front, and a window that ends in a slow connect

Need: the issue wants each crossing held by a test, on the daemon, GraphQL and the plug-in.

Right already: 60 clients that close or reset in one burst while they wait for the first list; a repeat whose window ends while its connection comes up (by_test.go).

Change: tests; the late stand-in reads bodies. Measured: go test -run 'Gone|WrittenBy' -count 3 ./internal/daemon ./internal/upstream ./orchidgrpc.

--- a/internal/daemon/gone_test.go
+++ b/internal/daemon/gone_test.go
@@ -5,6 +5,9 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -137,6 +140,78 @@
 	if status, body, header := pay(t.Context(), r, "/record/1", "k", ""); status != 200 || header.Get(replayed) != "" {
 		t.Errorf("who comes again: %d %q", status, body)
 	}
+	r.client.CloseIdleConnections()
+	r.stop()
+	<-r.ended // and what was in hand has ended
+	if n := late.Came(); n != 1 {
+		t.Errorf("%d requests came, 1 was wanted", n)
+	}
+}
+
+// Guards against the same in a burst: many clients wait for the first list, and all have gone when it comes.
+func TestManyClientsGoneAtOnce(t *testing.T) {
+	s := testkit.Raw(t, standin.Says(standin.OK200("")))
+	tell := make(chan struct{})
+	d := testkit.Discovery(t, func(_ int, send func(string), done <-chan struct{}) {
+		send("")
+		select {
+		case <-tell:
+			send(testkit.List(1, true, testkit.Entry("s", s.Address, "Ready")))
+		case <-done:
+		}
+		<-done
+	})
+	r, e := startLooking(t, d.Address)
+	var all []*dialed
+	for n := range 60 {
+		c := dial(t, r.address, nil)
+		c.send(t, []string{"search", "confirm", "record"}[n%3], strings.Repeat("x", n%3*100))
+		all = append(all, c)
+	}
+	testkit.Eventually(t, "all wait for the list", func() bool { return e.InHand() == len(all) })
+	for n, c := range all {
+		if n%2 == 0 { // closed, or reset
+			_ = c.Conn.(*net.TCPConn).SetLinger(0)
+		}
+		c.Close()
+	}
+	testkit.Eventually(t, "their ends have come", func() bool { return e.InHand() == 0 })
+	close(tell)
+	other := dial(t, r.address, nil)
+	other.send(t, "search", "")
+	if resp, _, err := other.answer(); err != nil || resp.StatusCode != 200 {
+		t.Fatalf("%v, %v", resp, err)
+	}
+	other.Close()
+	r.stop()
+	<-r.ended
+	if n := len(s.Requests()); n != 1 {
+		t.Errorf("%d were sent for clients that had gone", n-1)
+	}
+}
+
+// Guards against the same behind GraphQL: a mutation, a query and a batch of both wait for a connection.
+func TestGraphQLClientsGoneWhileAConnectionComesUp(t *testing.T) {
+	late := base.NewLate(t)
+	r := startFile(t, fmt.Sprintf(strings.Replace(graphqlFile, "name = \"seats\"", "name = \"seats\"\nconnect_timeout = \"10s\"", 1), strconv.Quote(late.Address), "20s"))
+	e := r.d.routing.Load().services["seats"].engine
+	ctx, leave := context.WithCancel(t.Context())
+	var clients sync.WaitGroup
+	rig := &graphqlRig{fileRig: r}
+	for _, body := range []string{op(`mutation{confirm(id:"a")}`), op("{seats}"), "[" + op("{seats}") + "," + op(`{coach}`) + "]"} {
+		clients.Go(func() { rig.post(ctx, body) })
+	}
+	testkit.Eventually(t, "all wait for their connections", func() bool { return e.InHand() >= 3 })
+	leave()
+	clients.Wait()
+	seen(e)
+	late.ComeUp()
+	if status, _, _ := rig.post(t.Context(), op(`mutation{confirm(id:"b")}`)); status == 0 {
+		t.Error("no answer to a later one")
+	}
+	r.client.CloseIdleConnections()
+	r.stop()
+	<-r.ended // and what was in hand has ended
 	if n := late.Came(); n != 1 {
 		t.Errorf("%d requests came, 1 was wanted", n)
 	}
--- a/internal/testkit/base/late.go
+++ b/internal/testkit/base/late.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -80,7 +81,11 @@
 	defer c.Close()
 	in := bufio.NewReader(c)
 	for {
-		if _, err := http.ReadRequest(in); err != nil { // no request here has a body
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
 			return
 		}
 		l.mu.Lock()
--- a/internal/upstream/by_test.go
+++ b/internal/upstream/by_test.go
@@ -10,6 +10,7 @@
 	"orchiddrift/balancer"
 	"orchiddrift/internal/standin"
 	"orchiddrift/internal/testkit"
+	"orchiddrift/internal/testkit/base"
 )
 
 // Guards against a repeat that reaches its group when that has forgotten it: one that waited for its connection, or whose upstream took
@@ -69,4 +70,20 @@
 	}
 	close(repeat)
 	<-whole
+	late := base.NewLate(t)
+	comesUp := testPool(t, 1, testkit.Entry("s", late.Address, "Ready"))
+	slowly := make(chan balancer.Result, 1)
+	by = time.Now().Add(300 * time.Millisecond)
+	go func() {
+		slowly <- comesUp.AttemptWithin(t.Context(), "s", testRequest("GET", ""), Terms{By: by}).Result
+	}()
+	testkit.Eventually(t, "it waits for its connection", func() bool { return comesUp.slots.Held() == 1 })
+	time.Sleep(time.Until(by)) // the moment itself: connections come up later, see base.Late
+	late.ComeUp()
+	if got := <-slowly; got != balancer.Moot {
+		t.Errorf("one whose connection came up too late: %v", got)
+	}
+	if got := comesUp.Attempt(t.Context(), "s", testRequest("GET", ""), time.Time{}).Result; got != balancer.OK || late.Came() != 1 {
+		t.Errorf("a later one: %v, %d came", got, late.Came())
+	}
 }
--- /dev/null
+++ b/orchidgrpc/gone_test.go
@@ -0,0 +1,104 @@
+package orchidgrpc_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc/metadata"
+
+	"orchiddrift/internal/standin"
+	"orchiddrift/internal/testkit"
+	"orchiddrift/internal/testkit/base"
+	"orchiddrift/orchidgrpc"
+)
+
+// lateNode takes connections, and lets nothing through before it is released: no connection to the node behind it is ready before.
+func lateNode(t *testing.T, node string) (address string, release func()) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	goOn := make(chan struct{})
+	release = sync.OnceFunc(func() { close(goOn) })
+	var serving sync.WaitGroup
+	var mu sync.Mutex
+	var conns []net.Conn
+	t.Cleanup(func() {
+		l.Close()
+		release()
+		mu.Lock()
+		for _, c := range conns {
+			c.Close()
+		}
+		mu.Unlock()
+		serving.Wait()
+	})
+	serving.Go(func() {
+		for {
+			in, err := l.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", node)
+			if err != nil {
+				in.Close()
+				continue
+			}
+			mu.Lock()
+			conns = append(conns, in, out)
+			mu.Unlock()
+			end := sync.OnceFunc(func() { in.Close(); out.Close() })
+			serving.Go(func() { <-goOn; _, _ = io.Copy(in, out); end() }) // both end with either
+			serving.Go(func() { <-goOn; _, _ = io.Copy(out, in); end() })
+		}
+	})
+	return l.Addr().String(), release
+}
+
+// Guards against calls that are sent for callers that have gone while they waited for a connection to come up, also where the attempts
+// run apart from the callers since others may wait for the key's end.
+func TestCallersGoneWhileAConnectionComesUp(t *testing.T) {
+	for _, method := range []string{search, confirm, record} {
+		f := newFleet(t, standin.NodeOptions{})
+		address, release := lateNode(t, f.endpoints[0].Address)
+		f.endpoints[0].Address = address
+		conn, plugin := f.dial(t, func(o *orchidgrpc.Options) {
+			o.File = base.File(t, "o.toml", []byte("[[repeats]]\nservice = \"service\"\ntenant_part = 1.0\n"))
+			o.Settings.ConnectTimeout = base.Patience
+			for i := range o.Settings.Classes {
+				o.Settings.Classes[i].Deadline, o.Settings.Classes[i].Aim = base.Patience, base.Patience
+			}
+		})
+		const callers = 8
+		ctx, leave := context.WithCancel(metadata.AppendToOutgoingContext(t.Context(), orchidgrpc.IdempotencyKey, "k"))
+		if method != record {
+			ctx, leave = context.WithCancel(t.Context())
+		}
+		var calls sync.WaitGroup
+		for range callers {
+			calls.Go(func() {
+				if _, err := ask(ctx, conn, method); err == nil {
+					t.Errorf("%s: answered", method)
+				}
+			})
+		}
+		testkit.Eventually(t, "they are in hand", func() bool { return plugin.InHand() == callers || method == record && plugin.InHand() == 1 })
+		leave()
+		calls.Wait()
+		for end := time.Now().Add(500 * time.Millisecond); plugin.InHand() > 0 && time.Now().Before(end); { // or long enough for the fault to show
+			time.Sleep(time.Millisecond)
+		}
+		release()
+		if _, err := ask(t.Context(), conn, confirm); err != nil {
+			t.Errorf("%s: a later call: %v", method, err)
+		}
+		if ran := f.ledger.Nodes()["n0"].Ran; ran != 1 {
+			t.Errorf("%s: %d calls ran, 1 was wanted", method, ran)
+		}
+	}
+}
