--- a/test.sh
+++ b/test.sh
@@ -9,7 +9,7 @@
 "") ;;
 --race) race=-race ;;
 --fleet)
-	exec go test -count=1 -timeout 20m -v -run 'ComeUp|Leaving' ./internal/procs -fleet
+	exec go test -count=1 -timeout 20m -v -run 'ComeUp|Leaving|Restart' ./internal/procs -fleet
 	;;
 *)
 	echo "usage: test.sh [--race|--fleet]" >&2
