intake, upstream: clients that have gone give way, and none is closed before its place is needed

Need: floods of clients that send much and go. Written as a test of four such clients before an upstream that hangs, with room for four connections on each side (TestGoneClientsGiveWay).

Seen on the code before: "waited in vain: they are at the upstream": the fourth connection was closed as it came, since at the limit Accept made room for one that nobody had opened, and the one accepted a moment ago was the only one without a request (Conns.Accept, closeOne). Past that, a client that came found all places held by the gone ones' connections and attempts, for the 9 s that these had said they would wait.

Change: beyond the limit one is closed as another is accepted, not ahead of it; the newest has its time for a first request. Connections whose client has gone go first.

--- a/internal/daemon/gone_test.go
+++ b/internal/daemon/gone_test.go
@@ -216,3 +216,53 @@
 		t.Errorf("%d requests came, 1 was wanted", n)
 	}
 }
+
+// Guards against clients that send and go, again and again, to an upstream that hangs: their connections and their attempts give way to
+// those who wait, on both sides.
+func TestGoneClientsGiveWay(t *testing.T) {
+	s := testkit.Raw(t, func(c net.Conn, g standin.Got) bool {
+		if strings.HasPrefix(g.Target, "/confirm") {
+			return standin.Silent(c, g)
+		}
+		return standin.Says(standin.OK200("whole"))(c, g)
+	})
+	c := testkit.Config(t, testkit.Quiet(t).Address, testkit.Entry("s", s.Address, "Ready"))
+	c.Limits.Sockets = ownSockets + 2*4
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := startOn(t, c, l, nil)
+	r.ready(t)
+	r.client.CloseIdleConnections()
+	begun := time.Now()
+	for round := range 3 {
+		var all []*dialed
+		for range 4 {
+			c := dial(t, r.address, nil)
+			c.send(t, "confirm", "")
+			all = append(all, c)
+		}
+		testkit.Eventually(t, "they are at the upstream", func() bool {
+			n := 0
+			for _, g := range s.Requests() {
+				if strings.HasPrefix(g.Target, "/confirm") {
+					n++
+				}
+			}
+			return n == 4*(round+1)
+		})
+		for _, c := range all {
+			c.Close()
+		}
+		live := dial(t, r.address, nil)
+		live.send(t, "search", "")
+		if resp, body, err := live.answer(); err != nil || resp.StatusCode != 200 || body != "whole" {
+			t.Errorf("%v %q, %v", resp, body, err)
+		}
+		live.Close()
+	}
+	if took := time.Since(begun); took > 8*time.Second { // those that have gone would have waited for 9 s
+		t.Errorf("one that waits was served after %v", took)
+	}
+}
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -159,9 +159,9 @@
 	}
 }
 
-// drop closes a connection at once that has no request; false: one has begun.
+// drop closes a connection at once that has no request, or whose client has gone; false: one has begun.
 func (c *conn) drop() bool {
-	if !c.phase.CompareAndSwap(idle, shut) && c.phase.Load() != shut {
+	if !c.gone.Load() && !c.phase.CompareAndSwap(idle, shut) && c.phase.Load() != shut {
 		return false
 	}
 	c.kill()
--- a/internal/intake/conns.go
+++ b/internal/intake/conns.go
@@ -16,8 +16,8 @@
 	queueMost = time.Second            // and so long at most
 )
 
-// Conns is the listener for clients. It bounds their connections: at the limit it closes the one that
-// is needed least, and accepts no more until there is room. A connection counts from its accept until its socket is closed.
+// Conns is the listener for clients. It bounds their connections: one that comes beyond the limit has the one closed that
+// is needed least; where all are needed it stays, and no more are accepted until there is room. A connection counts from its accept until its socket is closed.
 type Conns struct {
 	net.Listener
 	most   int
@@ -32,7 +32,8 @@
 	emptied bool      // closed: nothing waits in the queue
 	until   time.Time // closed: no longer
 	conns   map[*conn]*record
-	dying   int // of them: their sockets are closed, and the server has not seen it
+	dying   int   // of them: their sockets are closed, and the server has not seen it
+	newest  *conn // accepted last: it does not give way before its first request has had its time
 }
 
 // record is what is known of a connection beside its own state.
@@ -52,12 +53,9 @@
 // Accept is net.Listener's.
 func (c *Conns) Accept() (net.Conn, error) {
 	c.mu.Lock()
-	for (c.paused || len(c.conns)-c.dying >= c.most) && !c.closed {
-		if !c.paused {
-			c.closeOne()
-			if len(c.conns)-c.dying < c.most {
-				break
-			}
+	for (c.paused || len(c.conns)-c.dying > c.most) && !c.closed {
+		if !c.paused && c.closeOne(c.newest) {
+			continue
 		}
 		c.room.Wait()
 	}
@@ -78,6 +76,9 @@
 	c.emptied = false
 	one := newConn(accepted)
 	c.conns[one] = &record{quiet: time.Now()}
+	if c.newest = one; len(c.conns)-c.dying > c.most { // none gives way before there is one that needs its place
+		c.closeOne(one)
+	}
 	if c.secure != nil {
 		return c.secure.over(one), nil
 	}
@@ -105,13 +106,17 @@
 type deadliner interface{ SetDeadline(time.Time) error }
 
 // closeOne makes room. Guards against clients that connect by hundreds and say nothing, at the cost of those that
-// ask: a connection that never brought a request goes before one that did, unless it is about to. One that has its last
-// answer goes first.
-func (c *Conns) closeOne() {
+// ask: a connection that never brought a request goes before one that did, unless it is about to. One whose client has gone
+// goes first, then one that has its last answer.
+func (c *Conns) closeOne(but *conn) bool {
 	now := time.Now()
 	rank := func(one *conn, of *record) int {
 		switch quiet := now.Sub(of.quiet); {
-		case of.dying || one.state() == active:
+		case of.dying || one == but && !of.asked && now.Sub(of.quiet) < firstSoon:
+			return 0
+		case one.gone.Load(): // what is in hand is nobody's
+			return 6
+		case one.state() == active:
 			return 0
 		case one.state() == shut:
 			return 5
@@ -133,12 +138,12 @@
 			}
 		}
 		if worst == nil {
-			return
+			return false
 		}
 		if worst.drop() {
 			c.conns[worst].dying = true
 			c.dying++
-			return
+			return true
 		}
 	}
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -131,6 +131,11 @@
 	Deadline time.Time       // the upstream is told to answer until then; zero: it is told nothing
 	By       time.Time       // the last byte is to be written before; what is not has not been sent. Zero: at any time
 	Caller   context.Context // once it has ended nobody waits for the answer, and nothing is begun; nil: it does not end
+	// Cancel, where there is one, ends an attempt that has begun and whose caller has left: what it would tell of its upstream is worth
+	// less than its connection to those who wait for one.
+	Cancel context.CancelCauseFunc
+
+	over bool // the attempt has ended; under Pool.mu
 }
 
 // left tells whether nobody waits for the answer any more.
@@ -145,6 +150,9 @@
 	if !ok {
 		return Reply{Result: balancer.Moot}
 	}
+	if t.Caller != nil && t.Caller.Done() != nil && t.Cancel != nil {
+		defer u.follow(&t)()
+	}
 	for {
 		c, reused, err := u.connectionFor(ctx, t.Caller, name, at)
 		switch {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -68,10 +68,11 @@
 	secure         Secure
 	connects       connects
 
-	mu     sync.Mutex
-	idle   map[string][]*poolConn // by upstream, the one idle for longest first
-	closed bool
-	warm   *warming // nil: nothing is opened ahead
+	mu        sync.Mutex
+	idle      map[string][]*poolConn // by upstream, the one idle for longest first
+	abandoned map[*Terms]bool        // attempts under way whose callers have left
+	closed    bool
+	warm      *warming // nil: nothing is opened ahead
 }
 
 // New returns an empty Pool. Whoever owns the Directory tells it of upstreams whose connections are no longer
@@ -80,7 +81,7 @@
 	u := &Pool{dir: o.Directory, connectTimeout: o.ConnectTimeout, slots: o.Slots, service: o.Service, bytes: o.Bytes,
 		rest: restFor, maxAnswer: o.MaxAnswer, answers: o.Answers, secure: o.Secure,
 		maxIdle:    time.Duration(float64(o.Idle) * idlePart),
-		sweepEvery: time.Duration(float64(o.Idle) * sweepPart), idle: map[string][]*poolConn{}}
+		sweepEvery: time.Duration(float64(o.Idle) * sweepPart), idle: map[string][]*poolConn{}, abandoned: map[*Terms]bool{}}
 	if o.Warm != nil {
 		u.warm = &warming{w: o.Warm, open: map[string]int{}, used: map[string]bool{}}
 	}
@@ -272,8 +273,31 @@
 	return u.evictLocked()
 }
 
+// follow has an attempt give its connection up once its caller has left and another waits for one. The returned function ends that.
+func (u *Pool) follow(t *Terms) (end func()) {
+	left := func() {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		if t.over {
+			return
+		}
+		if u.abandoned[t] = true; u.slots.Waiting(u.service) > 0 {
+			u.evictLocked()
+		}
+	}
+	stop := context.AfterFunc(t.Caller, left)
+	return func() {
+		if !stop() {
+			u.mu.Lock()
+			defer u.mu.Unlock()
+			t.over = true
+			delete(u.abandoned, t)
+		}
+	}
+}
+
 // evictLocked closes the connection that is worth least: one that was opened ahead and never used, else the one that has been
-// idle for longest.
+// idle for longest, else one whose request nobody waits for.
 func (u *Pool) evictLocked() bool {
 	var oldest *poolConn
 	for _, idle := range u.idle {
@@ -284,8 +308,14 @@
 	if oldest != nil {
 		u.setIdleLocked(oldest.name, slices.Delete(u.idle[oldest.name], 0, 1))
 		u.discard(oldest)
+		return true
+	}
+	for t := range u.abandoned {
+		delete(u.abandoned, t)
+		t.Cancel(context.Canceled)
+		return true
 	}
-	return oldest != nil
+	return false
 }
 
 func (u *Pool) setIdleLocked(name string, idle []*poolConn) {
