intake, freshness: idle connections and backoff are called by their names

Need: names follow the standard terms of the field where code is touched. "Quiet" connections are idle ones, a rest's end is a close of an idle connection, and waits between calls are a backoff with jitter.

Measured: go vet ./...; go test ./internal/intake ./internal/freshness ./internal/discovery ./internal/upstream.

--- a/internal/daemon/course.go
+++ b/internal/daemon/course.go
@@ -103,7 +103,7 @@
 			c.conns.Close() // its error says that it was closed
 		}
 		if closing {
-			c.conns.CloseQuiet(rest)
+			c.conns.CloseIdle(rest)
 		}
 		if over {
 			c.over.Store(true)
--- a/internal/freshness/budget.go
+++ b/internal/freshness/budget.go
@@ -22,7 +22,7 @@
 // moment is not known here, so that the waits alone have to fit, counted from a return of discovery just after a call was made:
 //
 //	connectLeast, or patienceMost     the call that just missed it fails, or is doubted     1 s, or 3 s with no wait after it
-//	waitMost with its jitter          until the next call                                   3.3 s
+//	backoffMost with its jitter          until the next call                                   3.3 s
 //	the first word                    discovery gives a call up that waits longer           1 s
 //	                                                                                  sum 5.3 s
 const (
@@ -46,13 +46,13 @@
 // Waits before a call is made again that ended: they double from first to most, each drawn between half and one and a half of
 // that. Asked discoveries are shared by the fleet and have to be spared while they are down; an agent at hand costs nothing.
 const (
-	waitFirst    = time.Second
-	waitEach     = 5 * time.Millisecond    // or by sidecar, where that is more: a fleet whose watches all end asks 200 times a second
-	waitMost     = 2200 * time.Millisecond // see above
-	waitPressed  = 250 * time.Millisecond  // the first while a deadline is near
-	leftPart     = 3                       // of what is left until a deadline, at most one part of so many is waited
-	mostSidecars = 1000                    // beyond, the most is waited all the same
-	waitLeast    = 200 * time.Millisecond
+	backoffFirst   = time.Second
+	backoffEach    = 5 * time.Millisecond    // or by sidecar, where that is more: a fleet whose watches all end asks 200 times a second
+	backoffMost    = 2200 * time.Millisecond // see above
+	backoffPressed = 250 * time.Millisecond  // the first while a deadline is near
+	leftPart       = 3                       // of what is left until a deadline, at most one part of so many is waited
+	mostSidecars   = 1000                    // beyond, the most is waited all the same
+	backoffLeast   = 200 * time.Millisecond
 
 	// Of the grace, in percent.
 	pushedFirst    = 20
@@ -97,16 +97,16 @@
 	return max(min((m.due-begun)/2, patienceMost), patienceLeast)
 }
 
-// wait is how long no call is made after one that ended.
-func (m *Machine) wait(now time.Duration) time.Duration {
+// backoff is how long no call is made after one that ended.
+func (m *Machine) backoff(now time.Duration) time.Duration {
 	n := min(max(m.fails-1, 0), 16)
 	if m.o.Pushed {
 		return m.jitter(min(m.o.part(pushedFirst)<<n, m.o.part(pushedMost)))
 	}
-	first := max(waitFirst, time.Duration(min(m.o.Sidecars, mostSidecars))*waitEach)
-	d := min(first<<n, waitMost, m.o.askWithin()*3/5) // with its jitter still within that after discovery is back
+	first := max(backoffFirst, time.Duration(min(m.o.Sidecars, mostSidecars))*backoffEach)
+	d := min(first<<n, backoffMost, m.o.askWithin()*3/5) // with its jitter still within that after discovery is back
 	if left := m.due - now; m.pressed && left > 0 {
-		d = max(min(d, waitPressed<<n, left/leftPart), waitLeast)
+		d = max(min(d, backoffPressed<<n, left/leftPart), backoffLeast)
 	}
 	return m.jitter(d)
 }
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -120,7 +120,7 @@
 	if m.o.Pushed && !m.pressed && !m.standing(now) { // else there is no deadline but for the waits: see budget.go
 		m.pressed, m.due = true, now+m.o.grace()
 	}
-	m.hold = now + m.wait(now)
+	m.hold = now + m.backoff(now)
 	return nil
 }
 
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -151,9 +151,9 @@
 	}
 }
 
-// rest ends a connection on which nothing has come: it half-closes it, and the server reads on, and closes it once the client has
+// closeIdle ends a connection on which nothing has come: it half-closes it, and the server reads on, and closes it once the client has
 // or lingerFor is over. Where bytes wait to be read it does nothing: they are a request.
-func (c *conn) rest() {
+func (c *conn) closeIdle() {
 	if !c.unread() && c.phase.CompareAndSwap(idle, shut) {
 		c.shutWrite()
 	}
--- a/internal/intake/conns.go
+++ b/internal/intake/conns.go
@@ -38,7 +38,7 @@
 
 // record is what is known of a connection beside its own state.
 type record struct {
-	quiet time.Time // its latest request ended, or it was accepted
+	since time.Time // its latest request ended, or it was accepted
 	asked bool      // it has brought a request
 	dying bool
 }
@@ -75,7 +75,7 @@
 	}
 	c.emptied = false
 	one := newConn(accepted)
-	c.conns[one] = &record{quiet: time.Now()}
+	c.conns[one] = &record{since: time.Now()}
 	if c.newest = one; len(c.conns)-c.dying > c.most { // none gives way before there is one that needs its place
 		c.closeOne(one)
 	}
@@ -111,8 +111,8 @@
 func (c *Conns) closeOne(but *conn) bool {
 	now := time.Now()
 	rank := func(one *conn, of *record) int {
-		switch quiet := now.Sub(of.quiet); {
-		case of.dying || one == but && !of.asked && now.Sub(of.quiet) < firstSoon:
+		switch quiet := now.Sub(of.since); {
+		case of.dying || one == but && !of.asked && now.Sub(of.since) < firstSoon:
 			return 0
 		case one.gone.Load(): // what is in hand is nobody's
 			return 6
@@ -133,7 +133,7 @@
 		var worst *conn
 		most := 0
 		for one, of := range c.conns {
-			if r := rank(one, of); r > most || r > 0 && r == most && of.quiet.Before(c.conns[worst].quiet) {
+			if r := rank(one, of); r > most || r > 0 && r == most && of.since.Before(c.conns[worst].since) {
 				worst, most = one, r
 			}
 		}
@@ -199,18 +199,18 @@
 	return c.ended && len(c.conns) == 0
 }
 
-// CloseQuiet closes all connections that have carried no request for that long, and on which none has come: see conn.rest.
-func (c *Conns) CloseQuiet(least time.Duration) {
+// CloseIdle closes all connections that have carried no request for that long, and on which none has come: see conn.closeIdle.
+func (c *Conns) CloseIdle(least time.Duration) {
 	c.mu.Lock()
 	var quiet []*conn
 	for one, of := range c.conns {
-		if one.state() == idle && time.Since(of.quiet) >= least {
+		if one.state() == idle && time.Since(of.since) >= least {
 			quiet = append(quiet, one)
 		}
 	}
 	c.mu.Unlock()
 	for _, one := range quiet {
-		one.rest()
+		one.closeIdle()
 	}
 }
 
@@ -234,7 +234,7 @@
 	}
 	switch s {
 	case http.StateIdle:
-		r.quiet, r.asked = time.Now(), true
+		r.since, r.asked = time.Now(), true
 		one.answered()
 	case http.StateActive:
 		r.asked = true
