--- a/internal/daemon/gone_test.go
+++ b/internal/daemon/gone_test.go
@@ -29,6 +29,21 @@
 	return r, <-up
 }
 
+// withheld is a discovery that is well and has no list before tell is closed: then it lists upstream s at an address.
+func withheld(t *testing.T, address string) (d *standin.ScriptedDiscovery, tell chan struct{}) {
+	t.Helper()
+	tell = make(chan struct{})
+	return testkit.Discovery(t, func(_ int, send func(string), done <-chan struct{}) {
+		send("")
+		select {
+		case <-tell:
+			send(testkit.List(1, true, testkit.Entry("s", address, "Ready")))
+		case <-done:
+		}
+		<-done
+	}), tell
+}
+
 // pending is how many attempts are out.
 func pending(e *engine.Engine) (n int) {
 	for _, u := range e.View() {
@@ -43,16 +58,7 @@
 	for _, behind := range []int{1, 100} { // within one read of the library, and far more
 		t.Run(fmt.Sprint(behind), func(t *testing.T) {
 			s := testkit.Raw(t, standin.Says(standin.OK200("")))
-			tell := make(chan struct{})
-			d := testkit.Discovery(t, func(_ int, send func(string), done <-chan struct{}) {
-				send("")
-				select {
-				case <-tell:
-					send(testkit.List(1, true, testkit.Entry("s", s.Address, "Ready")))
-				case <-done:
-				}
-				<-done
-			})
+			d, tell := withheld(t, s.Address)
 			r, e := startLooking(t, d.Address)
 			c := dial(t, r.address, nil)
 			c.send(t, "confirm", "")
@@ -151,16 +157,7 @@
 // Guards against the same in a burst: many clients wait for the first list, and all have gone when it comes.
 func TestManyClientsGoneAtOnce(t *testing.T) {
 	s := testkit.Raw(t, standin.Says(standin.OK200("")))
-	tell := make(chan struct{})
-	d := testkit.Discovery(t, func(_ int, send func(string), done <-chan struct{}) {
-		send("")
-		select {
-		case <-tell:
-			send(testkit.List(1, true, testkit.Entry("s", s.Address, "Ready")))
-		case <-done:
-		}
-		<-done
-	})
+	d, tell := withheld(t, s.Address)
 	r, e := startLooking(t, d.Address)
 	var all []*dialed
 	for n := range 60 {
--- a/internal/daemon/shutdown_test.go
+++ b/internal/daemon/shutdown_test.go
@@ -127,16 +127,7 @@
 func TestStopBeforeTheFirstList(t *testing.T) {
 	s := testkit.Raw(t, standin.Says(standin.OK200("whole")))
 	for _, comes := range []bool{true, false} {
-		tell := make(chan struct{})
-		d := testkit.Discovery(t, func(_ int, send func(string), done <-chan struct{}) {
-			send("")
-			select {
-			case <-tell:
-				send(testkit.List(1, true, testkit.Entry("s", s.Address, "Ready")))
-			case <-done:
-			}
-			<-done
-		})
+		d, tell := withheld(t, s.Address)
 		r, e := startLooking(t, d.Address)
 		c := dial(t, r.address, nil)
 		c.send(t, "search", "")
