daemon: a batch's test counts each batch's own mutations at the upstream

Seen: the check was red by TestGraphQLBatch, "graphql_test.go:268: two mutations of a batch at once". Checked: its count runs over all cases of the table. In the third one the second mutation is never answered; it is given up on at 600 ms, the batch is answered, and the stand-in's handler hears of the closed connection a moment later, from a goroutine of its own. Where the fourth case's mutation came first, two of two batches were counted as two of one. Ruled out: two of one batch. b.Next hands out the next mutation after the one before has ended, and m2 never reached the node. Nothing that the test asserts has gone: should a mutation that was given up on stay at its upstream, it now fails.

--- a/internal/daemon/graphql_test.go
+++ b/internal/daemon/graphql_test.go
@@ -315,6 +315,12 @@
 		{"q0 q1", map[string]string{"q0": "large", "q1": "large"}, "ok ok", 200, ""},
 		{"q0 q1 m0", map[string]string{"q0": "large", "q1": "large", "m0": "large"}, "ok ok ANSWER_TOO_LARGE", 200, "m0"},
 	} {
+		// A mutation that was given up on ends at its upstream a moment after its batch is answered, and is none of the next one's.
+		testkit.Eventually(t, "the last batch's mutations have ended at the upstream", func() bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return out == 0
+		})
 		mu.Lock()
 		order, behave = nil, func(n string) string { return c.faults[n] }
 		mu.Unlock()
