standin: an address that is to be listened at later, or again, is reserved until then

Seen: the whole check was red by TestRepeatsShared, "repeats_shared_test.go:78: listen tcp 127.0.0.1:41437: bind: address already in use". Checked: the stand-in store stops and starts where it was before; between the two its port is anybody's, and the packages that are tested beside it open thousands of connections from the same range (32768 to 60999). The same holds for FreeAddress and for each test that listened, closed and gave the port on. Changed: Reserve binds a socket to the port and does not listen: the system hands the port to nobody who wants any free one, and whoever asks by number with the option that Go's listeners set has it. The store reserves its address to its end, FreeAddress to the test's; five tests that listened and closed use it. Stricter: the replacement's test started a process up to three times, "the address may be taken by now"; it is reserved, so once is all.

--- a/cmd/orchiddrift/main_test.go
+++ b/cmd/orchiddrift/main_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -13,6 +12,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"orchiddrift/internal/testkit/base"
 )
 
 // TestMain runs the program itself where a test asks for it.
@@ -30,12 +31,7 @@
 // Guards against a planned restart that looks like a crash: SIGTERM ends the program with 0. Its address is free
 // again at once.
 func TestTermEndsWithZero(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := l.Addr().String()
-	l.Close()
+	address := base.FreeAddress(t)
 	path := filepath.Join(t.TempDir(), "config.json")
 	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":"127.0.0.1:1","seed":"1f",
 		"limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":{"index":1,"snapshot":true,"endpoints":[
--- a/internal/standin/etcd.go
+++ b/internal/standin/etcd.go
@@ -49,7 +49,7 @@
 	o EtcdOptions
 
 	mu        sync.Mutex
-	address   string
+	address   *Reservation // from the first Start to Close
 	srv       *grpc.Server
 	kvs       map[string]*mvccpb.KeyValue
 	leases    map[int64]*etcdLease
@@ -82,11 +82,17 @@
 func (e *Etcd) Start() (string, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	l, err := net.Listen("tcp", cmp.Or(e.address, "127.0.0.1:0"))
+	if e.address == nil {
+		r, err := Reserve("127.0.0.1:0")
+		if err != nil {
+			return "", err
+		}
+		e.address = r
+	}
+	l, err := net.Listen("tcp", e.address.Address)
 	if err != nil {
 		return "", err
 	}
-	e.address = l.Addr().String()
 	options := []grpc.ServerOption{grpc.UnaryInterceptor(func(ctx context.Context, q any, _ *grpc.UnaryServerInfo, do grpc.UnaryHandler) (any, error) {
 		if _, opens := q.(*etcdserverpb.AuthenticateRequest); !opens && !e.may(ctx) {
 			return nil, rpctypes.ErrGRPCInvalidAuthToken
@@ -103,7 +109,7 @@
 	etcdserverpb.RegisterWatchServer(srv, etcdWatches{Etcd: e})
 	etcdserverpb.RegisterAuthServer(srv, etcdAuth{Etcd: e})
 	e.running.Go(func() { _ = srv.Serve(l) }) // Stop ends it
-	return e.address, nil
+	return e.address.Address, nil
 }
 
 // Stop ends all connections, and listens no more.
@@ -123,6 +129,7 @@
 	for _, l := range e.leases {
 		l.ends.Stop()
 	}
+	e.address.Release()
 }
 
 // Keys is how many it holds, and Writes how many there were.
--- a/internal/suite/child_test.go
+++ b/internal/suite/child_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -138,12 +137,7 @@
 				return n
 			}
 			class := "confirm"
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			address := l.Addr().String()
-			l.Close()
+			address := base.FreeAddress(t)
 			if p == overGRPC {
 				class = "booking.Seats/confirm"
 			}
--- a/internal/suite/replace_test.go
+++ b/internal/suite/replace_test.go
@@ -54,24 +54,21 @@
 // start starts a process, and waits until it can serve.
 func (r *replaced) start() *process {
 	r.t.Helper()
-	for range 3 { // the address for its operators was free, and may be taken by now
-		p := r.begin()
-		testkit.Eventually(r.t, "it can serve, or has ended", func() bool {
-			select {
-			case <-p.over:
-				return true
-			default:
-				return r.call("GET", "http://"+p.control+"/ready") == 200
-			}
-		})
+	p := r.begin()
+	testkit.Eventually(r.t, "it can serve, or has ended", func() bool {
 		select {
 		case <-p.over:
+			return true
 		default:
-			return p
+			return r.call("GET", "http://"+p.control+"/ready") == 200
 		}
+	})
+	select {
+	case <-p.over:
+		r.t.Fatal("it ends as it starts")
+	default:
 	}
-	r.t.Fatal("it ends as it starts")
-	return nil
+	return p
 }
 
 func (r *replaced) wait(p *process) {
--- a/internal/testkit/base/base.go
+++ b/internal/testkit/base/base.go
@@ -29,15 +29,15 @@
 	}
 }
 
-// FreeAddress is one that nobody listens at.
+// FreeAddress is one that nobody listens at but who is given it, to the test's end.
 func FreeAddress(t testing.TB) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	r, err := standin.Reserve("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Cleanup(r.Release)
+	return r.Address
 }
 
 // Dial connects; the connection ends with the test, or with Patience.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -18,6 +18,7 @@
 	"orchiddrift/internal/routes"
 	"orchiddrift/internal/standin"
 	"orchiddrift/internal/testkit"
+	"orchiddrift/internal/testkit/base"
 )
 
 func testPool(t *testing.T, most int, entries ...string) *Pool {
@@ -45,11 +46,7 @@
 // Guards against claims about attempts that the sockets do not bear out: a request that may have run must
 // never be reported as one that did not.
 func TestOutcomes(t *testing.T) {
-	refused, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	refused.Close()
+	refused := base.FreeAddress(t)
 	for _, c := range []struct {
 		name   string
 		answer func(net.Conn, standin.Got) bool
@@ -114,7 +111,7 @@
 		})
 	}
 	t.Run("connection refused", func(t *testing.T) {
-		u := testPool(t, 4, testkit.Entry("s", refused.Addr().String(), "Ready"))
+		u := testPool(t, 4, testkit.Entry("s", refused, "Ready"))
 		if rep := u.Attempt(t.Context(), "s", testRequest("GET", ""), time.Time{}); rep.Result != balancer.ConnectFailed {
 			t.Errorf("result %d", rep.Result)
 		}
--- a/internal/upstream/warming_test.go
+++ b/internal/upstream/warming_test.go
@@ -61,11 +61,7 @@
 		names = append(names, name)
 		entries = append(entries, testkit.Entry(name, d.start(t, name), "Ready"))
 	}
-	refused, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	refused.Close()
+	refused := base.FreeAddress(t)
 	o := warm.Default()
 	o.Rate, o.Spread = 1000, units.Duration(50*time.Millisecond)
 	const most = 28 // a quarter of them may be opened ahead: 7
@@ -73,7 +69,7 @@
 		Warm: warm.New(o, most, rand.New(rand.NewPCG(1, 1)))})
 	c := clock.New()
 	u.SetDirectory(directory.New(c, u.Drop))
-	u.dir.Apply(testkit.Listing(t, 1, true, append(entries, testkit.Entry("gone", refused.Addr().String(), "Ready"))...))
+	u.dir.Apply(testkit.Listing(t, 1, true, append(entries, testkit.Entry("gone", refused, "Ready"))...))
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
--- a/orchidgrpc/unary_test.go
+++ b/orchidgrpc/unary_test.go
@@ -18,6 +18,7 @@
 	"orchiddrift/balancer"
 	"orchiddrift/internal/standin"
 	"orchiddrift/internal/testkit"
+	"orchiddrift/internal/testkit/base"
 	"orchiddrift/orchidgrpc"
 )
 
@@ -100,13 +101,8 @@
 
 // Guards against a connection that can't be made counted as a request that may have run: nothing was sent.
 func TestRefusedConnections(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	l.Close()
 	f := newFleet(t, standin.NodeOptions{})
-	f.endpoints = append(f.endpoints, orchidgrpc.Endpoint{Name: "dead", Address: l.Addr().String(), Zone: "a"})
+	f.endpoints = append(f.endpoints, orchidgrpc.Endpoint{Name: "dead", Address: base.FreeAddress(t), Zone: "a"})
 	conn, _ := f.dial(t, nil)
 	for range 20 {
 		if name, err := ask(t.Context(), conn, confirm); err != nil || name != "n0" {
