heldfile: a restarted process waits for the file that the system holds for a killed one

Checked: a probe outside of the program (a process that locks, maps and syncs a file; killed and reaped; then the lock is asked for), six beside each other and three writes of 3 GB: the lock was held at all after 118 to 123 kills of each, for 1.6 to 17.0 s at worst. So the system keeps it until what the dead process was syncing is on the disk, also after its parent has had its status. Ruled out: two opens in one process (openRepeats is the only caller), a wait that had not ended (its status was there). At fault: repeatlog.go openPatience, 1 s, then the start ends; leasegroup/disk.go the same, and there the member took no part until the process's next start. At a start 20 s: all of a start has 30 s; 1 s as before in a reload and beside a predecessor that lives; a member of a group waits as long as it runs. SIGTERM meanwhile: status 0.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -35,6 +35,7 @@
 	"orchiddrift/internal/intake"
 	"orchiddrift/internal/keys"
 	"orchiddrift/internal/logs"
+	"orchiddrift/internal/repeatkeeper"
 )
 
 const (
@@ -46,6 +47,9 @@
 	bytesPart  = 4  // and all bodies in hand this one, where services share it
 	handSpare  = 8  // this fraction of clients' connections never carries requests in hand
 	clientIdle = 30 * time.Second
+
+	// heldPatience is how long a reload, or a successor whose predecessor lives, waits for a file that another process holds.
+	heldPatience = time.Second
 )
 
 // Run serves as the files say until ctx ends, then finishes what it has taken. Whenever reload brings something it reads
@@ -144,9 +148,17 @@
 		return err
 	}
 	defer d.end()
-	if err := d.apply(p); err != nil {
+	if from == nil { // else the one before this process holds its files for as long as it lives
+		d.shared.filesCtx, d.shared.filesPatience = ctx, repeatkeeper.StartPatience
+	}
+	err := d.apply(p)
+	if err != nil && ctx.Err() != nil {
+		return nil // it was told to end before it had begun
+	}
+	if err != nil {
 		return err
 	}
+	d.shared.filesCtx, d.shared.filesPatience = rest, heldPatience
 	look(d)
 	var secure *intake.Secure
 	if p.TLS.On() {
@@ -253,7 +265,7 @@
 func (d *daemon) share(connections int) error {
 	p := d.plan
 	d.figures = figures.New()
-	d.shared = &shared{clock: clock.New(), log: d.log, seed: p.Seed, name: p.Name, connections: connections,
+	d.shared = &shared{clock: clock.New(), log: d.log, seed: p.Seed, name: p.Name, connections: connections, filesCtx: d.rest, filesPatience: heldPatience,
 		spoolSize: int64(p.Limits.MemoryMB * (1 << 20) / spoolPart), maxAnswer: int(p.Limits.MemoryMB * (1 << 20) / answerPart)}
 	d.shared.spool = semaphore.NewWeighted(d.shared.spoolSize)
 	var err error
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -69,7 +69,7 @@
 }
 
 func (d *daemon) member(ctx context.Context, f *leases.Declaration, l net.Listener) error {
-	m, err := leasegroup.New(leasegroup.Options{Fleet: f.Name, Name: f.Member, Peers: leasegroup.PeersOf(f), File: f.File, Limits: f.Limits(),
+	m, err := leasegroup.New(ctx, leasegroup.Options{Fleet: f.Name, Name: f.Member, Peers: leasegroup.PeersOf(f), File: f.File, Limits: f.Limits(),
 		Drift: f.Drift, Tick: f.Tick.D(), Log: d.log})
 	if err != nil {
 		l.Close()
--- a/internal/daemon/repeats.go
+++ b/internal/daemon/repeats.go
@@ -31,7 +31,7 @@
 		k.Configure(plan.Repeats.Options, repeatkeeper.Windows(&plan.Settings.Settings))
 		return k, nil
 	}
-	k, err := repeatkeeper.Open(*plan.Repeats, plan.Name, &plan.Settings.Settings, repeatkeeper.Options{Clock: sh.clock,
+	k, err := repeatkeeper.Open(sh.filesCtx, *plan.Repeats, plan.Name, &plan.Settings.Settings, sh.filesPatience, repeatkeeper.Options{Clock: sh.clock,
 		Log: sh.log.With("service", plan.Name), Step: repeatStep})
 	if err != nil {
 		return nil, fmt.Errorf("repeats: %w", err)
--- a/internal/daemon/repeats_test.go
+++ b/internal/daemon/repeats_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -386,10 +387,17 @@
 	t.Helper()
 	c := exec.Command(os.Args[0], "-test.run=^TestRepeatsChild$")
 	c.Env = append(append(os.Environ(), childFile+"="+file, childStep+"="+step), env...)
+	var said bytes.Buffer
+	c.Stdout, c.Stderr = &said, &said
 	if err := c.Start(); err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = c.Process.Kill(); _ = c.Wait() }) // it may have ended
+	t.Cleanup(func() {
+		_, _ = c.Process.Kill(), c.Wait() // it may have ended
+		if t.Failed() {
+			t.Logf("process %d said: %s", c.Process.Pid, said.Bytes())
+		}
+	})
 	testkit.Eventually(t, "ready", func() bool {
 		resp, err := r.client.Get("http://" + r.address + "/-/ready")
 		if err != nil {
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -51,6 +51,10 @@
 
 	repeatsMu sync.Mutex
 	repeats   map[string]*repeatkeeper.Keeper // by service
+
+	// For how long files that another process holds are waited for. They change before the first reload, and not after.
+	filesCtx      context.Context
+	filesPatience time.Duration
 }
 
 // rest notes what of a long body or answer has been passed on, and has its transfer rest where that is due.
--- a/internal/leasegroup/disk.go
+++ b/internal/leasegroup/disk.go
@@ -1,17 +1,19 @@
 package leasegroup
 
 import (
+	"context"
 	"crypto/rand"
 	"encoding/binary"
 	"errors"
 	"fmt"
 	"math"
-	"time"
 
 	"go.etcd.io/bbolt"
 	"go.etcd.io/raft/v3"
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
+
+	"orchiddrift/internal/heldfile"
 )
 
 // disk is a member's log, votes and snapshot, in one file. What it says is written when save returns: a vote or an entry that was told of
@@ -32,16 +34,13 @@
 	fleetKey    = []byte("fleet")
 )
 
-// openPatience is how long another process may hold the file.
-const openPatience = time.Second
-
 var errOtherFleet = errors.New("the file is of another fleet")
 
 func at(index uint64) []byte { return binary.BigEndian.AppendUint64(nil, index) }
 
 // openDisk opens a member's file, or makes it. A file that is torn is an error: what stands in it can't be trusted to hold all votes.
-func openDisk(path, fleet string) (*disk, error) {
-	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: openPatience})
+func openDisk(ctx context.Context, path, fleet string, wait heldfile.Wait) (*disk, error) {
+	db, err := heldfile.Open(ctx, path, wait)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/leasegroup/disk_test.go
+++ b/internal/leasegroup/disk_test.go
@@ -10,6 +10,8 @@
 	"go.etcd.io/raft/v3"
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
+
+	"orchiddrift/internal/heldfile"
 )
 
 func entries(term uint64, indexes ...uint64) (out []*pb.Entry) {
@@ -25,7 +27,7 @@
 	path := filepath.Join(t.TempDir(), "fleet.db")
 	open := func() *disk {
 		t.Helper()
-		d, err := openDisk(path, "f")
+		d, err := openDisk(t.Context(), path, "f", heldfile.Wait{For: 1})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -74,7 +76,7 @@
 		t.Errorf("an entry before the snapshot: %v", err)
 	}
 	check(d.close())
-	if _, err := openDisk(path, "other"); !errors.Is(err, errOtherFleet) {
+	if _, err := openDisk(t.Context(), path, "other", heldfile.Wait{For: 1}); !errors.Is(err, errOtherFleet) {
 		t.Errorf("of another fleet: %v", err)
 	}
 }
@@ -82,7 +84,7 @@
 // A torn file is an error, wherever it is torn, and never a crash: what it says may lack a vote.
 func TestTornDisk(t *testing.T) {
 	whole := filepath.Join(t.TempDir(), "whole.db")
-	d, err := openDisk(whole, "f")
+	d, err := openDisk(t.Context(), whole, "f", heldfile.Wait{For: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -117,7 +119,7 @@
 			t.Fatal(err)
 		}
 		if err := guarded(func() error {
-			d, err := openDisk(path, "f")
+			d, err := openDisk(t.Context(), path, "f", heldfile.Wait{For: 1})
 			if err == nil {
 				return d.close()
 			}
--- a/internal/leasegroup/linear_test.go
+++ b/internal/leasegroup/linear_test.go
@@ -114,7 +114,7 @@
 var testLimits = lease.Limits{Names: 10, Waiters: 100, NameBytes: 100, Shortest: 50 * time.Millisecond, Longest: time.Minute}
 
 func (g *group) start(name string, peers []Peer) {
-	m, err := New(Options{Fleet: "f", Name: name, Peers: peers, File: filepath.Join(g.dir, name), Limits: testLimits, Drift: 0.01, Tick: 10 * time.Millisecond})
+	m, err := New(context.Background(), Options{Fleet: "f", Name: name, Peers: peers, File: filepath.Join(g.dir, name), Limits: testLimits, Drift: 0.01, Tick: 10 * time.Millisecond})
 	if err != nil {
 		g.t.Fatal(err)
 	}
--- a/internal/leasegroup/member.go
+++ b/internal/leasegroup/member.go
@@ -22,6 +22,7 @@
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/protobuf/proto"
 
+	"orchiddrift/internal/heldfile"
 	"orchiddrift/internal/lease"
 )
 
@@ -130,8 +131,8 @@
 	Peers   map[uint64]string `json:"peers"`
 }
 
-// New opens a member's disk. Run has it take part.
-func New(o Options) (*Member, error) {
+// New opens a member's disk; while another process holds it, it waits. Run has it take part.
+func New(ctx context.Context, o Options) (*Member, error) {
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
@@ -142,7 +143,10 @@
 		return nil, fmt.Errorf("%q is not one of the group's members", o.Name)
 	}
 	var d *disk
-	if err := guarded(func() (err error) { d, err = openDisk(o.File, o.Fleet); return err }); err != nil {
+	held := heldfile.Wait{Held: func(since time.Duration) {
+		o.Log.Warn("fleet: another process holds the group's file: waiting for it", "file", o.File, "since", since.Round(time.Millisecond).String())
+	}}
+	if err := guarded(func() (err error) { d, err = openDisk(ctx, o.File, o.Fleet, held); return err }); err != nil {
 		return nil, fmt.Errorf("the group's file %s: %w", o.File, err)
 	}
 	m := &Member{o: o, disk: d, ended: make(chan struct{}), steps: make(chan *pb.Message, mostMessages), asks: make(chan *asked, mostAsks),
--- a/internal/measure/repeats.go
+++ b/internal/measure/repeats.go
@@ -1,6 +1,7 @@
 package measure
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -15,6 +16,7 @@
 	"time"
 
 	"orchiddrift/internal/clock"
+	"orchiddrift/internal/heldfile"
 	"orchiddrift/internal/repeatkeeper"
 	"orchiddrift/internal/repeatlog"
 	"orchiddrift/internal/repeats"
@@ -149,7 +151,7 @@
 // repeatsFull fills a file with a million keys, and reads it back.
 func repeatsFull(out io.Writer, path string) error {
 	const n = 1_000_000
-	log, err := repeatlog.Open(path)
+	log, err := repeatlog.Open(context.Background(), path, heldfile.Wait{For: time.Second})
 	if err != nil {
 		return err
 	}
@@ -173,7 +175,7 @@
 	runtime.GC()
 	runtime.ReadMemStats(&before)
 	begun = time.Now()
-	if log, err = repeatlog.Open(path); err != nil {
+	if log, err = repeatlog.Open(context.Background(), path, heldfile.Wait{For: time.Second}); err != nil {
 		return err
 	}
 	options := repeats.Default()
--- a/internal/repeatkeeper/declaration.go
+++ b/internal/repeatkeeper/declaration.go
@@ -1,9 +1,11 @@
 package repeatkeeper
 
 import (
+	"context"
 	"time"
 
 	"orchiddrift/balancer"
+	"orchiddrift/internal/heldfile"
 	"orchiddrift/internal/repeatlog"
 	"orchiddrift/internal/repeats"
 	"orchiddrift/internal/repeatshare"
@@ -39,13 +41,21 @@
 	return func(class string) time.Duration { return windows[class] }
 }
 
+// StartPatience is how long a process that starts waits for a file that another one holds: for the lock of a killed one, which the system
+// may keep for seconds. It leaves a third of the 30 s that a start may take.
+const StartPatience = 20 * time.Second
+
 // Open returns the Keeper of a service that the operator's file declares, with its file or its shared store. What o has of these is
-// filled in.
-func Open(d Declaration, service string, set *balancer.Settings, o Options) (*Keeper, error) {
+// filled in. A file that another process holds is waited for, until ctx ends.
+func Open(ctx context.Context, d Declaration, service string, set *balancer.Settings, patience time.Duration, o Options) (*Keeper, error) {
 	o.Repeats, o.Window = d.Options, Windows(set)
 	switch {
 	case d.File != "":
-		l, err := repeatlog.Open(d.File)
+		l, err := repeatlog.Open(ctx, d.File, heldfile.Wait{For: patience, Held: func(since time.Duration) {
+			if o.Log != nil {
+				o.Log.Warn("repeats: another process holds the file: waiting for it", "file", d.File, "since", since.Round(time.Millisecond).String())
+			}
+		}})
 		if err != nil {
 			return nil, err
 		}
--- a/internal/repeatlog/repeatlog.go
+++ b/internal/repeatlog/repeatlog.go
@@ -3,6 +3,7 @@
 package repeatlog
 
 import (
+	"context"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -12,6 +13,7 @@
 
 	"go.etcd.io/bbolt"
 
+	"orchiddrift/internal/heldfile"
 	"orchiddrift/internal/repeatcodec"
 	"orchiddrift/internal/repeats"
 )
@@ -25,19 +27,16 @@
 	now  = []byte("now") // the latest time that a record was of
 )
 
-const (
-	openPatience = time.Second // another process may have it
-	together     = 2 * time.Millisecond
-)
+const together = 2 * time.Millisecond
 
-// Open opens a file, or makes it. One that is cut, broken or another program's is an error: keys that may matter stand in it, and who
-// takes it away says that they do not.
-func Open(path string) (l *Log, err error) {
+// Open opens a file, or makes it; wait is for where another process has it. One that is cut, broken or another program's is an error:
+// keys that may matter stand in it, and who takes it away says that they do not.
+func Open(ctx context.Context, path string, wait heldfile.Wait) (l *Log, err error) {
 	defer guard(path, &err)()
 	if err := whole(path); err != nil {
 		return nil, err
 	}
-	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: openPatience})
+	db, err := heldfile.Open(ctx, path, wait)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
--- a/internal/repeatlog/repeatlog_test.go
+++ b/internal/repeatlog/repeatlog_test.go
@@ -9,6 +9,7 @@
 
 	"pgregory.net/rapid"
 
+	"orchiddrift/internal/heldfile"
 	"orchiddrift/internal/repeatcodec"
 	"orchiddrift/internal/repeats"
 )
@@ -24,7 +25,7 @@
 		want := map[repeats.ID]repeats.Record{}
 		var last time.Duration
 		for range rapid.IntRange(1, 3).Draw(t, "opens") {
-			l, err := Open(path)
+			l, err := Open(t.Context(), path, heldfile.Wait{For: time.Second})
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/orchidgrpc/plugin.go
+++ b/orchidgrpc/plugin.go
@@ -188,7 +188,7 @@
 		}
 	}
 	if file.Repeats != nil {
-		if p.repeats, err = repeatkeeper.Open(*file.Repeats, p.service, &set, repeatkeeper.Options{Clock: clk, Log: log, Apart: true}); err != nil {
+		if p.repeats, err = repeatkeeper.Open(context.Background(), *file.Repeats, p.service, &set, repeatkeeper.StartPatience, repeatkeeper.Options{Clock: clk, Log: log, Apart: true}); err != nil {
 			return nil, fmt.Errorf("orchidgrpc: repeats: %w", err)
 		}
 	}
