--- a/internal/daemon/heldfile_test.go
+++ b/internal/daemon/heldfile_test.go
@@ -49,7 +49,9 @@
 	}
 	ctx, stop := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
-	go func() { ended <- ServePlan(ctx, plan(t, newSlowPay(t).file("6s", "20s", part)), l, config.Sources{}, nil, nil) }()
+	go func() {
+		ended <- ServePlan(ctx, plan(t, newSlowPay(t).file("6s", "20s", part)), l, config.Sources{}, nil, nil)
+	}()
 	time.AfterFunc(200*time.Millisecond, stop)
 	select {
 	case err := <-ended:
