engine: an answer that begins as its attempt's time ends is not begun for the client

Checked: the connection was closed on our side. poolConn.giveUp does so when the attempt's context ends; Engine.ended stops the timer only once the attempt's reply has come to it, so that one that fires in between has the connection closed under an answer that the engine then begins. All other cuts in the logs have their client's or upstream's reset as the reason. At fault: engine.go ended, Begun after timer.Stop without a look at whether the timer had fired or the context had ended. Changed: such a reply is the attempt's time-out (or cancellation), and the module decides on it as on any. Before: TestAnswerBeginsAsItsAttemptEnds "after 1 attempts: kind 0 with a part", safe and unsafe. Green now; engine with -race three times, orchidgrpc and daemon.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -529,11 +529,16 @@
 	if a.ended {
 		return
 	}
-	a.timer.Stop()
+	running := a.timer.Stop()
 	if r.Begun {
-		if f.done { // too late, or another stream has won
+		switch expired := !running || context.Cause(a.Context) == context.DeadlineExceeded; {
+		case f.done: // too late, or another stream has won
 			r = Reply{Result: balancer.Cancelled}
-		} else {
+		case expired: // as its answer began: its connection is being closed, and what has come of the answer would be cut
+			r = Reply{Result: balancer.Timeout, Spent: r.Spent}
+		case a.Context.Err() != nil: // the same, by whoever called it off
+			r = Reply{Result: balancer.Cancelled, Spent: r.Spent}
+		default:
 			a.begun = e.clock.Now()
 			e.handle(balancer.FirstByte{ID: f.call.ID, Attempt: a.at.Number, Passed: r.Passed})
 			e.finish(f, Answer{Kind: Served, Value: r.Value, stream: a, f: f, e: e})
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -393,3 +393,27 @@
 		t.Errorf("answers by kind: %v", []int32{kinds[0].Load(), kinds[1].Load(), kinds[2].Load(), kinds[3].Load()})
 	}
 }
+
+// Guards against an answer that begins as its attempt is over: its connection is closed by then, so that its client would have a part of
+// it and no end. It is not begun; the attempt's end is what ended it, and the module decides anew.
+func TestAnswerBeginsAsItsAttemptEnds(t *testing.T) {
+	for name, class := range map[string]string{"safe": "search", "unsafe": "confirm"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := testEngine(t, nil, "s", "u")
+				begun := 0
+				a := e.Do(t.Context(), e.call("1", class), carry(func(ctx context.Context, _ Attempt) Reply {
+					<-ctx.Done() // the last moment
+					begun++
+					return Reply{Result: balancer.OK, Begun: true, Passed: true, Value: "a part"}
+				}))
+				if a.Kind == Served || a.Value != nil || class == "confirm" && a.Kind != Failed {
+					t.Errorf("after %d attempts: kind %v with %v", begun, a.Kind, a.Value)
+				}
+				if class == "confirm" && begun != 1 {
+					t.Errorf("%d attempts of what may have run", begun)
+				}
+			})
+		})
+	}
+}
