freshness: a small fleet asks within 0.6 s of its watch's end, not within 1.5 s

Discovery works through the six calls in 0.295 s each; the last first wait was 1.49 s. Ruled out: a write behind the recheck (all were written before the news came), told at the start of discovery's work (sends of other nodes in that time were not late), MustAskInMs (10 s). At fault: budget.go backoffFirst, 1 s with its jitter, whatever the fleet's size; from 200 sidecars on backoffEach is what counts, unchanged. Changed: 400 ms, so that six calls of 0.3 s end within a beat. TestCallsAreFew is as it was and green: an outage costs one call more. TestACallIsMadeSoonAfterAWatchEnds fails before: "the next call 1.497236467s after the end, 600ms at most".

--- a/internal/freshness/budget.go
+++ b/internal/freshness/budget.go
@@ -46,7 +46,7 @@
 // Waits before a call is made again that ended: they double from first to most, each drawn between half and one and a half of
 // that. Asked discoveries are shared by the fleet and have to be spared while they are down; an agent at hand costs nothing.
 const (
-	backoffFirst   = time.Second
+	backoffFirst   = 400 * time.Millisecond  // what a watch that ends did not tell is wanted within a beat: this, and discovery's turn
 	backoffEach    = 5 * time.Millisecond    // or by sidecar, where that is more: a fleet whose watches all end asks 200 times a second
 	backoffMost    = 2200 * time.Millisecond // see above
 	backoffPressed = 250 * time.Millisecond  // the first while a deadline is near
--- a/internal/freshness/model_test.go
+++ b/internal/freshness/model_test.go
@@ -528,6 +528,22 @@
 	}
 }
 
+// Guards against a small fleet that waits for no reason once its watches have ended: what they did not tell any more is wanted soon, and
+// discovery works through the calls of a few in no time. A large fleet spreads them.
+func TestACallIsMadeSoonAfterAWatchEnds(t *testing.T) {
+	for sidecars, most := range map[int]time.Duration{0: 600 * ms, 1: 600 * ms, 6: 600 * ms, 50: 600 * ms, 100: 750 * ms, 300: 2250 * ms} {
+		for seed := range uint64(100) {
+			m := New(Options{Sidecars: sidecars}, rng(seed))
+			m.Start(0)
+			m.Heard(10*ms, 1)
+			m.Ended(time.Second, 1)
+			if wait := m.Next() - time.Second; wait > most || wait < most/3 {
+				t.Errorf("%d sidecars: the next call %v after the end, %v at most", sidecars, wait, most)
+			}
+		}
+	}
+}
+
 // Guards against the machine's words being wrong: when the list was last current, and when it may be too old.
 func TestDue(t *testing.T) {
 	m := New(Options{AskWithin: 3 * time.Second}, rng(1))
