discovery: each call for a list is logged and counted from its start to its end

Need: the incident's logs do not say when a call was made, which one it was, how old the list was and when the next one was due. Change: "list call made" and "list call replaced" (debug), "list call answered", "older list passed over", and "watch ended" with the call's number, what it asked for, how long it lasted, the list's age, whether it is overdue, the failures in a row and the wait before the next call. Figures list_calls and list_calls_failed. Watcher.watch and take are cut into steps with an openCall in place of loose parameters. No decision changed: go test ./internal/discovery ./internal/freshness ./internal/figures ./internal/daemon ./orchidgrpc ./internal/control, all ok.

--- a/internal/daemon/reading.go
+++ b/internal/daemon/reading.go
@@ -24,6 +24,9 @@
 			if f.ListAge = max(f.ListAge, age.Milliseconds()); overdue {
 				f.Overdue++
 			}
+			made, failed := w.Calls()
+			f.ListCalls += made
+			f.ListCallsFailed += failed
 		}
 	}
 	return f
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -55,7 +55,9 @@
 	sink    Sink // of Run; nil: it does not run. It must not call the Watcher, other than Ask
 	timer   *time.Timer
 	ctx     context.Context
-	ends    map[freshness.CallID]context.CancelCauseFunc
+	open    map[freshness.CallID]*openCall
+	made    int64 // calls, and how many of them ended or failed by themselves
+	failed  int64
 	address string
 	index   int64 // of the list as last told at this address
 	untold  bool  // nothing came from this address yet, and another's versions mean nothing here
@@ -63,10 +65,29 @@
 	overdue bool  // it was logged that the list may be too old
 }
 
+// request is what a call asks discovery for.
+type request string
+
+const (
+	requestList  request = "list"  // the whole list, once
+	requestWatch request = "watch" // what changes from a version on
+)
+
+// openCall is a call that has not ended. Its fields other than end belong to the goroutine that makes it.
+type openCall struct {
+	id       freshness.CallID
+	end      context.CancelCauseFunc
+	begun    time.Time
+	address  string
+	request  request
+	version  int64 // that it has reached
+	answered bool
+}
+
 // New returns a Watcher; Run makes it work.
 func New(o Options) *Watcher {
 	w := &Watcher{address: o.Address, index: o.Index, log: cmp.Or(o.Log, slog.New(slog.DiscardHandler)), start: time.Now(), stands: true,
-		machine: freshness.New(o.Freshness, rand.New(rand.NewPCG(o.Seed, 0x6c697374))), ends: map[freshness.CallID]context.CancelCauseFunc{}}
+		machine: freshness.New(o.Freshness, rand.New(rand.NewPCG(o.Seed, 0x6c697374))), open: map[freshness.CallID]*openCall{}}
 	w.client = &http.Client{Transport: &http.Transport{
 		DialContext:            (&net.Dialer{Timeout: max(o.ConnectTimeout, connectLeast)}).DialContext,
 		DisableKeepAlives:      true,
@@ -104,8 +125,8 @@
 		return
 	}
 	w.address, w.index, w.untold = address, 0, true
-	for _, end := range w.ends {
-		end(errRedirected)
+	for _, c := range w.open {
+		c.end(errRedirected)
 	}
 	w.do(w.machine.Redirect(w.now()))
 }
@@ -121,6 +142,13 @@
 	return now - w.machine.Told(), now >= w.machine.Due()
 }
 
+// Calls is how many calls were made, and how many of these were refused, failed or ended other than by the Watcher itself.
+func (w *Watcher) Calls() (made, failed int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.made, w.failed
+}
+
 func (w *Watcher) now() time.Duration { return time.Since(w.start) }
 
 func (w *Watcher) tick() {
@@ -139,13 +167,10 @@
 	for _, a := range acts {
 		switch a.Kind {
 		case freshness.Open:
-			ctx, end := context.WithCancelCause(w.ctx)
-			w.ends[a.Call] = end
-			from := w.index
-			w.calls.Go(func() { w.call(ctx, a.Call, from) })
+			w.begin(a.Call)
 		case freshness.Close:
-			if end := w.ends[a.Call]; end != nil {
-				end(errReplaced)
+			if c := w.open[a.Call]; c != nil {
+				c.end(errReplaced)
 			}
 		}
 	}
@@ -172,53 +197,64 @@
 	w.timer.Reset(max(0, next-now))
 }
 
-// call makes one call and tells the machine how it goes.
-func (w *Watcher) call(ctx context.Context, id freshness.CallID, from int64) {
-	err := w.watch(ctx, id, from)
+// begin makes a call; the caller holds mu. At a new address it first asks for the whole list: what changed after a version of
+// another address would say nothing.
+func (w *Watcher) begin(id freshness.CallID) {
+	ctx, end := context.WithCancelCause(w.ctx)
+	c := &openCall{id: id, end: end, begun: time.Now(), address: w.address, request: requestWatch, version: w.index}
+	if w.untold {
+		c.request = requestList
+	}
+	w.open[id] = c
+	w.made++
+	w.log.Debug("list call made", "call", id, "request", c.request, "address", c.address, "version", c.version, "age", w.age())
+	w.calls.Go(func() { w.call(ctx, c) })
+}
+
+// age is how long ago the list was last known to be current, for the log; the caller holds mu.
+func (w *Watcher) age() time.Duration {
+	return (w.now() - w.machine.Told()).Round(time.Millisecond)
+}
+
+// call follows one call to its end and tells the machine of it.
+func (w *Watcher) call(ctx context.Context, c *openCall) {
+	err := w.follow(ctx, c)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	end := w.ends[id]
-	delete(w.ends, id)
+	delete(w.open, c.id)
 	cause := context.Cause(ctx)
-	end(nil)
+	c.end(nil)
 	if w.sink == nil {
 		return
 	}
 	if cause != nil {
 		err = cause
 	}
+	lasted := time.Since(c.begun).Round(time.Millisecond)
 	if errors.Is(err, errReplaced) {
+		w.log.Debug("list call replaced", "call", c.id, "request", c.request, "answered", c.answered, "lasted", lasted)
 		return
 	}
-	acts := w.machine.Ended(w.now(), id)
-	w.log.Warn("watch ended", "reason", err)
+	if !errors.Is(err, errRedirected) {
+		w.failed++
+	}
+	acts := w.machine.Ended(w.now(), c.id)
+	now := w.now()
+	w.log.Warn("watch ended", "reason", err, "call", c.id, "request", c.request, "answered", c.answered, "lasted", lasted, "age", w.age(),
+		"overdue", now >= w.machine.Due(), "failures", w.machine.Failures(), "next", max(0, w.machine.Next()-now).Round(time.Millisecond))
 	w.do(acts)
 }
 
-// watch follows one call to its end. At a new address it first asks for the whole list: what changed after a version of
-// another address would say nothing.
-func (w *Watcher) watch(ctx context.Context, id freshness.CallID, from int64) error {
-	w.mu.Lock()
-	targets, whole := fmt.Sprintf("http://%s/api/targets", w.address), w.untold
-	w.mu.Unlock()
-	if whole {
-		body, err := w.get(ctx, targets)
-		if err != nil {
-			return err
-		}
-		text, err := io.ReadAll(io.LimitReader(body, maxMessage+1))
-		body.Close()
-		if err == nil && len(text) == 0 {
-			err = errCut
-		}
-		if err != nil {
-			return err
-		}
-		if from, err = w.take(ctx, id, from, text); err != nil {
+// follow asks for what a call is to ask for, and takes all that comes until it ends.
+func (w *Watcher) follow(ctx context.Context, c *openCall) error {
+	targets := fmt.Sprintf("http://%s/api/targets", c.address)
+	if c.request == requestList {
+		if err := w.fetch(ctx, c, targets); err != nil {
 			return err
 		}
+		c.request, c.answered = requestWatch, false
 	}
-	body, err := w.get(ctx, fmt.Sprintf("%s?watch=1&from=%d", targets, from))
+	body, err := w.get(ctx, fmt.Sprintf("%s?watch=1&from=%d", targets, c.version))
 	if err != nil {
 		return err
 	}
@@ -227,49 +263,81 @@
 	lines.Buffer(make([]byte, 0, 4096), maxMessage)
 	lines.Split(messages())
 	for lines.Scan() {
-		if from, err = w.take(ctx, id, from, lines.Bytes()); err != nil {
+		if err := w.take(ctx, c, lines.Bytes()); err != nil {
 			return err
 		}
 	}
 	return cmp.Or(lines.Err(), errors.New("discovery ended it"))
 }
 
-// take applies what a call brought, unless that has been ended meanwhile; empty text is a sign of life. from is the version that
-// the call had reached, and what it has reached now is returned.
-func (w *Watcher) take(ctx context.Context, id freshness.CallID, from int64, text []byte) (int64, error) {
+// fetch asks for the whole list.
+func (w *Watcher) fetch(ctx context.Context, c *openCall, url string) error {
+	body, err := w.get(ctx, url)
+	if err != nil {
+		return err
+	}
+	defer body.Close()
+	text, err := io.ReadAll(io.LimitReader(body, maxMessage+1))
+	if err != nil {
+		return err
+	}
+	if len(text) == 0 {
+		return errCut
+	}
+	return w.take(ctx, c, text)
+}
+
+// take applies what a call brought, unless that has been ended meanwhile; empty text is a sign of life.
+func (w *Watcher) take(ctx context.Context, c *openCall, text []byte) error {
 	var l *directory.Listing
 	if len(text) > 0 {
 		var err error
 		if l, err = directory.ParseListing(text); err != nil { // the last good list stays, and is asked for again from its version on
-			return from, fmt.Errorf("malformed list: %w", err)
+			return fmt.Errorf("malformed list: %w", err)
 		}
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock() // once Redirect has returned, nothing of the old address is taken
 	if ctx.Err() != nil {
-		return from, context.Cause(ctx)
+		return context.Cause(ctx)
 	}
-	if w.sink == nil || !w.machine.Takes(id) {
-		return from, errReplaced
+	if w.sink == nil || !w.machine.Takes(c.id) {
+		return errReplaced
 	}
 	first := w.machine.Told() == 0 || !w.stands
 	if l != nil {
-		index := *l.Index
-		switch {
-		case w.untold, index >= w.index, l.Snapshot && from == w.index: // the last: it began to count anew
-			w.index, w.untold = index, false
-			w.sink.Update(l)
-		case from == w.index:
-			return from, fmt.Errorf("malformed list: changes of version %d, and %d is known", index, from)
-		} // else it was written before what another call has brought since: an upstream that drains must not come back by it
-		from = index
+		if err := w.apply(c, l); err != nil {
+			return err
+		}
 	}
 	if l == nil && (first || w.asked.Load()) {
 		w.sink.Heard()
 	}
 	w.asked.Store(false)
-	w.do(w.machine.Heard(w.now(), id))
-	return from, nil
+	if !c.answered {
+		c.answered = true
+		w.log.Info("list call answered", "call", c.id, "request", c.request, "version", c.version, "news", l != nil,
+			"took", time.Since(c.begun).Round(time.Millisecond), "age", w.age())
+	}
+	w.do(w.machine.Heard(w.now(), c.id))
+	return nil
+}
+
+// apply hands a list or a change to the sink, unless it is older than what is known; the caller holds mu.
+func (w *Watcher) apply(c *openCall, l *directory.Listing) error {
+	index := *l.Index
+	beganAnew := l.Snapshot && c.version == w.index // on the call that brought the newest
+	switch {
+	case w.untold, index >= w.index, beganAnew:
+		w.index, w.untold = index, false
+		w.sink.Update(l)
+	case c.version == w.index:
+		return fmt.Errorf("malformed list: changes of version %d, and %d is known", index, c.version)
+	default: // it was written before what another call has brought since: an upstream that drains must not come back by it
+		w.log.Info("older list passed over", "call", c.id, "request", c.request, "version", index, "known", w.index)
+	}
+	c.version = index
+	return nil
 }
 
 // get asks discovery; the caller closes the body.
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -118,6 +118,9 @@
 	// ListAge is how long ago the oldest list that is followed was known to be current, in milliseconds, and Overdue how many lists may be
 	// too old. Below 0: none is followed.
 	ListAge, Overdue int64
+	// ListCalls is how many calls were made for the lists that are followed, and ListCallsFailed how many of these were refused, failed or
+	// ended by discovery.
+	ListCalls, ListCallsFailed int64
 }
 
 // Read reads all counts; the members are the caller's to fill in.
@@ -160,6 +163,8 @@
 	if f.ListAge >= 0 {
 		line(f.ListAge, "list_age_ms")
 		line(f.Overdue, "lists_overdue")
+		line(f.ListCalls, "list_calls")
+		line(f.ListCallsFailed, "list_calls_failed")
 	}
 	line(f.Reloads, "config_reloads")
 	line(f.ReloadsFailed, "config_reload_errors")
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -195,6 +195,9 @@
 // Told is when the list was last known to be current.
 func (m *Machine) Told() time.Duration { return m.told }
 
+// Failures is how many calls have ended since one spoke.
+func (m *Machine) Failures() int { return m.fails }
+
 // Standing tells whether a call speaks.
 func (m *Machine) Standing(now time.Duration) bool { return m.standing(now) }
 
