--- a/internal/procs/leaving_test.go
+++ b/internal/procs/leaving_test.go
@@ -31,6 +31,26 @@
 	driving sync.WaitGroup
 }
 
+// configuration is a daemon's file, with one service that follows a discovery at address.
+func configuration(name string, seed, sidecars int, address string, pushed bool) string {
+	return fmt.Sprintf(`[daemon]
+name = %q
+listen = "127.0.0.1:0"
+control = "127.0.0.1:0"
+seed = "%d"
+[limits]
+memory = "64MiB"
+descriptors = 512
+[log]
+format = "json"
+[[service]]
+name = "web"
+discovery = %q
+discovery_pushes = %v
+sidecars = %d
+`, name, seed, address, pushed, sidecars)
+}
+
 // watch starts daemons and upstreams, and a load of so many requests a second on each daemon.
 func watch(t *testing.T, r *Rig, sidecars, upstreams int, pushed bool, disco *standin.Discovery, rate float64) *watched {
 	t.Helper()
@@ -63,10 +83,8 @@
 	disco.Set(entries...)
 	for i := range sidecars {
 		name := fmt.Sprintf("n%d", i)
-		f.daemons = append(f.daemons, r.Process(Spec{Name: name, Args: []string{"--config", "web.toml"}, Ready: Listening, Files: map[string]string{
-			"web.toml": fmt.Sprintf("[daemon]\nname = %q\nlisten = \"127.0.0.1:0\"\ncontrol = \"127.0.0.1:0\"\nseed = \"%d\"\n[limits]\nmemory = \"64MiB\"\n"+
-				"descriptors = 512\n[log]\nformat = \"json\"\n[[service]]\nname = \"web\"\ndiscovery = %q\ndiscovery_pushes = %v\nsidecars = %d\n",
-				name, i+1, address, pushed, sidecars)}}))
+		f.daemons = append(f.daemons, r.Process(Spec{Name: name, Args: []string{"--config", "web.toml"}, Ready: Listening,
+			Files: map[string]string{"web.toml": configuration(name, i+1, sidecars, address, pushed)}}))
 	}
 	if err := r.StartAll(within(t, Patience), f.daemons...); err != nil {
 		t.Fatal(err)
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -34,9 +34,12 @@
 	muted   int // calls up to this number say nothing more
 	hold    time.Duration
 	free    time.Time // when it has worked through all calls so far
+	turned  int       // of the calls at each address, how many are turned away from now on
+	left    map[string]int
 	calls   []time.Time
 	current int // watches that have been told all
 	srv     *http.Server
+	joined  []*http.Server // at further addresses
 	address string
 	serving sync.WaitGroup
 	closed  bool
@@ -77,6 +80,36 @@
 	return d.Address(), nil
 }
 
+// Join serves at one more address, a free port, beside those that there are, until Close.
+func (d *Discovery) Join() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	srv := &http.Server{Handler: d, ReadHeaderTimeout: 10 * time.Second}
+	d.mu.Lock()
+	d.joined = append(d.joined, srv)
+	d.mu.Unlock()
+	d.serving.Go(func() { _ = srv.Serve(l) }) // ends with Close
+	return l.Addr().String(), nil
+}
+
+// TurnAway has the next n calls at each address answered 503 at once.
+func (d *Discovery) TurnAway(n int) {
+	d.change(func() { d.turned, d.left = n, map[string]int{} })
+}
+
+// turnedAway tells whether a call at an address is answered 503 at once.
+func (d *Discovery) turnedAway(address string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.left == nil || d.left[address] >= d.turned {
+		return false
+	}
+	d.left[address]++
+	return true
+}
+
 // Address is where it listens now.
 func (d *Discovery) Address() string {
 	d.mu.Lock()
@@ -87,11 +120,14 @@
 // Close ends it and waits.
 func (d *Discovery) Close() {
 	d.mu.Lock()
-	srv := d.srv
+	servers := d.joined
+	if d.srv != nil {
+		servers = append(servers, d.srv)
+	}
 	d.closed = true
 	d.changed.Broadcast()
 	d.mu.Unlock()
-	if srv != nil {
+	for _, srv := range servers {
 		srv.Close()
 	}
 	d.serving.Wait()
@@ -216,6 +252,9 @@
 		return
 	}
 	call, wait := d.turn()
+	if local, ok := r.Context().Value(http.LocalAddrContextKey).(net.Addr); ok && d.turnedAway(local.String()) {
+		wait = -1
+	}
 	if wait < 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
