freshness: an overdue list is asked for most often, and fresh ones leave discovery's places

Seen: the sidecar whose list was 18 s old called after 0.38, 0.62, 1.89 and 2.04 s ("watch ended reason=discovery answered 503" at 90.048, 90.432, 91.053, 92.943, 94.982), those with a list 1 to 3 s old every 0.2 to 0.4 s; discovery turned calls away meanwhile. Cause: freshness.Machine.backoff shortened its waits only "m.pressed && left > 0", and waited for the longest once the deadline had passed. The budget took for granted that the first call after discovery's return is answered. The class: waits that spare a shared server by letting whoever is worst off wait the longest. Change: waits fall with the age of the list, from a third of what is left down to 0.3 s (7.5 ms a sidecar where that is more) once it is overdue, with no growth; a call that is silent is doubted after 1.5 s then, not 3 s. The machine, not the watcher, says which of the two requests a call makes: behind the whole list the watch waits where discovery is crowded, and reloads less than 2 s apart do not each make a call.

--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -60,26 +60,18 @@
 	failed  int64
 	address string
 	index   int64 // of the list as last told at this address
-	untold  bool  // nothing came from this address yet, and another's versions mean nothing here
+	untold  bool  // nothing came from this address yet: what changed after a version of another one would say nothing
 	stands  bool  // the sink was not told that the list is lost
 	overdue bool  // it was logged that the list may be too old
 }
 
-// request is what a call asks discovery for.
-type request string
-
-const (
-	requestList  request = "list"  // the whole list, once
-	requestWatch request = "watch" // what changes from a version on
-)
-
 // openCall is a call that has not ended. Its fields other than end belong to the goroutine that makes it.
 type openCall struct {
 	id       freshness.CallID
 	end      context.CancelCauseFunc
 	begun    time.Time
 	address  string
-	request  request
+	request  freshness.Request
 	version  int64 // that it has reached
 	answered bool
 }
@@ -167,7 +159,7 @@
 	for _, a := range acts {
 		switch a.Kind {
 		case freshness.Open:
-			w.begin(a.Call)
+			w.begin(a)
 		case freshness.Close:
 			if c := w.open[a.Call]; c != nil {
 				c.end(errReplaced)
@@ -197,17 +189,13 @@
 	w.timer.Reset(max(0, next-now))
 }
 
-// begin makes a call; the caller holds mu. At a new address it first asks for the whole list: what changed after a version of
-// another address would say nothing.
-func (w *Watcher) begin(id freshness.CallID) {
+// begin makes a call; the caller holds mu.
+func (w *Watcher) begin(a freshness.Action) {
 	ctx, end := context.WithCancelCause(w.ctx)
-	c := &openCall{id: id, end: end, begun: time.Now(), address: w.address, request: requestWatch, version: w.index}
-	if w.untold {
-		c.request = requestList
-	}
-	w.open[id] = c
+	c := &openCall{id: a.Call, end: end, begun: time.Now(), address: w.address, request: a.Request, version: w.index}
+	w.open[c.id] = c
 	w.made++
-	w.log.Debug("list call made", "call", id, "request", c.request, "address", c.address, "version", c.version, "age", w.age())
+	w.log.Debug("list call made", "call", c.id, "request", c.request, "address", c.address, "version", c.version, "age", w.age())
 	w.calls.Go(func() { w.call(ctx, c) })
 }
 
@@ -230,6 +218,9 @@
 	if cause != nil {
 		err = cause
 	}
+	if err == nil { // it has brought the whole list
+		return
+	}
 	lasted := time.Since(c.begun).Round(time.Millisecond)
 	if errors.Is(err, errReplaced) {
 		w.log.Debug("list call replaced", "call", c.id, "request", c.request, "answered", c.answered, "lasted", lasted)
@@ -245,14 +236,11 @@
 	w.do(acts)
 }
 
-// follow asks for what a call is to ask for, and takes all that comes until it ends.
+// follow asks for what a call is to ask for, and takes all that comes until it ends. A whole list ends it without an error.
 func (w *Watcher) follow(ctx context.Context, c *openCall) error {
 	targets := fmt.Sprintf("http://%s/api/targets", c.address)
-	if c.request == requestList {
-		if err := w.fetch(ctx, c, targets); err != nil {
-			return err
-		}
-		c.request, c.answered = requestWatch, false
+	if c.request == freshness.List {
+		return w.fetch(ctx, c, targets)
 	}
 	body, err := w.get(ctx, fmt.Sprintf("%s?watch=1&from=%d", targets, c.version))
 	if err != nil {
--- a/internal/freshness/budget.go
+++ b/internal/freshness/budget.go
@@ -18,6 +18,10 @@
 //
 // Calls that fail at once are made again sooner, after a part of what is left.
 //
+// A discovery that is crowded turns calls away at once, so that no count of calls is sure to be enough. Waits between calls are therefore
+// the shorter the older the list is: long while it is fresh, so that discovery's places are left to others, and the shortest, without any
+// growth, once it is overdue. For the same reason the watch behind a whole list waits, and a series of reloads does not spend a call on each.
+//
 // Where there is no watch, whatever calls came to, a change counts as told toldSilent after discovery had it and could be reached. That
 // moment is not known here, so that the waits alone have to fit, counted from a return of discovery just after a call was made:
 //
@@ -36,9 +40,10 @@
 	spreadEach = 2 * time.Millisecond // of a fleet's calls, by sidecar: 500 a second at most
 	spreadMost = 500 * time.Millisecond
 
-	mostCalls     = 2 // open at once: the one that is doubted, and the one beside it
-	patienceLeast = time.Second
-	patienceMost  = toldSilent / 2
+	mostCalls       = 2 // open at once: the one that is doubted, and the one beside it
+	patienceLeast   = time.Second
+	patienceMost    = toldSilent / 2
+	patienceOverdue = patienceMost / 2
 
 	askUntold = 10 * time.Second
 )
@@ -54,6 +59,19 @@
 	mostSidecars   = 1000                    // beyond, the most is waited all the same
 	backoffLeast   = 200 * time.Millisecond
 
+	// The wait once the list is overdue, or was never heard: 15 to 20 calls in the time within which a change has to be heard, or one in
+	// so long by sidecar, where that is more: 133 calls a second from a fleet. Refused calls cost discovery little.
+	overdueLeast = 300 * time.Millisecond
+	overdueEach  = 7500 * time.Microsecond
+
+	crowdedAfter = 250 * time.Millisecond  // a call that is answered no sooner waited its turn, behind those of others
+	watchLater   = 2500 * time.Millisecond // the wait between the whole list and the watch behind it, where discovery is crowded
+
+	// Reloads closer together than this are a series: a call made at each would take a place in discovery's queue and be given up.
+	reloadSeries      = 2 * time.Second
+	reloadHold        = 1200 * time.Millisecond
+	reloadHoldOverdue = 700 * time.Millisecond
+
 	// Of the grace, in percent.
 	pushedFirst    = 20
 	pushedMost     = 48  // with its jitter, and a connect, within it
@@ -91,24 +109,50 @@
 	if m.o.Pushed {
 		return min(m.o.part(pushedPatience)<<min(m.quiet, 8), m.o.part(pushedQuiet))
 	}
-	if m.due <= begun { // too late already: discovery is spared
-		return patienceMost
+	if m.due <= begun { // the first one is doubted soon; then an answer that takes long is waited for
+		return min(patienceOverdue<<min(m.quiet, 8), patienceMost)
 	}
 	return max(min((m.due-begun)/2, patienceMost), patienceLeast)
 }
 
 // backoff is how long no call is made after one that ended.
 func (m *Machine) backoff(now time.Duration) time.Duration {
-	n := min(max(m.fails-1, 0), 16)
 	if m.o.Pushed {
-		return m.jitter(min(m.o.part(pushedFirst)<<n, m.o.part(pushedMost)))
+		return m.jitter(min(m.o.part(pushedFirst)<<m.doublings(), m.o.part(pushedMost)))
 	}
-	first := max(backoffFirst, time.Duration(min(m.o.Sidecars, mostSidecars))*backoffEach)
-	d := min(first<<n, backoffMost, m.o.askWithin()*3/5) // with its jitter still within that after discovery is back
-	if left := m.due - now; m.pressed && left > 0 {
-		d = max(min(d, backoffPressed<<n, left/leftPart), backoffLeast)
+	left := m.due - now
+	if left <= 0 || !m.informed { // waiting longer would spare discovery at the cost of those whose list is the oldest
+		return m.jitter(m.o.overdueWait())
 	}
-	return m.jitter(d)
+	first := min(max(backoffFirst, m.o.fleet(backoffEach)), backoffMost)
+	switch {
+	case m.pressed:
+		wait := min(first<<m.doublings(), backoffPressed<<m.doublings(), left/leftPart)
+		return m.jitter(max(wait, backoffLeast))
+	case m.fails > 1: // refused, with a list that is still good
+		return m.jitter(min(max(left/leftPart, first), m.backoffLimit()))
+	}
+	return m.jitter(min(first, m.backoffLimit()))
+}
+
+// backoffLimit is the longest wait but for its jitter: with that still within what the settings allow after discovery is back.
+func (m *Machine) backoffLimit() time.Duration {
+	return min(backoffMost, m.o.askWithin()*3/5)
+}
+
+// doublings is how often a wait has doubled.
+func (m *Machine) doublings() int {
+	return min(max(m.fails-1, 0), 16)
+}
+
+// fleet is a time for each sidecar of the fleet.
+func (o *Options) fleet(each time.Duration) time.Duration {
+	return time.Duration(min(o.Sidecars, mostSidecars)) * each
+}
+
+// overdueWait is the wait between calls once the list is overdue. It does not grow.
+func (o *Options) overdueWait() time.Duration {
+	return min(max(overdueLeast, o.fleet(overdueEach)), backoffMost)
 }
 
 func (m *Machine) jitter(d time.Duration) time.Duration {
--- a/internal/freshness/crowd_test.go
+++ b/internal/freshness/crowd_test.go
@@ -42,16 +42,15 @@
 	return last
 }
 
-// crowdCall is a call of one sidecar; first tells that it asks for the whole list before it watches.
+// crowdCall is a call of one sidecar.
 type crowdCall struct {
-	first    bool
+	request  Request
 	watching bool
 }
 
 type crowdSidecar struct {
 	machine *Machine
 	calls   map[CallID]*crowdCall
-	untold  bool          // nothing came from the present address
 	heard   time.Duration // when it first had the change; below 0: it has not
 	wake    int           // number of the timer that is set
 	made    []time.Duration
@@ -110,7 +109,7 @@
 			delete(s.calls, a.Call)
 			continue
 		}
-		call := &crowdCall{first: s.untold}
+		call := &crowdCall{request: a.Request}
 		s.calls[a.Call] = call
 		s.made = append(s.made, c.now)
 		c.ask(s, a.Call, call)
@@ -148,11 +147,9 @@
 		return
 	}
 	c.learn(s)
-	s.untold = false
-	if call.first {
-		call.first = false
+	if call.request == List {
+		delete(s.calls, id)
 		c.do(s, s.machine.Heard(c.now, id))
-		c.ask(s, id, call)
 		return
 	}
 	call.watching = true
@@ -200,7 +197,6 @@
 }
 
 func (c *crowd) reload(s *crowdSidecar) {
-	s.untold = true
 	c.do(s, s.machine.Redirect(c.now))
 }
 
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -6,6 +6,9 @@
 // something was missed; from then on there is one deadline, Machine.Due, at which what was missed counts as told (budget.go). All
 // waits are derived from what is left until then. A call that is quiet is not given up before a later one speaks: it may be waiting
 // its turn at a discovery that works through calls one after another.
+//
+// At another address nothing is known, and a call asks for the whole list first; a watch follows. Calls may be refused however well
+// discovery is, since others take its places: see budget.go for who waits then.
 package freshness
 
 import (
@@ -34,18 +37,36 @@
 	Close             // end it; nothing that it says counts any more
 )
 
+// Request is what a call asks discovery for.
+type Request int
+
+// The requests.
+const (
+	Watch Request = iota // what changes from the version that is known on
+	List                 // the whole list; the call is over once it is heard
+)
+
+func (r Request) String() string {
+	if r == List {
+		return "list"
+	}
+	return "watch"
+}
+
 // Action is what the driver is to do.
 type Action struct {
-	Kind Kind
-	Call CallID
+	Kind    Kind
+	Call    CallID
+	Request Request // of Open
 }
 
 type call struct {
-	id     CallID
-	begun  time.Duration
-	heard  time.Duration // when it last spoke
-	spread time.Duration // added to the silence that it may keep: fleets do not ask as one
-	spoke  bool
+	id      CallID
+	request Request
+	begun   time.Duration
+	heard   time.Duration // when it last spoke
+	spread  time.Duration // added to the silence that it may keep: fleets do not ask as one
+	spoke   bool
 }
 
 // Machine is not safe for concurrent use. It holds no more than mostCalls calls. Times are on any clock that goes on.
@@ -61,6 +82,11 @@
 	quiet   int           // calls in a row that were replaced and had not spoken
 	told    time.Duration // when the list was last known to be current
 	started bool
+
+	informed   bool          // a call has spoken since the start
+	listWanted bool          // nothing is known of what the present address has
+	redirected time.Duration // when another address was last named
+	reloads    int           // of the series that the last one belongs to
 }
 
 const never = time.Duration(1<<63 - 1)
@@ -76,32 +102,55 @@
 	return m.callNow(now)
 }
 
-// Redirect says that another address tells the list from now on: all calls end, and it is asked at once.
+// Redirect says that another address tells the list from now on: all calls end, and it is asked for the whole list, at once but in a
+// series of such words.
 func (m *Machine) Redirect(now time.Duration) []Action {
 	if !m.started {
 		return nil
 	}
-	var acts []Action
-	for len(m.calls) > 0 {
-		acts = append(acts, m.close(0))
+	acts := m.closeAll()
+	series := m.reloads > 0 && now < m.redirected+reloadSeries
+	m.reloads++
+	if !series {
+		m.reloads = 1
 	}
-	m.fails, m.quiet, m.hold, m.pressed, m.due = 0, 0, 0, true, min(m.due, now+toldMoved)
+	m.redirected, m.listWanted = now, true
+	m.fails, m.quiet, m.pressed, m.due = 0, 0, true, min(m.due, now+toldMoved)
+	if series && !m.o.Pushed {
+		m.hold = m.holdInSeries(now)
+		return acts
+	}
+	m.hold = 0
 	return append(acts, m.callNow(now)...)
 }
 
+// holdInSeries is until when no call is made behind one of several reloads. It moves with them only while the list is not overdue, so
+// that a series without an end does not keep it from being asked for.
+func (m *Machine) holdInSeries(now time.Duration) time.Duration {
+	if m.due-now > reloadHold {
+		return now + m.jitter(reloadHold)
+	}
+	if m.hold > now {
+		return min(m.hold, now+reloadHoldOverdue)
+	}
+	return now + m.jitter(reloadHoldOverdue)
+}
+
 // Heard says that a call spoke: it brought a list, a change, or a line that stands for none. Part of a line is nothing.
 func (m *Machine) Heard(now time.Duration, id CallID) []Action {
 	i := m.find(id)
 	if i < 0 {
 		return nil
 	}
+	if m.calls[i].request == List {
+		return m.listed(now, i)
+	}
 	c := &m.calls[i]
 	if !c.spoke {
 		c.spread = m.spread()
 	}
 	c.spoke, c.heard = true, now
-	m.fails, m.quiet, m.hold, m.pressed = 0, 0, 0, false
-	m.told, m.due = now, now+toldSilent
+	m.current(now)
 	var acts []Action
 	for ; i > 0; i-- { // it knows all that they could say
 		acts = append(acts, m.close(0))
@@ -109,6 +158,26 @@
 	return acts
 }
 
+// listed takes the answer to a call for the whole list, which is over with it, and has the watch made that follows.
+func (m *Machine) listed(now time.Duration, i int) []Action {
+	crowded := m.fails > 0 || now-m.calls[i].begun > crowdedAfter
+	m.calls = slices.Delete(m.calls, i, i+1)
+	m.current(now)
+	m.listWanted = false
+	acts := m.closeAll()
+	if crowded && !m.o.Pushed { // the list is good for a while, and others may have none
+		m.hold = now + m.jitter(watchLater)
+		return acts
+	}
+	return append(acts, m.callNow(now)...)
+}
+
+// current says that the list is known to be current.
+func (m *Machine) current(now time.Duration) {
+	m.fails, m.quiet, m.hold, m.pressed = 0, 0, 0, false
+	m.informed, m.told, m.due = true, now, now+toldSilent
+}
+
 // Ended says that a call ended by itself, or could not be made.
 func (m *Machine) Ended(now time.Duration, id CallID) []Action {
 	i := m.find(id)
@@ -210,14 +279,26 @@
 
 func (m *Machine) callNow(now time.Duration) []Action {
 	m.last++
-	m.calls = append(m.calls, call{id: m.last, begun: now})
-	return []Action{{Open, m.last}}
+	request := Watch
+	if m.listWanted {
+		request = List
+	}
+	m.calls = append(m.calls, call{id: m.last, request: request, begun: now})
+	return []Action{{Kind: Open, Call: m.last, Request: request}}
 }
 
 func (m *Machine) close(i int) Action {
 	id := m.calls[i].id
 	m.calls = slices.Delete(m.calls, i, i+1)
-	return Action{Close, id}
+	return Action{Kind: Close, Call: id}
+}
+
+func (m *Machine) closeAll() []Action {
+	var acts []Action
+	for len(m.calls) > 0 {
+		acts = append(acts, m.close(0))
+	}
+	return acts
 }
 
 func (m *Machine) find(id CallID) int {
--- a/internal/freshness/model_test.go
+++ b/internal/freshness/model_test.go
@@ -335,7 +335,7 @@
 func (b *before) open(now time.Duration) []Action {
 	b.id++
 	b.limit, b.next = now+5*time.Second, never
-	return []Action{{Open, b.id}}
+	return []Action{{Kind: Open, Call: b.id}}
 }
 func (b *before) Start(now time.Duration) []Action { b.wait = 250 * ms; return b.open(now) }
 func (b *before) Heard(now time.Duration, _ CallID) []Action {
@@ -358,7 +358,7 @@
 	switch {
 	case now >= b.limit:
 		b.Ended(now, b.id)
-		return []Action{{Close, b.id}}
+		return []Action{{Kind: Close, Call: b.id}}
 	case now >= b.next:
 		return b.open(now)
 	}
--- a/internal/procs/crowded_test.go
+++ b/internal/procs/crowded_test.go
@@ -69,7 +69,7 @@
 	current := f.current(t, 30*time.Second)
 	settled(due.Add(time.Second))
 	worst, late := f.late(drained, due, ruleGrace+readSlack)
-	t.Logf("all have the drain %v after it was made, %d late requests", current.Sub(begun).Round(time.Millisecond), late)
+	t.Logf("all watch again %v after the drain, %d late requests", current.Sub(begun).Round(time.Millisecond), late)
 	if late > 0 {
 		t.Errorf("%d requests went to upstreams that drain, the last %v after that counted as told", late, worst)
 	}
