eureka: polls behind an outage wait for 1.25 s at most by default

Cause: declaration.go had backoff default 5s, so that three polls that a registry turns away take up to 17 s with their time-outs. Change: 1250ms; the setting stays. An idle registry is polled every 200 ms anyway, so that a failing one is still asked for less. Measured: go test ./internal/eureka ./internal/config ./internal/tomlfile and the daemon's Eureka tests: ok.

--- a/internal/eureka/declaration.go
+++ b/internal/eureka/declaration.go
@@ -23,7 +23,7 @@
 	Format       string         `toml:"format" default:"json" oneof:"json|xml" doc:"What is asked for; what comes is told by its media type."`
 	Poll         units.Duration `toml:"poll" default:"200ms" doc:"How often it is asked, from 100ms on: a drain is known after this and the registry's own cache time."`
 	Timeout      units.Duration `toml:"timeout" default:"1s" doc:"For a whole answer of one server."`
-	Backoff      units.Duration `toml:"backoff" default:"5s" doc:"The longest wait after failures; it doubles from poll on, and is spread."`
+	Backoff      units.Duration `toml:"backoff" default:"1250ms" doc:"The longest wait after failures; it doubles from poll on, and is spread. Three failed polls have to fit into the 6s within which a change is to be heard."`
 	MaxAnswer    units.Size     `toml:"max_answer" default:"16MiB" doc:"The largest answer, unpacked."`
 	User         string         `toml:"user" doc:"For basic authentication."`
 	PasswordFile string         `toml:"password_file" sample:"\"/etc/orchiddrift/eureka-password\"" doc:"A file that holds the password, read at every connection made with a new one."`
