acceptor: a server goes on accepting through every failure of accept(2)

Cause: net/http's Serve returns for errors that do not call themselves temporary, and daemon.serve then ends with requests in hand ("serving: ..."); for temporary ones it rests for up to 1 s. grpc-go does the same under the lease group, which then took no part without a word. Change: internal/acceptor retries after 1 to 32 ms, logs the first failure and the recovery, and ends at a close or the deadline that a shutdown sets. The clients' listener, the control address and the lease group use it; the control server's own loop is gone. Also: a call for a list that ends with the process is no longer logged as "watch ended reason=context canceled". Measured: TestAcceptFails passes (17 errors, eight times each), internal/acceptor, control, intake, leasegroup and the daemon's accept, close and shutdown tests: ok. Not tried: ENFILE from the system itself.

--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -8,15 +8,16 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"orchiddrift/internal/acceptor"
 )
 
 const (
 	// Most is how many connections are held at once; the listener's queue in the kernel holds more.
-	Most       = 12
-	waitFor    = 5 * time.Second        // for the rest of a call
-	lingerFor  = 500 * time.Millisecond // for a caller to read what it is told, where it has sent more than was read
-	writeFor   = time.Second
-	acceptRest = 20 * time.Millisecond // after an accept that failed
+	Most      = 12
+	waitFor   = 5 * time.Second        // for the rest of a call
+	lingerFor = 500 * time.Millisecond // for a caller to read what it is told, where it has sent more than was read
+	writeFor  = time.Second
 )
 
 // Handler answers calls. It must not wait for anything.
@@ -42,7 +43,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Server{listener: l, answer: answer, log: log}, nil
+	return &Server{listener: acceptor.New(l, log), answer: answer, log: log}, nil
 }
 
 // Addr is where it listens.
@@ -53,13 +54,8 @@
 	buffer := make([]byte, MaxHead+2*MaxBody+1)
 	for {
 		c, err := s.listener.Accept()
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return
-			}
-			s.log.Warn("control: accepting", "reason", err)
-			time.Sleep(acceptRest) // descriptors may be back by then
-			continue
+		if err != nil { // it is closed
+			return
 		}
 		s.take(c.(*net.TCPConn), buffer)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 
 	"golang.org/x/sync/semaphore"
 
+	"orchiddrift/internal/acceptor"
 	"orchiddrift/internal/bulkhead"
 	"orchiddrift/internal/clock"
 	"orchiddrift/internal/config"
@@ -165,7 +166,7 @@
 		secure = &intake.Secure{Handshake: p.HeadTimeout, Config: &tls.Config{MinVersion: tls.VersionTLS12,
 			GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) { return d.tls.Load(), nil }}}
 	}
-	conns := intake.NewConns(listener, connections, secure)
+	conns := intake.NewConns(acceptor.New(listener, d.log), connections, secure)
 	d.course = newCourse(d.shared.clock, p.Grace, conns)
 	s := &server{d: d, ids: newIDs(p.Seed), course: d.course}
 	srv := &http.Server{Handler: s, ReadHeaderTimeout: p.HeadTimeout, IdleTimeout: clientIdle,
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"orchiddrift/internal/acceptor"
 	"orchiddrift/internal/config"
 	leases "orchiddrift/internal/lease"
 	"orchiddrift/internal/leasegroup"
@@ -75,5 +76,5 @@
 		l.Close()
 		return err
 	}
-	return m.Run(ctx, l)
+	return m.Run(ctx, acceptor.New(l, d.log))
 }
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -212,7 +212,7 @@
 	delete(w.open, c.id)
 	cause := context.Cause(ctx)
 	c.end(nil)
-	if w.sink == nil {
+	if w.sink == nil || w.ctx.Err() != nil { // Run ends
 		return
 	}
 	if cause != nil {
