clock: failing test of upstreams whose start lies ahead of the wall clock

Need: the wall clock may be stepped. Behind a step back an upstream that has just started seems to start in an hour, and its warm-up gives it next to nothing until then: "clock_test.go:30: a start 1h0m0s ahead is 1h59m59.999138516s, 59m59.999081863s ahead".

--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -20,3 +20,14 @@
 		t.Errorf("1970 is %v", got)
 	}
 }
+
+// Guards against an upstream that gets next to nothing: one whose start lies ahead, since the wall clock was stepped back or is another
+// machine's, has started now at the latest.
+func TestNothingStartsInTheFuture(t *testing.T) {
+	c := New()
+	for _, ahead := range []time.Duration{10 * time.Second, time.Hour, 24 * time.Hour} {
+		if got, now := c.FromUnixMs(float64(time.Now().Add(ahead).UnixMilli())), c.Now(); got > now {
+			t.Errorf("a start %v ahead is %v, %v ahead", ahead, got, got-now)
+		}
+	}
+}
