clock, directory: a stepped wall clock does not change how cold an upstream is

Cause: clock.FromUnixMs mapped since_ms by the wall's reading at the process's start alone. Behind a step of all walls by -1 h a new upstream seemed warm (no slow start), by +1 h it lay ahead (warmth got a negative age: next to nothing until the step had passed).

--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -31,3 +31,28 @@
 		}
 	}
 }
+
+// Guards against a stepped wall clock: a start is never taken for earlier than it was, and for no later where one of the two readings is
+// right. The step may be of this machine's wall alone, or of all.
+func TestStartsAreKnownBehindAStep(t *testing.T) {
+	then := time.Date(2026, 12, 2, 9, 0, 0, 0, time.UTC)
+	const elapsed = 10 * time.Minute
+	for _, step := range []time.Duration{0, -2 * time.Second, 2 * time.Second, -time.Hour, time.Hour} {
+		for _, age := range []time.Duration{0, time.Second, 9 * time.Minute} {
+			for _, all := range []bool{false, true} {
+				now := then.Add(elapsed + step)
+				at := then.Add(elapsed - age) // as a wall that was not stepped tells it
+				if all {
+					at = at.Add(step)
+				}
+				got := Start + elapsed - started(at, then, now, elapsed)
+				if got > age {
+					t.Errorf("stepped by %v (all: %v): a start %v ago is taken for %v ago", step, all, age, got)
+				}
+				if late := max(step, -step); age-got > late {
+					t.Errorf("stepped by %v (all: %v): a start %v ago is taken for %v ago", step, all, age, got)
+				}
+			}
+		}
+	}
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -5,6 +5,7 @@
 import (
 	"maps"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -20,6 +21,7 @@
 	mu     sync.RWMutex
 	places map[string]Place // of the upstreams that want requests, by name
 	leaves map[string]bool  // those that are listed and want none
+	starts map[string]start // of both
 }
 
 // Place tells the processes of an upstream apart: connections to an earlier one are worth nothing.
@@ -35,7 +37,7 @@
 	if onDrop == nil {
 		onDrop = func(string) {}
 	}
-	return &Directory{clock: c, onDrop: onDrop, places: map[string]Place{}, leaves: map[string]bool{}}
+	return &Directory{clock: c, onDrop: onDrop, places: map[string]Place{}, leaves: map[string]bool{}, starts: map[string]start{}}
 }
 
 // Apply takes in a message and translates it for the module.
@@ -69,7 +71,10 @@
 			delete(d.places, e.Name)
 		}
 		m.Entries = append(m.Entries, balancer.Member{Upstream: e.Name, Zone: e.Zone, Machine: e.Type,
-			Cell: e.Group, State: state, CameUp: d.clock.FromUnixMs(e.SinceMs)})
+			Cell: e.Group, State: state, CameUp: d.started(e)})
+	}
+	if l.Snapshot {
+		d.forgetStarts(l)
 	}
 	for name, at := range before {
 		if d.places[name] != at {
@@ -83,6 +88,39 @@
 	return m
 }
 
+// start is when a process of an upstream started, as discovery tells it and on the clock.
+type start struct {
+	sinceMs float64
+	at      time.Duration
+}
+
+// started is when an upstream's process started. What was understood once stays: the wall clock, by which it is told, may be stepped. The
+// caller holds mu.
+func (d *Directory) started(e Endpoint) time.Duration {
+	known, ok := d.starts[e.Name]
+	if !ok || known.sinceMs != e.SinceMs {
+		known = start{e.SinceMs, d.clock.FromUnixMs(e.SinceMs)}
+	}
+	if e.Status == StatusReady || e.Status == StatusTerminating {
+		d.starts[e.Name] = known
+	} else {
+		delete(d.starts, e.Name)
+	}
+	return known.at
+}
+
+// forgetStarts keeps the starts that a whole list names. The caller holds mu.
+func (d *Directory) forgetStarts(l *Listing) {
+	if len(d.starts) <= len(l.Endpoints) {
+		return // each that is listed has one
+	}
+	listed := make(map[string]bool, len(l.Endpoints))
+	for _, e := range l.Endpoints {
+		listed[e.Name] = true
+	}
+	maps.DeleteFunc(d.starts, func(name string, _ start) bool { return !listed[name] })
+}
+
 // Place is where an upstream takes requests now; nowhere while it drains or is gone.
 func (d *Directory) Place(name string) (Place, bool) {
 	d.mu.RLock()
