--- a/internal/freshness/redirect_test.go
+++ b/internal/freshness/redirect_test.go
@@ -73,3 +73,20 @@
 		}
 	}
 }
+
+// Guards against a new address that is never heard: a watch at the address before, however well it is, does not end a call that waits for its
+// first answer.
+func TestTheCallToANewAddressIsNotGivenUpForThePreviousOne(t *testing.T) {
+	m := New(Options{Sidecars: 6}, rng(1))
+	m.Start(0)
+	m.Heard(0, 1)
+	m.Redirect(time.Second)
+	for now := time.Second; now < time.Second+toldMoved; now += 100 * ms {
+		m.Heard(now, 1)
+		for _, a := range m.Tick(now) {
+			if a.Kind == Close && a.Call == 2 {
+				t.Fatalf("the first call to the new address is closed %v after the reload", now-time.Second)
+			}
+		}
+	}
+}
