freshness: only a watch at the present address makes a call beside it needless

Cause: Tick asked standing, which counts the previous call too. Change: it asks for a watch among the calls to the present address. Measured: internal/freshness and internal/discovery: ok.

--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -192,7 +192,7 @@
 	}
 	for now >= m.limit() {
 		youngest := m.calls[len(m.calls)-1]
-		if m.standing(now) && !youngest.spoke { // the one before it is well after all
+		if m.callStands(now) && !youngest.spoke { // the one before it is well after all
 			acts = append(acts, m.close(len(m.calls)-1))
 			continue
 		}
@@ -255,8 +255,12 @@
 func (m *Machine) Takes(id CallID) bool { return m.find(id) >= 0 || m.isPrevious(id) }
 
 func (m *Machine) standing(now time.Duration) bool {
-	return m.previous != nil && m.previous.standing(now) ||
-		slices.ContainsFunc(m.calls, func(c call) bool { return c.standing(now) })
+	return m.previous != nil && m.previous.standing(now) || m.callStands(now)
+}
+
+// callStands is standing at the present address.
+func (m *Machine) callStands(now time.Duration) bool {
+	return slices.ContainsFunc(m.calls, func(c call) bool { return c.standing(now) })
 }
 
 // standing tells whether a watch has spoken, and for no longer than one that is well may be quiet.
