--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -67,6 +67,7 @@
 	answers        *httphead.Statuses
 	secure         Secure
 	connects       connects
+	dialTCP        func(ctx context.Context, address string) (net.Conn, error)
 
 	mu        sync.Mutex
 	idle      map[string][]*poolConn // by upstream, the one idle for longest first
@@ -82,6 +83,9 @@
 		rest: restFor, maxAnswer: o.MaxAnswer, answers: o.Answers, secure: o.Secure,
 		maxIdle:    time.Duration(float64(o.Idle) * idlePart),
 		sweepEvery: time.Duration(float64(o.Idle) * sweepPart), idle: map[string][]*poolConn{}, abandoned: map[*Terms]bool{}}
+	u.dialTCP = func(ctx context.Context, address string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	}
 	if o.Warm != nil {
 		u.warm = &warming{w: o.Warm, open: map[string]int{}, used: map[string]bool{}}
 	}
@@ -233,7 +237,7 @@
 	ctx, cancel = context.WithTimeout(whole, u.connects.patience(u.connectTimeout))
 	defer cancel()
 	begun := time.Now()
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", at.Address)
+	conn, err := u.dialTCP(ctx, at.Address)
 	if err != nil {
 		return nil, err
 	}
