--- a/internal/upstream/dial_test.go
+++ b/internal/upstream/dial_test.go
@@ -40,7 +40,7 @@
 		u := testPool(t, 8, testkit.Entry("s", s.Address, "Ready"))
 		tried := failDials(u, 3, c.call, c.errno)
 		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
-		if rep := u.Attempt(ctx, "s", testRequest("GET", "")); rep.Result != balancer.OK || tried.Load() != 4 {
+		if rep := u.Attempt(ctx, "s", testRequest("GET", ""), time.Time{}); rep.Result != balancer.OK || tried.Load() != 4 {
 			t.Errorf("%s, %v: %v after %d tries", c.call, c.errno, rep.Result, tried.Load())
 		}
 		cancel()
@@ -48,7 +48,7 @@
 		u = testPool(t, 8, testkit.Entry("s", s.Address, "Ready"))
 		tried = failDials(u, 1<<40, c.call, c.errno)
 		ctx, cancel = context.WithTimeout(t.Context(), 150*time.Millisecond)
-		if rep := u.Attempt(ctx, "s", testRequest("POST", "x")); rep.Result != balancer.Moot || tried.Load() > 40 {
+		if rep := u.Attempt(ctx, "s", testRequest("POST", "x"), time.Time{}); rep.Result != balancer.Moot || tried.Load() > 40 {
 			t.Errorf("%s, %v, throughout: %v after %d tries", c.call, c.errno, rep.Result, tried.Load())
 		}
 		cancel()
@@ -62,7 +62,7 @@
 		syscall.EPERM, syscall.EACCES} {
 		u := testPool(t, 8, testkit.Entry("s", s.Address, "Ready"))
 		tried := failDials(u, 1, "connect", errno)
-		if rep := u.Attempt(t.Context(), "s", testRequest("GET", "")); rep.Result != balancer.ConnectFailed || tried.Load() != 1 {
+		if rep := u.Attempt(t.Context(), "s", testRequest("GET", ""), time.Time{}); rep.Result != balancer.ConnectFailed || tried.Load() != 1 {
 			t.Errorf("%v: %v after %d tries", errno, rep.Result, tried.Load())
 		}
 	}
