upstream: a connect that this machine fails is tried again, and blames no upstream

Cause: Pool.dial's error became balancer.ConnectFailed whatever it was; two of them eject the upstream (members.go, health). Change: EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL, EAGAIN and EINTR are tried again after 2 to 32 ms, the first time after the connection idle for longest was closed; at the end of its time the attempt counts as never sent. Measured: TestConnectsThatThisMachineFails and -Elsewhere pass, internal/upstream and internal/engine: ok. Left: the same in the plug-in (grpc-go dials there) and for discovery (its calls are made again anyway).

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -238,6 +238,13 @@
 	defer cancel()
 	begun := time.Now()
 	conn, err := u.dialTCP(ctx, at.Address)
+	for wait := dialAgainFirst; isLocal(err); wait = min(2*wait, dialAgainMost) {
+		if err = u.awaitResources(ctx, wait, err); err != nil {
+			return nil, err
+		}
+		begun = time.Now()
+		conn, err = u.dialTCP(ctx, at.Address)
+	}
 	if err != nil {
 		return nil, err
 	}
