--- a/cmd/orchiddrift/check.go
+++ b/cmd/orchiddrift/check.go
@@ -8,7 +8,7 @@
 	"strings"
 
 	"orchiddrift/internal/config"
-	"orchiddrift/internal/freshness"
+	"orchiddrift/internal/staleness"
 	"orchiddrift/orchidgrpc"
 )
 
@@ -43,7 +43,7 @@
 	}
 	lists := ""
 	if conf.Discovery != "" {
-		how := freshness.Options{Pushed: !conf.Settings.MustSubscribe, AskWithin: conf.Settings.AskWithin}
+		how := staleness.Options{Pushed: !conf.Settings.MustSubscribe, AskWithin: conf.Settings.AskWithin}
 		lists = "; lists are " + how.Describe()
 	}
 	_, err = fmt.Fprintf(w, "%s can be used: %d classes, %d upstreams known%s\n", path, len(conf.Settings.Classes), known, lists)
@@ -98,7 +98,7 @@
 		}
 		switch {
 		case s.Discovery != "":
-			how := s.Freshness()
+			how := s.Staleness()
 			from = "discovery at " + s.Discovery + ", " + how.Describe()
 		case s.ListFile != "":
 			from = "the list file " + s.ListFile
--- a/internal/config/plan.go
+++ b/internal/config/plan.go
@@ -17,7 +17,6 @@
 	"orchiddrift/internal/directory"
 	"orchiddrift/internal/door"
 	"orchiddrift/internal/eureka"
-	"orchiddrift/internal/freshness"
 	"orchiddrift/internal/graphql"
 	"orchiddrift/internal/httphead"
 	"orchiddrift/internal/keys"
@@ -29,6 +28,7 @@
 	"orchiddrift/internal/repeatkeeper"
 	"orchiddrift/internal/routes"
 	"orchiddrift/internal/settings"
+	"orchiddrift/internal/staleness"
 	"orchiddrift/internal/subset"
 	"orchiddrift/internal/task"
 	"orchiddrift/internal/tomlfile"
@@ -82,9 +82,9 @@
 	Unrouted bool // no route leads to it
 }
 
-// Freshness is how its list at Discovery is followed.
-func (s *ServicePlan) Freshness() freshness.Options {
-	return freshness.Options{Pushed: !s.Settings.MustSubscribe, AskWithin: s.Settings.AskWithin, Sidecars: s.Settings.Balancers,
+// Staleness is how its list at Discovery is followed.
+func (s *ServicePlan) Staleness() staleness.Options {
+	return staleness.Options{Pushed: !s.Settings.MustSubscribe, AskWithin: s.Settings.AskWithin, Sidecars: s.Settings.Balancers,
 		Grace: s.Settings.Grace}
 }
 
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -248,7 +248,7 @@
 			index = *list.Index
 		}
 		return list, discovery.New(discovery.Options{Address: plan.Discovery, Index: index,
-			ConnectTimeout: plan.Settings.ConnectTimeout, Freshness: plan.Freshness(), Seed: seed, Log: log}), nil
+			ConnectTimeout: plan.Settings.ConnectTimeout, Staleness: plan.Staleness(), Seed: seed, Log: log}), nil
 	case plan.ListFile != "":
 		source := discovery.NewFile(plan.ListFile, filewatch.Every, log)
 		list, err := source.Load()
--- a/internal/discovery/budget_test.go
+++ b/internal/discovery/budget_test.go
@@ -14,8 +14,8 @@
 	"orchiddrift/balancer"
 	"orchiddrift/internal/clock"
 	"orchiddrift/internal/directory"
-	"orchiddrift/internal/freshness"
 	"orchiddrift/internal/logs"
+	"orchiddrift/internal/staleness"
 	"orchiddrift/internal/testkit"
 )
 
@@ -44,7 +44,7 @@
 type says func(n int, after time.Duration, r *http.Request, send func(string))
 
 // played runs a watcher that knows upstream a before a discovery in virtual time, for as long as play does.
-func played(t *testing.T, o freshness.Options, do says, play func(w *Watcher, dir *directory.Directory, start time.Time, log func() string)) {
+func played(t *testing.T, o staleness.Options, do says, play func(w *Watcher, dir *directory.Directory, start time.Time, log func() string)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		conns := make(chan net.Conn, 16)
@@ -66,7 +66,7 @@
 		})}
 		served.Go(func() { _ = srv.Serve(net) }) // ends with Close
 		var lines strings.Builder
-		w := New(Options{Address: "127.0.0.1:1", Index: 1, Freshness: o, Log: logs.To(func(line string) {
+		w := New(Options{Address: "127.0.0.1:1", Index: 1, Staleness: o, Log: logs.To(func(line string) {
 			mu.Lock()
 			defer mu.Unlock()
 			lines.WriteString(line + "\n")
@@ -118,11 +118,11 @@
 func TestNewsComeInTimeAfterASilence(t *testing.T) {
 	for _, c := range []struct {
 		name   string
-		o      freshness.Options
+		o      staleness.Options
 		silent time.Duration // from the start
 		do     says
 	}{
-		{"before the first word", freshness.Options{Sidecars: 6}, 500 * time.Millisecond, func(n int, after time.Duration, r *http.Request, send func(string)) {
+		{"before the first word", staleness.Options{Sidecars: 6}, 500 * time.Millisecond, func(n int, after time.Duration, r *http.Request, send func(string)) {
 			switch {
 			case n == 1:
 				panic(http.ErrAbortHandler)
@@ -133,7 +133,7 @@
 				<-r.Context().Done()
 			}
 		}},
-		{"after a beat, the next call refused twice", freshness.Options{Sidecars: 350}, 2 * time.Second, func(n int, _ time.Duration, r *http.Request, send func(string)) {
+		{"after a beat, the next call refused twice", staleness.Options{Sidecars: 350}, 2 * time.Second, func(n int, _ time.Duration, r *http.Request, send func(string)) {
 			switch n {
 			case 1:
 				send(none)
@@ -146,7 +146,7 @@
 			}
 			<-r.Context().Done()
 		}},
-		{"in the middle of a line that goes on for ever", freshness.Options{Sidecars: 350}, 0, func(n int, _ time.Duration, r *http.Request, send func(string)) {
+		{"in the middle of a line that goes on for ever", staleness.Options{Sidecars: 350}, 0, func(n int, _ time.Duration, r *http.Request, send func(string)) {
 			if n > 1 {
 				send(drained)
 				<-r.Context().Done()
@@ -158,7 +158,7 @@
 				send(" ")
 			}
 		}},
-		{"the next call late and silent again", freshness.Options{Sidecars: 350}, 0, func(n int, _ time.Duration, r *http.Request, send func(string)) {
+		{"the next call late and silent again", staleness.Options{Sidecars: 350}, 0, func(n int, _ time.Duration, r *http.Request, send func(string)) {
 			switch n {
 			case 1:
 				send(none)
@@ -168,7 +168,7 @@
 			}
 			<-r.Context().Done()
 		}},
-		{"pushed, the agent's first call silent", freshness.Options{Pushed: true}, -6 * time.Second, func(n int, _ time.Duration, r *http.Request, send func(string)) {
+		{"pushed, the agent's first call silent", staleness.Options{Pushed: true}, -6 * time.Second, func(n int, _ time.Duration, r *http.Request, send func(string)) {
 			if n > 1 {
 				send(drained)
 			}
@@ -187,7 +187,7 @@
 
 // Guards against an upstream that comes back by an answer that was written before the news of its drain, and read after it.
 func TestAnOlderAnswerBringsNothingBack(t *testing.T) {
-	played(t, freshness.Options{}, func(n int, _ time.Duration, r *http.Request, send func(string)) {
+	played(t, staleness.Options{}, func(n int, _ time.Duration, r *http.Request, send func(string)) {
 		switch n {
 		case 1:
 			send(none)
@@ -217,7 +217,7 @@
 // Guards against a list that nobody knows to be old: its age is told, and logged once when it may be too old and once when it is
 // current again. A discovery that counts anew is believed.
 func TestTheAgeOfTheListIsTold(t *testing.T) {
-	played(t, freshness.Options{}, func(n int, after time.Duration, r *http.Request, send func(string)) {
+	played(t, staleness.Options{}, func(n int, after time.Duration, r *http.Request, send func(string)) {
 		switch {
 		case n == 1:
 			send(none)
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -1,5 +1,5 @@
 // Package discovery follows lists of upstreams. source.go says what any list's Source is and where its news goes; a
-// Watcher follows the platform's over HTTP, with as many calls as package freshness wants.
+// Watcher follows the platform's over HTTP, with as many calls as package staleness wants.
 package discovery
 
 import (
@@ -18,7 +18,7 @@
 	"time"
 
 	"orchiddrift/internal/directory"
-	"orchiddrift/internal/freshness"
+	"orchiddrift/internal/staleness"
 )
 
 const (
@@ -34,7 +34,7 @@
 	Address        string
 	Index          int64 // version of the list as last held
 	ConnectTimeout time.Duration
-	Freshness      freshness.Options
+	Staleness      staleness.Options
 	Seed           uint64
 	Log            *slog.Logger // nil: lines are dropped
 }
@@ -48,11 +48,11 @@
 	calls  sync.WaitGroup
 
 	mu      sync.Mutex
-	machine *freshness.Machine
+	machine *staleness.Machine
 	sink    Sink // of Run; nil: it does not run. It must not call the Watcher, other than Ask
 	timer   *time.Timer
 	ctx     context.Context
-	open    map[freshness.CallID]*openCall
+	open    map[staleness.CallID]*openCall
 	at      *location
 	made    int64 // calls, and how many of them ended or failed by themselves
 	failed  int64
@@ -69,11 +69,11 @@
 
 // openCall is a call that has not ended. Its fields other than end belong to the goroutine that makes it.
 type openCall struct {
-	id       freshness.CallID
+	id       staleness.CallID
 	end      context.CancelCauseFunc
 	begun    time.Time
 	at       *location
-	request  freshness.Request
+	request  staleness.Request
 	version  int64 // that it has reached
 	answered bool
 }
@@ -81,7 +81,7 @@
 // New returns a Watcher; Run makes it work.
 func New(o Options) *Watcher {
 	w := &Watcher{at: &location{address: o.Address, index: o.Index}, log: cmp.Or(o.Log, slog.New(slog.DiscardHandler)), start: time.Now(), stands: true,
-		machine: freshness.New(o.Freshness, rand.New(rand.NewPCG(o.Seed, 0x6c697374))), open: map[freshness.CallID]*openCall{}}
+		machine: staleness.New(o.Staleness, rand.New(rand.NewPCG(o.Seed, 0x6c697374))), open: map[staleness.CallID]*openCall{}}
 	w.client = &http.Client{Transport: &http.Transport{
 		DialContext:            (&net.Dialer{Timeout: max(o.ConnectTimeout, connectLeast)}).DialContext,
 		DisableKeepAlives:      true,
@@ -152,15 +152,15 @@
 }
 
 // do carries out what the machine wants; the caller holds mu.
-func (w *Watcher) do(acts []freshness.Action) {
+func (w *Watcher) do(acts []staleness.Action) {
 	if w.sink == nil {
 		return
 	}
 	for _, a := range acts {
 		switch a.Kind {
-		case freshness.Open:
+		case staleness.Open:
 			w.begin(a)
-		case freshness.Close:
+		case staleness.Close:
 			if c := w.open[a.Call]; c != nil {
 				c.end(errReplaced)
 			}
@@ -190,7 +190,7 @@
 }
 
 // begin makes a call; the caller holds mu.
-func (w *Watcher) begin(a freshness.Action) {
+func (w *Watcher) begin(a staleness.Action) {
 	ctx, end := context.WithCancelCause(w.ctx)
 	c := &openCall{id: a.Call, end: end, begun: time.Now(), at: w.at, request: a.Request, version: w.at.index}
 	w.open[c.id] = c
@@ -237,7 +237,7 @@
 // follow asks for what a call is to ask for, and takes all that comes until it ends. A whole list ends it without an error.
 func (w *Watcher) follow(ctx context.Context, c *openCall) error {
 	targets := fmt.Sprintf("http://%s/api/targets", c.at.address)
-	if c.request == freshness.List {
+	if c.request == staleness.List {
 		return w.fetch(ctx, c, targets)
 	}
 	body, err := w.get(ctx, fmt.Sprintf("%s?watch=1&from=%d", targets, c.version))
--- a/internal/discovery/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -9,13 +9,13 @@
 	"orchiddrift/balancer"
 	"orchiddrift/internal/clock"
 	"orchiddrift/internal/directory"
-	"orchiddrift/internal/freshness"
 	"orchiddrift/internal/logs"
+	"orchiddrift/internal/staleness"
 	"orchiddrift/internal/testkit"
 )
 
 func testWatcher(t *testing.T, address string, pushed bool) *Watcher {
-	return New(Options{Address: address, Index: 1, ConnectTimeout: 2 * time.Second, Freshness: freshness.Options{Pushed: pushed},
+	return New(Options{Address: address, Index: 1, ConnectTimeout: 2 * time.Second, Staleness: staleness.Options{Pushed: pushed},
 		Log: logs.To(func(line string) { t.Log(line) })})
 }
 
--- a/internal/freshness/crowd_test.go
+++ b/internal/staleness/crowd_test.go
@@ -1,4 +1,4 @@
-package freshness
+package staleness
 
 import (
 	"container/heap"
--- a/internal/freshness/freshness.go
+++ b/internal/staleness/machine.go
@@ -1,4 +1,4 @@
-// Package freshness decides when a list of upstreams is asked for, so that no change of it is heard of later than it counts as
+// Package staleness decides when a list of upstreams is asked for, so that no change of it is heard of later than it counts as
 // told. It has no I/O and no clock: a driver says what happens and when, and does what it is told.
 //
 // A call is one question to discovery that stays open as a watch. The list is current as long as a call speaks: it brings a list, a
@@ -9,7 +9,7 @@
 //
 // At another address nothing is known, and a call asks for the whole list first; a watch follows (redirect.go). Calls may be refused
 // however well discovery is, since others take its places: see budget.go for who waits then.
-package freshness
+package staleness
 
 import (
 	"math/rand/v2"
--- a/orchidgrpc/plugin.go
+++ b/orchidgrpc/plugin.go
@@ -44,9 +44,9 @@
 	"orchiddrift/internal/doorkeeper"
 	"orchiddrift/internal/engine"
 	"orchiddrift/internal/eureka"
-	"orchiddrift/internal/freshness"
 	"orchiddrift/internal/logs"
 	"orchiddrift/internal/repeatkeeper"
+	"orchiddrift/internal/staleness"
 	"orchiddrift/internal/subset"
 	"orchiddrift/internal/warm"
 )
@@ -196,7 +196,7 @@
 		p.warming = &warming{used: map[string]bool{}, w: warm.New(file.Warm, maxSubs,
 			rand.New(rand.NewPCG(o.Seed, xxhash.Sum64String("warm"))))}
 	}
-	source, known, err := p.openSource(o, file, known, freshness.Options{Pushed: !set.MustSubscribe, Sidecars: set.Balancers}, log)
+	source, known, err := p.openSource(o, file, known, staleness.Options{Pushed: !set.MustSubscribe, Sidecars: set.Balancers}, log)
 	if err != nil {
 		return nil, fmt.Errorf("orchidgrpc: %w", err)
 	}
@@ -242,12 +242,12 @@
 }
 
 // openSource makes the source of the list, and the list to begin with; nil: the list is SetEndpoints' alone.
-func (p *Plugin) openSource(o Options, file config.PluginFile, known *directory.Listing, follow freshness.Options, log *slog.Logger) (directory.Source,
+func (p *Plugin) openSource(o Options, file config.PluginFile, known *directory.Listing, follow staleness.Options, log *slog.Logger) (directory.Source,
 	*directory.Listing, error) {
 	var own directory.Source
 	if o.Discovery != "" {
 		own = discovery.New(discovery.Options{Address: o.Discovery, Index: o.Version, ConnectTimeout: p.connectTimeout,
-			Freshness: follow, Seed: o.Seed, Log: log})
+			Staleness: follow, Seed: o.Seed, Log: log})
 	}
 	if len(file.Registries) == 0 {
 		return own, known, nil
