--- a/internal/staleness/redirect_test.go
+++ b/internal/staleness/redirect_test.go
@@ -90,3 +90,22 @@
 		}
 	}
 }
+
+// Guards against a list that grows too old because its watch was held back: where discovery is slow the watch has to be asked for sooner, so
+// that it is answered, half as much later again than the list was, before the list's deadline.
+func TestTheWatchBehindASlowListIsInTime(t *testing.T) {
+	for took := 300 * ms; took < 2900*ms; took += 100 * ms {
+		for seed := range uint64(50) {
+			m := New(Options{Sidecars: 6}, rng(seed))
+			m.Start(0)
+			m.Ended(0, 1)
+			m.Redirect(time.Second)
+			heard := time.Second + took
+			m.Heard(heard, 2)
+			if answered := max(m.Next(), heard) + took + took/2; answered > heard+toldSilent {
+				t.Errorf("a list that took %v: its watch is answered %v behind it", took, answered-heard)
+				break
+			}
+		}
+	}
+}
