--- a/internal/staleness/machine.go
+++ b/internal/staleness/machine.go
@@ -134,13 +134,16 @@
 
 // listed takes the answer to a call for the whole list, which is over with it, and has the watch made that follows.
 func (m *Machine) listed(now time.Duration, i int) []Action {
-	crowded := m.fails > 0 || now-m.calls[i].begun > crowdedAfter
+	took := now - m.calls[i].begun
+	crowded := m.fails > 0 || took > crowdedAfter
 	m.calls = slices.Delete(m.calls, i, i+1)
 	m.current(now)
 	m.listWanted = false
 	acts := append(m.closePrevious(), m.closeAll()...)
-	if crowded && !m.o.Pushed { // the list is good for a while, and others may have none
-		m.hold, m.watchPending = now+m.jitter(watchLater), true
+	// The list is good for a while, and others may have none; but the watch may take as long as the list did, and twice that.
+	wait := min(watchLater, (toldSilent-2*took)/2)
+	if crowded && !m.o.Pushed && wait > 0 {
+		m.hold, m.watchPending = now+m.jitter(wait), true
 		return acts
 	}
 	return append(acts, m.callNow(now)...)
