--- a/internal/discovery/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"net/http"
 	"slices"
 	"strings"
 	"testing"
@@ -213,6 +214,48 @@
 	testkit.Eventually(t, "the watch before ends", func() bool { made, failed := w.Calls(); return made == 3 && failed == 0 && w.openCalls() == 1 })
 }
 
+// Guards against a drain that is told by the watch at the address before, in the moment in which an older list of the new address is read:
+// that watch is followed until the new one's watch has spoken. Only withdrawals are believed then, and the new list is asked for again.
+func TestADrainToldBehindTheNewList(t *testing.T) {
+	const before, after = "127.0.0.1:1", "127.0.0.1:2"
+	a, b := testkit.Entry("a", "127.0.0.2:1", "Ready"), testkit.Entry("b", "127.0.0.2:2", "Ready")
+	lists := 0
+	played(t, staleness.Options{}, func(_ int, _ time.Duration, r *http.Request, send func(string)) {
+		switch {
+		case r.Host == before:
+			send(testkit.List(5, true, a, b) + "\n")
+			time.Sleep(2 * time.Second)
+			send("\n")
+			time.Sleep(2 * time.Second)
+			send(testkit.List(6, false, testkit.Entry("a", "127.0.0.2:1", "Terminating"), testkit.Entry("c", "127.0.0.2:3", "Ready")) + "\n")
+		case !r.URL.Query().Has("watch"):
+			time.Sleep(time.Second) // so that its watch is not asked for at once
+			if lists++; lists == 1 {
+				send(testkit.List(5, true, a, b))
+			} else {
+				send(testkit.List(6, true, b))
+			}
+			return
+		default:
+			send("\n")
+		}
+		<-r.Context().Done()
+	}, func(w *Watcher, dir *directory.Directory, start time.Time, _ func() string) {
+		time.Sleep(2900 * time.Millisecond)
+		w.Redirect(after)
+		if took := forgets(t, dir, start); took > 4010*time.Millisecond {
+			t.Errorf("the drain is heard of after %v", took)
+		}
+		if !has(dir, "b") || has(dir, "c") {
+			t.Errorf("b %v, c %v: only the drain is believed", has(dir, "b"), has(dir, "c"))
+		}
+		time.Sleep(5 * time.Second)
+		if lists != 2 || w.openCalls() != 1 || has(dir, "a") || !has(dir, "b") {
+			t.Errorf("%d lists, %d calls open, a %v, b %v", lists, w.openCalls(), has(dir, "a"), has(dir, "b"))
+		}
+	})
+}
+
 // openCalls is how many calls have not ended.
 func (w *Watcher) openCalls() int {
 	w.mu.Lock()
--- a/internal/staleness/redirect.go
+++ b/internal/staleness/redirect.go
@@ -84,3 +84,6 @@
 	}
 	return m.previousUntil
 }
+
+// Recheck says that the previous call has told something that the present address's list may not have.
+func (m *Machine) Recheck(time.Duration) []Action { return nil }
--- a/internal/staleness/redirect_test.go
+++ b/internal/staleness/redirect_test.go
@@ -109,3 +109,26 @@
 		}
 	}
 }
+
+// Guards against a drain that is lost between two addresses: the watch at the address before goes on until the new one's watch has spoken, and
+// what it tells behind the new list has that list asked for again at once.
+func TestTheWatchBeforeGoesOnBehindTheNewList(t *testing.T) {
+	m := New(Options{Sidecars: 6}, rng(1))
+	m.Start(0)
+	m.Heard(0, 1)
+	m.Redirect(time.Second)
+	if acts := m.Heard(2*time.Second, 2); len(acts) != 0 { // it took long: the watch behind it waits
+		t.Errorf("behind a list that took 1 s: %v", acts)
+	}
+	if !m.Takes(1) || !m.Standing(2*time.Second) {
+		t.Error("the watch at the address before is no longer followed")
+	}
+	m.Heard(2100*ms, 1)
+	if got := fmt.Sprint(m.Recheck(2100 * ms)); got != fmt.Sprint([]Action{{Kind: Open, Call: 3, Request: List}}) {
+		t.Errorf("behind news of the address before: %s", got)
+	}
+	m.Heard(2110*ms, 3)
+	if got := fmt.Sprint(m.Heard(2120*ms, 4)); got != fmt.Sprint([]Action{{Kind: Close, Call: 1}}) {
+		t.Errorf("behind the new address's watch: %s", got)
+	}
+}
