staleness: the watch before a reload goes on until the new one has spoken

Change: a previous watch that stands is closed by the new watch's first word. Behind the new list the watcher believes what it withdraws, never what it makes ready, and Recheck asks for the new list again, so that nothing wrong stays. An overdue list is asked for every 0.15 s (0.3 s); of a long row of failures the first eight and one in 16 are warnings.

--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -13,6 +13,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -229,11 +230,25 @@
 	w.failed++
 	acts := w.machine.Ended(w.now(), c.id)
 	now := w.now()
-	w.log.Warn("watch ended", "reason", err, "call", c.id, "request", c.request.String(), "answered", c.answered, "lasted", lasted, "age", w.age(),
-		"overdue", now >= w.machine.Due(), "failures", w.machine.Failures(), "next", max(0, w.machine.Next()-now).Round(time.Millisecond))
+	failures := w.machine.Failures()
+	w.log.Log(context.Background(), failureLevel(failures), "watch ended", "reason", err, "call", c.id, "request", c.request.String(), "answered", c.answered,
+		"lasted", lasted, "age", w.age(), "overdue", now >= w.machine.Due(), "failures", failures, "next", max(0, w.machine.Next()-now).Round(time.Millisecond))
 	w.do(acts)
 }
 
+// The failures in a row that are logged as warnings: the first ones, and then one in so many. The others are there for who debugs.
+const (
+	warnedFailures = 8
+	warnedOneIn    = 16
+)
+
+func failureLevel(failures int) slog.Level {
+	if failures <= warnedFailures || failures%warnedOneIn == 0 {
+		return slog.LevelWarn
+	}
+	return slog.LevelDebug
+}
+
 // follow asks for what a call is to ask for, and takes all that comes until it ends. A whole list ends it without an error.
 func (w *Watcher) follow(ctx context.Context, c *openCall) error {
 	targets := fmt.Sprintf("http://%s/api/targets", c.at.address)
@@ -291,7 +306,11 @@
 		return errReplaced
 	}
 	first := w.machine.Told() == 0 || !w.stands
-	if l != nil {
+	withdrawn := false
+	switch {
+	case l != nil && c.at != w.at && !w.at.untold:
+		withdrawn = w.applyWithdrawals(l)
+	case l != nil:
 		if err := w.apply(c, l); err != nil {
 			return err
 		}
@@ -306,9 +325,24 @@
 			"took", time.Since(c.begun).Round(time.Millisecond), "age", w.age())
 	}
 	w.do(w.machine.Heard(w.now(), c.id))
+	if withdrawn {
+		w.do(w.machine.Recheck(w.now()))
+	}
 	return nil
 }
 
+// applyWithdrawals takes of a change, told by an address before, what drains or is gone: the present address's list may have been written
+// ahead of it. What that list says comes back when it is asked for again. The caller holds mu.
+func (w *Watcher) applyWithdrawals(l *directory.Listing) bool {
+	withdrawn := slices.DeleteFunc(slices.Clone(l.Endpoints), func(e directory.Endpoint) bool { return e.Status == directory.StatusReady })
+	if l.Snapshot || len(withdrawn) == 0 {
+		return false
+	}
+	index := w.at.index
+	w.sink.Update(&directory.Listing{Index: &index, Endpoints: withdrawn})
+	return true
+}
+
 // apply hands a list or a change to the sink, unless it is older than what is known; the caller holds mu.
 func (w *Watcher) apply(c *openCall, l *directory.Listing) error {
 	index, at := *l.Index, c.at
--- a/internal/discovery/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"log/slog"
 	"net/http"
 	"slices"
 	"strings"
@@ -198,6 +199,7 @@
 			send(testkit.List(2, true, testkit.Entry("c", "127.0.0.2:3", "Ready")))
 			return
 		}
+		send("")
 		<-done
 	})
 	dir, w, told := watch(t, before.Address, false)
@@ -262,3 +264,16 @@
 	defer w.mu.Unlock()
 	return len(w.open)
 }
+
+// Guards against a log that an outage fills: of a long row of failures some are warnings.
+func TestFailuresInARowAreLoggedSparingly(t *testing.T) {
+	warned := 0
+	for failures := 1; failures <= 400; failures++ { // a minute of them
+		if failureLevel(failures) == slog.LevelWarn {
+			warned++
+		}
+	}
+	if failureLevel(1) != slog.LevelWarn || warned > 40 {
+		t.Errorf("%d of 400 are warnings", warned)
+	}
+}
--- a/internal/staleness/budget.go
+++ b/internal/staleness/budget.go
@@ -58,9 +58,9 @@
 	mostSidecars   = 1000                    // beyond, the most is waited all the same
 	backoffLeast   = 200 * time.Millisecond
 
-	// The wait once the list is overdue, or was never heard: 15 to 20 calls in the time within which a change has to be heard, or one in
+	// The wait once the list is overdue, or was never heard: some 40 calls in the time within which a change has to be heard, or one in
 	// so long by sidecar, where that is more: 133 calls a second from a fleet. Refused calls cost discovery little.
-	overdueLeast = 300 * time.Millisecond
+	overdueLeast = 150 * time.Millisecond
 	overdueEach  = 7500 * time.Microsecond
 
 	crowdedAfter = 250 * time.Millisecond  // a call that is answered no sooner waited its turn, behind those of others
--- a/internal/staleness/machine.go
+++ b/internal/staleness/machine.go
@@ -139,7 +139,7 @@
 	m.calls = slices.Delete(m.calls, i, i+1)
 	m.current(now)
 	m.listWanted = false
-	acts := append(m.closePrevious(), m.closeAll()...)
+	acts := append(m.closeWaitingPrevious(now), m.closeAll()...)
 	// The list is good for a while, and others may have none; but the watch may take as long as the list did, and twice that.
 	wait := min(watchLater, (toldSilent-2*took)/2)
 	if crowded && !m.o.Pushed && wait > 0 {
--- a/internal/staleness/redirect.go
+++ b/internal/staleness/redirect.go
@@ -7,9 +7,10 @@
 
 // Redirect says that another address tells the list from now on. It is asked for the whole list, at once but in a series of such words.
 //
-// Until it has answered, one call to an address before goes on: a watch that stands, else the call that has waited for its answer the
-// longest. What it says is newer than the list that requests are sent by, and a place in the queue of a crowded discovery is not given up.
-// It ends with the first answer of the new address, and no later than what that has to tell counts as told.
+// One call to an address before goes on: a watch that stands, else the call that has waited for its answer the longest. What it says is
+// newer than the list that requests are sent by, and a place in the queue of a crowded discovery is not given up. A watch ends once the new
+// address's watch has spoken, so that no change falls between the two; a call that waits ends with the new address's list; each no later
+// than what the new address has to tell counts as told.
 func (m *Machine) Redirect(now time.Duration) []Action {
 	if !m.started {
 		return nil
@@ -51,12 +52,14 @@
 	return m.closeAll()
 }
 
-// heardPrevious takes a word of the previous call. The new address is asked all the same.
+// heardPrevious takes a word of the previous call. The new address is asked all the same; once its list is known, that one's age counts.
 func (m *Machine) heardPrevious(now time.Duration) []Action {
 	m.previous.spoke, m.previous.heard = true, now
-	m.informed, m.told = true, now
-	if !m.o.Pushed {
-		m.due = now + toldSilent
+	if m.listWanted {
+		m.informed, m.told = true, now
+		if !m.o.Pushed {
+			m.due = now + toldSilent
+		}
 	}
 	if m.previous.request == List {
 		m.previous = nil
@@ -64,6 +67,23 @@
 	return nil
 }
 
+// Recheck says that the previous call has told something that the present address's list may lack: that is asked for again.
+func (m *Machine) Recheck(now time.Duration) []Action {
+	if m.previous == nil || m.listWanted {
+		return nil
+	}
+	m.listWanted = true
+	return append(m.closeAll(), m.callNow(now)...)
+}
+
+// closeWaitingPrevious closes the previous call unless it is a watch that stands.
+func (m *Machine) closeWaitingPrevious(now time.Duration) []Action {
+	if m.previous != nil && m.previous.standing(now) {
+		return nil
+	}
+	return m.closePrevious()
+}
+
 func (m *Machine) closePrevious() []Action {
 	if m.previous == nil {
 		return nil
@@ -84,6 +104,3 @@
 	}
 	return m.previousUntil
 }
-
-// Recheck says that the previous call has told something that the present address's list may not have.
-func (m *Machine) Recheck(time.Duration) []Action { return nil }
