--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -46,9 +46,10 @@
 }
 
 const (
-	settle      = 500 * time.Millisecond // from the last request's end to the judgement
-	killSlack   = 700 * time.Millisecond // SIGKILL comes so long behind SIGTERM and the longest deadline
-	firstSecond = time.Second            // in which no process gets SIGHUP
+	settle      = 500 * time.Millisecond  // from the last request's end to the judgement
+	killSlack   = 700 * time.Millisecond  // SIGKILL comes so long behind SIGTERM and the longest deadline
+	firstSecond = time.Second             // in which no process gets SIGHUP
+	movedFor    = 1500 * time.Millisecond // an address of discovery's ends so long behind the reload that names another
 	readyLook   = 10 * time.Millisecond
 )
 
@@ -277,7 +278,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	time.Sleep(time.Until(s.started.Add(firstSecond)))
+	before := s.lists
 	s.lists = f.join(s.number)
+	f.playing.Go(func() {
+		time.Sleep(movedFor)
+		f.discovery.Retire(before)
+	})
 	config := filepath.Join(s.process.Dir, "config.json")
 	if err := os.WriteFile(config, []byte(f.files(s)["config.json"]), 0o600); err != nil {
 		f.t.Error(err)
--- a/internal/soak/script.go
+++ b/internal/soak/script.go
@@ -127,7 +127,7 @@
 func (d *drawer) step() {
 	at := d.moment()
 	sidecar := d.rng.IntN(d.script.Sidecars)
-	upstream := d.script.Upstreams - 1 - d.rng.IntN(d.script.Upstreams/2) // one that stays
+	upstream := d.staying()
 	switch d.rng.IntN(9) {
 	case 0:
 		d.add(Step{At: at, Kind: WatchesReset})
@@ -160,6 +160,15 @@
 		kind = Kill
 	}
 	d.add(Step{At: at, Kind: kind, Target: sidecar})
+	if d.rng.IntN(2) == 0 { // and what it has in hand hangs
+		d.add(Step{At: max(0, at-between(d.rng, 0, 300*time.Millisecond)), Kind: UpstreamHangs, Target: d.staying(),
+			For: between(d.rng, 500*time.Millisecond, 4*time.Second)})
+	}
+}
+
+// staying is an upstream that does not drain.
+func (d *drawer) staying() int {
+	return d.script.Upstreams - 1 - d.rng.IntN(d.script.Upstreams/2)
 }
 
 func between(rng *rand.Rand, least, most time.Duration) time.Duration {
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -28,6 +28,8 @@
 const (
 	leastWork = 2 * time.Millisecond
 	mostWork  = 40 * time.Millisecond
+	longOneIn = 8 // requests, whose work is up to longWork
+	longWork  = 500 * time.Millisecond
 )
 
 func newUpstream(name string, seed uint64, record *recorder) (*upstream, error) {
@@ -63,7 +65,11 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := time.Now()
-	return between(u.rng, leastWork, mostWork), now.Before(u.hangs), now.Before(u.resets)
+	most := mostWork
+	if u.rng.IntN(longOneIn) == 0 {
+		most = longWork
+	}
+	return between(u.rng, leastWork, most), now.Before(u.hangs), now.Before(u.resets)
 }
 
 // ServeHTTP is http.Handler's.
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -42,7 +43,7 @@
 	calls   []time.Time
 	current int // watches that have been told all
 	srv     *http.Server
-	joined  []*http.Server // at further addresses
+	joined  map[string]*http.Server // at further addresses
 	address string
 	serving sync.WaitGroup
 	closed  bool
@@ -56,7 +57,7 @@
 
 // NewDiscovery returns one with these entries, at version 1; see Listen.
 func NewDiscovery(entries ...directory.Endpoint) *Discovery {
-	d := &Discovery{index: 1, entries: map[string]versioned{}, Beat: 200 * time.Millisecond, told: map[string]time.Time{}}
+	d := &Discovery{index: 1, entries: map[string]versioned{}, joined: map[string]*http.Server{}, Beat: 200 * time.Millisecond, told: map[string]time.Time{}}
 	d.changed = sync.NewCond(&d.mu)
 	for _, e := range entries {
 		d.entries[e.Name] = versioned{e, 1}
@@ -91,12 +92,23 @@
 	}
 	srv := &http.Server{Handler: d, ReadHeaderTimeout: 10 * time.Second}
 	d.mu.Lock()
-	d.joined = append(d.joined, srv)
+	d.joined[l.Addr().String()] = srv
 	d.mu.Unlock()
 	d.serving.Go(func() { _ = srv.Serve(l) }) // ends with Close
 	return l.Addr().String(), nil
 }
 
+// Retire ends serving at an address that Join returned: it takes no new connection, and those that are open are closed.
+func (d *Discovery) Retire(address string) {
+	d.mu.Lock()
+	srv := d.joined[address]
+	delete(d.joined, address)
+	d.mu.Unlock()
+	if srv != nil {
+		srv.Close()
+	}
+}
+
 // TurnAway has the next n calls at each address answered 503 at once.
 func (d *Discovery) TurnAway(n int) {
 	d.change(func() { d.turned, d.left = n, map[string]int{} })
@@ -123,7 +135,7 @@
 // Close ends it and waits.
 func (d *Discovery) Close() {
 	d.mu.Lock()
-	servers := d.joined
+	servers := slices.Collect(maps.Values(d.joined))
 	if d.srv != nil {
 		servers = append(servers, d.srv)
 	}
