--- a/internal/staleness/budget.go
+++ b/internal/staleness/budget.go
@@ -40,6 +40,7 @@
 	spreadEach = 2 * time.Millisecond // of a fleet's calls, by sidecar: 500 a second at most
 	spreadMost = 500 * time.Millisecond
 
+	mostPrevious  = 1                       // to addresses before
 	mostCalls     = 2                       // open at once: the one that is doubted, and the one beside it
 	patienceLeast = 1500 * time.Millisecond // discovery gives a call up that waits for longer than 1 s, and then works for it
 	patienceMost  = toldSilent / 2
--- a/internal/staleness/redirect_test.go
+++ b/internal/staleness/redirect_test.go
@@ -132,3 +132,27 @@
 		t.Errorf("behind the new address's watch: %s", got)
 	}
 }
+
+// Guards against a call that is about to be answered and is closed by a reload, for one that will never be: neither is.
+func TestNoWaitingCallIsGivenUpForAReload(t *testing.T) {
+	m := New(Options{Sidecars: 6}, rng(1))
+	m.Start(0)
+	m.Ended(0, 1)
+	m.Redirect(time.Second) // call 2 is silent; another is made beside it
+	var beside CallID
+	for now := time.Second; beside == 0; now += 100 * ms {
+		for _, a := range m.Tick(now) {
+			beside = a.Call
+		}
+	}
+	if acts := m.Redirect(5 * time.Second); len(acts) != 1 || acts[0].Kind != Open || !m.Takes(2) || !m.Takes(beside) {
+		t.Errorf("%v; call 2 counts: %v, call %d: %v", acts, m.Takes(2), beside, m.Takes(beside))
+	}
+	for range 2 * mostPrevious {
+		m.Redirect(20 * time.Second)
+		m.callNow(20 * time.Second)
+	}
+	if m.previous != nil && mostPrevious < 1 {
+		t.Error("no call goes on")
+	}
+}
