staleness: all calls to the addresses before go on, not the oldest alone

Cause: keepPrevious kept calls[0], the one that had waited longest, which is the likeliest to be dead, and closed the one made beside it.

--- a/internal/discovery/calls.go
+++ b/internal/discovery/calls.go
@@ -177,16 +177,15 @@
 	return nil
 }
 
-// applyWithdrawals takes of a change, told by an address before, what drains or is gone: the present address's list may have been written
+// applyWithdrawals takes of what an address before tells what drains or is gone: the present address's list may have been written
 // ahead of it. What that list says comes back when it is asked for again. The caller holds mu.
 func (w *Watcher) applyWithdrawals(l *directory.Listing) bool {
 	withdrawn := slices.DeleteFunc(slices.Clone(l.Endpoints), func(e directory.Endpoint) bool { return e.Status == directory.StatusReady })
-	if l.Snapshot || len(withdrawn) == 0 {
-		return false
+	if len(withdrawn) > 0 {
+		index := w.at.index
+		w.sink.Update(&directory.Listing{Index: &index, Endpoints: withdrawn})
 	}
-	index := w.at.index
-	w.sink.Update(&directory.Listing{Index: &index, Endpoints: withdrawn})
-	return true
+	return len(withdrawn) > 0 || l.Snapshot // what a whole list leaves out is gone there
 }
 
 // apply hands a list or a change to the sink, unless it is older than what is known; the caller holds mu.
--- a/internal/staleness/budget.go
+++ b/internal/staleness/budget.go
@@ -40,8 +40,8 @@
 	spreadEach = 2 * time.Millisecond // of a fleet's calls, by sidecar: 500 a second at most
 	spreadMost = 500 * time.Millisecond
 
-	mostPrevious  = 1                       // to addresses before
 	mostCalls     = 2                       // open at once: the one that is doubted, and the one beside it
+	mostPrevious  = 4                       // and so many to addresses before: a series of reloads makes a call in 2 s
 	patienceLeast = 1500 * time.Millisecond // discovery gives a call up that waits for longer than 1 s, and then works for it
 	patienceMost  = toldSilent / 2
 
--- a/internal/staleness/machine.go
+++ b/internal/staleness/machine.go
@@ -69,7 +69,7 @@
 	spoke   bool
 }
 
-// Machine is not safe for concurrent use. It holds no more than mostCalls calls, and one to an address before. Times are on any clock that goes on.
+// Machine is not safe for concurrent use. It holds no more than mostCalls calls, and mostPrevious to addresses before. Times are on any clock that goes on.
 type Machine struct {
 	o        Options
 	rng      *rand.Rand
@@ -86,12 +86,11 @@
 
 	informed bool // a call has spoken since the start
 
-	watchPending  bool          // the whole list was heard, and the watch behind it waits
-	listWanted    bool          // nothing is known of what the present address has
-	previous      *call         // made to an address before, and not yet closed; see Redirect
-	previousUntil time.Duration // when it is closed
-	redirects     int           // how often another address was named, in the series of the last one
-	redirected    time.Duration // when that was
+	watchPending bool           // the whole list was heard, and the watch behind it waits
+	listWanted   bool           // nothing is known of what the present address has
+	previous     []previousCall // to addresses before, the oldest first; see Redirect
+	redirects    int            // how often another address was named, in the series of the last one
+	redirected   time.Duration  // when that was
 }
 
 const never = time.Duration(1<<63 - 1)
@@ -109,8 +108,8 @@
 
 // Heard says that a call spoke: it brought a list, a change, or a line that stands for none. Part of a line is nothing.
 func (m *Machine) Heard(now time.Duration, id CallID) []Action {
-	if m.isPrevious(id) {
-		return m.heardPrevious(now)
+	if i := m.findPrevious(id); i >= 0 {
+		return m.heardPrevious(now, i)
 	}
 	i := m.find(id)
 	if i < 0 {
@@ -125,7 +124,7 @@
 	}
 	c.spoke, c.heard = true, now
 	m.current(now)
-	acts := m.closePrevious()
+	acts := m.closeAllPrevious()
 	for ; i > 0; i-- { // it knows all that they could say
 		acts = append(acts, m.close(0))
 	}
@@ -139,7 +138,7 @@
 	m.calls = slices.Delete(m.calls, i, i+1)
 	m.current(now)
 	m.listWanted = false
-	acts := append(m.closeWaitingPrevious(now), m.closeAll()...)
+	acts := m.closeAll()
 	// The list is good for a while, and others may have none; but the watch may take as long as the list did, and twice that.
 	wait := min(watchLater, (toldSilent-2*took)/2)
 	if crowded && !m.o.Pushed && wait > 0 {
@@ -157,8 +156,8 @@
 
 // Ended says that a call ended by itself, or could not be made.
 func (m *Machine) Ended(now time.Duration, id CallID) []Action {
-	if m.isPrevious(id) {
-		m.previous = nil
+	if i := m.findPrevious(id); i >= 0 {
+		m.previous = slices.Delete(m.previous, i, i+1)
 		return nil
 	}
 	i := m.find(id)
@@ -184,10 +183,7 @@
 
 // Tick looks at what has been waited for long enough. It is called at Next, or at any time.
 func (m *Machine) Tick(now time.Duration) []Action {
-	var acts []Action
-	if now >= m.previousEnds() {
-		acts = m.closePrevious()
-	}
+	acts := m.endPrevious(now)
 	if len(m.calls) == 0 {
 		if !m.started || now < m.hold {
 			return acts
@@ -256,10 +252,10 @@
 func (m *Machine) Standing(now time.Duration) bool { return m.standing(now) || m.watchPending }
 
 // Takes tells whether what a call says counts.
-func (m *Machine) Takes(id CallID) bool { return m.find(id) >= 0 || m.isPrevious(id) }
+func (m *Machine) Takes(id CallID) bool { return m.find(id) >= 0 || m.findPrevious(id) >= 0 }
 
 func (m *Machine) standing(now time.Duration) bool {
-	return m.previous != nil && m.previous.standing(now) || m.callStands(now)
+	return m.callStands(now) || slices.ContainsFunc(m.previous, func(c previousCall) bool { return c.standing(now) })
 }
 
 // callStands is standing at the present address.
--- a/internal/staleness/redirect.go
+++ b/internal/staleness/redirect.go
@@ -7,10 +7,9 @@
 
 // Redirect says that another address tells the list from now on. It is asked for the whole list, at once but in a series of such words.
 //
-// One call to an address before goes on: a watch that stands, else the call that has waited for its answer the longest. What it says is
-// newer than the list that requests are sent by, and a place in the queue of a crowded discovery is not given up. A watch ends once the new
-// address's watch has spoken, so that no change falls between the two; a call that waits ends with the new address's list; each no later
-// than what the new address has to tell counts as told.
+// The calls to addresses before go on until the new address's watch has spoken, so that no change falls between the two, and no later than
+// what the new address has to tell counts as told. What they say is newer than the list that requests are sent by, and a place in the queue
+// of a crowded discovery is not given up.
 func (m *Machine) Redirect(now time.Duration) []Action {
 	if !m.started {
 		return nil
@@ -40,67 +39,83 @@
 	return min(now+m.jitter(wait), m.lastMade+reloadSeries)
 }
 
-// keepPrevious makes one of the calls that are open the previous one, and ends the others.
+// previousCall is one to an address before.
+type previousCall struct {
+	call
+	until time.Duration // it is closed
+}
+
+// keepPrevious has the calls that are open go on as previous ones. Of too many the oldest is closed that does not stand.
 func (m *Machine) keepPrevious(now time.Duration) []Action {
-	if m.previous == nil && len(m.calls) > 0 {
-		i := max(0, slices.IndexFunc(m.calls, func(c call) bool { return c.standing(now) }))
-		kept := m.calls[i]
-		m.calls = slices.Delete(m.calls, i, i+1)
-		m.previous = &kept
-		m.previousUntil = now + toldMoved
+	for _, c := range m.calls {
+		m.previous = append(m.previous, previousCall{c, now + toldMoved})
 	}
-	return m.closeAll()
+	m.calls = nil
+	var acts []Action
+	for len(m.previous) > mostPrevious {
+		oldest := max(0, slices.IndexFunc(m.previous, func(c previousCall) bool { return !c.standing(now) }))
+		acts = append(acts, m.closePrevious(oldest))
+	}
+	return acts
 }
 
-// heardPrevious takes a word of the previous call. The new address is asked all the same; once its list is known, that one's age counts.
-func (m *Machine) heardPrevious(now time.Duration) []Action {
-	m.previous.spoke, m.previous.heard = true, now
+// heardPrevious takes a word of a previous call. The new address is asked all the same; once its list is known, that one's age counts.
+func (m *Machine) heardPrevious(now time.Duration, i int) []Action {
+	c := &m.previous[i]
+	c.spoke, c.heard = c.request == Watch, now
 	if m.listWanted {
 		m.informed, m.told = true, now
 		if !m.o.Pushed {
 			m.due = now + toldSilent
 		}
 	}
-	if m.previous.request == List {
-		m.previous = nil
+	if c.request == List { // it is over
+		m.previous = slices.Delete(m.previous, i, i+1)
 	}
 	return nil
 }
 
-// Recheck says that the previous call has told something that the present address's list may lack: that is asked for again.
+// Recheck says that a previous call has told something that the present address's list may lack: that is asked for again.
 func (m *Machine) Recheck(now time.Duration) []Action {
-	if m.previous == nil || m.listWanted {
+	if m.listWanted || m.callStands(now) {
 		return nil
 	}
 	m.listWanted = true
 	return append(m.closeAll(), m.callNow(now)...)
 }
 
-// closeWaitingPrevious closes the previous call unless it is a watch that stands.
-func (m *Machine) closeWaitingPrevious(now time.Duration) []Action {
-	if m.previous != nil && m.previous.standing(now) {
-		return nil
+func (m *Machine) closePrevious(i int) Action {
+	id := m.previous[i].id
+	m.previous = slices.Delete(m.previous, i, i+1)
+	return Action{Kind: Close, Call: id}
+}
+
+func (m *Machine) closeAllPrevious() []Action {
+	var acts []Action
+	for len(m.previous) > 0 {
+		acts = append(acts, m.closePrevious(0))
 	}
-	return m.closePrevious()
+	return acts
 }
 
-func (m *Machine) closePrevious() []Action {
-	if m.previous == nil {
-		return nil
+// endPrevious closes the previous calls whose time is over.
+func (m *Machine) endPrevious(now time.Duration) []Action {
+	var acts []Action
+	for now >= m.previousEnds() {
+		acts = append(acts, m.closePrevious(0))
 	}
-	id := m.previous.id
-	m.previous = nil
-	return []Action{{Kind: Close, Call: id}}
+	return acts
 }
 
-func (m *Machine) isPrevious(id CallID) bool {
-	return m.previous != nil && m.previous.id == id
+// findPrevious is a call's place among the previous ones, or below 0.
+func (m *Machine) findPrevious(id CallID) int {
+	return slices.IndexFunc(m.previous, func(c previousCall) bool { return c.id == id })
 }
 
-// previousEnds is when the previous call is closed.
+// previousEnds is when the oldest previous call is closed.
 func (m *Machine) previousEnds() time.Duration {
-	if m.previous == nil {
+	if len(m.previous) == 0 {
 		return never
 	}
-	return m.previousUntil
+	return m.previous[0].until
 }
--- a/internal/staleness/redirect_test.go
+++ b/internal/staleness/redirect_test.go
@@ -32,10 +32,10 @@
 			m.hold = never
 			return [][]Action{first, m.Tick(second + toldMoved - ms), m.Tick(second + toldMoved)}
 		}, [][]Action{{open(2, List)}, nil, {closed(1)}}},
-		{"the first one through a series", func(m *Machine) [][]Action {
+		{"all of them through a series", func(m *Machine) [][]Action {
 			m.Heard(0, 1)
-			return [][]Action{m.Redirect(second), m.Redirect(1300 * ms), m.Redirect(1700 * ms), m.Heard(1800*ms, 1)}
-		}, [][]Action{{open(2, List)}, {closed(2)}, nil, nil}},
+			return [][]Action{m.Redirect(second), m.Redirect(1300 * ms), m.Redirect(1700 * ms), m.Heard(1800*ms, 1), m.Heard(1900*ms, 2)}
+		}, [][]Action{{open(2, List)}, nil, nil, nil, nil}},
 	} {
 		m := New(Options{Sidecars: 6}, rng(1))
 		m.Start(0)
@@ -152,7 +152,7 @@
 		m.Redirect(20 * time.Second)
 		m.callNow(20 * time.Second)
 	}
-	if m.previous != nil && mostPrevious < 1 {
-		t.Error("no call goes on")
+	if len(m.previous) > mostPrevious {
+		t.Errorf("%d calls to addresses before", len(m.previous))
 	}
 }
