--- a/internal/staleness/redirect_test.go
+++ b/internal/staleness/redirect_test.go
@@ -156,3 +156,17 @@
 		t.Errorf("%d calls to addresses before", len(m.previous))
 	}
 }
+
+// Guards against an overdue list that a series of reloads holds back: it is asked for at once at each address, as the calls before go on.
+func TestAnOverdueListIsNotHeldBackInASeries(t *testing.T) {
+	m := New(Options{Sidecars: 6}, rng(1))
+	m.Start(0)
+	m.Ended(0, 1)
+	for _, at := range []time.Duration{10 * time.Second, 10300 * ms, 10700 * ms, 11600 * ms} {
+		acts := m.Redirect(at)
+		if len(acts) != 1 || acts[0].Kind != Open || acts[0].Request != List {
+			t.Fatalf("at %v: %v", at, acts)
+		}
+		m.Ended(at+ms, acts[0].Call)
+	}
+}
