staleness: an overdue list is asked for at once at each address of a series

Cause: holdInSeries held calls back whatever the list's age, to spare places in discovery's queue; since calls at addresses before go on, none is lost.

--- a/internal/staleness/redirect.go
+++ b/internal/staleness/redirect.go
@@ -35,6 +35,9 @@
 // holdInSeries is until when no call is made behind one of several reloads. However long the series is, the list is asked for once in
 // reloadSeries.
 func (m *Machine) holdInSeries(now time.Duration) time.Duration {
+	if m.due <= now {
+		return now
+	}
 	wait := min(max((m.due-now)/leftPart, reloadHoldLeast), reloadHoldMost)
 	return min(now+m.jitter(wait), m.lastMade+reloadSeries)
 }
