discovery: a test counts its lists without a race

Seen under -race: TestADrainToldBehindTheNewList reads a count that a handler's goroutine writes (watcher_test.go:235, :255). It is atomic now; what is wanted is the same. go test -race: staleness, discovery, acceptor, clock, directory, upstream, eureka, control, intake, standin: ok.

--- a/internal/discovery/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -221,7 +222,7 @@
 func TestADrainToldBehindTheNewList(t *testing.T) {
 	const before, after = "127.0.0.1:1", "127.0.0.1:2"
 	a, b := testkit.Entry("a", "127.0.0.2:1", "Ready"), testkit.Entry("b", "127.0.0.2:2", "Ready")
-	lists := 0
+	var lists atomic.Int32
 	played(t, staleness.Options{}, func(_ int, _ time.Duration, r *http.Request, send func(string)) {
 		switch {
 		case r.Host == before:
@@ -232,7 +233,7 @@
 			send(testkit.List(6, false, testkit.Entry("a", "127.0.0.2:1", "Terminating"), testkit.Entry("c", "127.0.0.2:3", "Ready")) + "\n")
 		case !r.URL.Query().Has("watch"):
 			time.Sleep(time.Second) // so that its watch is not asked for at once
-			if lists++; lists == 1 {
+			if lists.Add(1) == 1 {
 				send(testkit.List(5, true, a, b))
 			} else {
 				send(testkit.List(6, true, b))
@@ -252,8 +253,8 @@
 			t.Errorf("b %v, c %v: only the drain is believed", has(dir, "b"), has(dir, "c"))
 		}
 		time.Sleep(5 * time.Second)
-		if lists != 2 || w.openCalls() != 1 || has(dir, "a") || !has(dir, "b") {
-			t.Errorf("%d lists, %d calls open, a %v, b %v", lists, w.openCalls(), has(dir, "a"), has(dir, "b"))
+		if lists.Load() != 2 || w.openCalls() != 1 || has(dir, "a") || !has(dir, "b") {
+			t.Errorf("%d lists, %d calls open, a %v, b %v", lists.Load(), w.openCalls(), has(dir, "a"), has(dir, "b"))
 		}
 	})
 }
