--- a/internal/staleness/redirect_test.go
+++ b/internal/staleness/redirect_test.go
@@ -170,3 +170,24 @@
 		m.Ended(at+ms, acts[0].Call)
 	}
 }
+
+// Guards against an overdue list that waits for a silent call: once that is doubted, and the call made beside it was turned away, the next
+// one follows as soon as behind any refused call.
+func TestARefusedCallBesideASilentOneIsMadeAgainSoon(t *testing.T) {
+	for seed := range uint64(50) {
+		m := New(Options{Sidecars: 6}, rng(seed))
+		m.Start(0)
+		m.Ended(10*time.Second, 1)
+		now := m.Next()
+		m.Tick(now) // it is silent
+		now = m.Next()
+		beside := m.Tick(now)
+		if len(beside) != 1 || beside[0].Kind != Open {
+			t.Fatalf("beside a silent call: %v", beside)
+		}
+		m.Ended(now, beside[0].Call)
+		if wait := m.Next() - now; wait > 2*overdueLeast {
+			t.Fatalf("the next call %v behind one that was refused", wait)
+		}
+	}
+}
