staleness: a call's patience is what it was when it was made

Cause: limit asked for the patience anew, and quiet, which counts replaced calls, had gone up meanwhile: the silent call's limit moved from 1.5 to 3 s, and with it the next call behind the refused one. Change: it is kept with the call.

--- a/internal/staleness/machine.go
+++ b/internal/staleness/machine.go
@@ -67,6 +67,8 @@
 	heard   time.Duration // when it last spoke
 	spread  time.Duration // added to the silence that it may keep: fleets do not ask as one
 	spoke   bool
+
+	patience time.Duration // it may be silent for so long before its first word
 }
 
 // Machine is not safe for concurrent use. It holds no more than mostCalls calls, and mostPrevious to addresses before. Times are on any clock that goes on.
@@ -222,7 +224,7 @@
 	if c.spoke {
 		return c.heard + silence + c.spread
 	}
-	return c.begun + m.patience(c.begun)
+	return c.begun + c.patience
 }
 
 // Next is when Tick is due.
@@ -275,7 +277,7 @@
 	if m.listWanted {
 		request = List
 	}
-	m.calls = append(m.calls, call{id: m.last, request: request, begun: now})
+	m.calls = append(m.calls, call{id: m.last, request: request, begun: now, patience: m.patience(now)})
 	return []Action{{Kind: Open, Call: m.last, Request: request}}
 }
 
