check: the machine's cores are an input of what is shown

Developers saw: `./test.sh` red on any machine that has not 8 cores, since TestDeployedFilesGolden compares "N cores" of an operator's file without `cores` with golden files written on 8. Cause: FileLimits.cores asked runtime.NumCPU while a plan was built. Change: config.Machine is what defaults depend on; ParseFile uses the machine it runs on, ParseFileFor another one. The test gives 8 cores, so the golden files are unchanged and the line is compared as before.

--- a/cmd/orchiddrift/check.go
+++ b/cmd/orchiddrift/check.go
@@ -19,17 +19,17 @@
 }
 
 // Run is called by kong.
-func (c checkCmd) Run() error { return check(os.Stdout, c.File, c.Beside) }
+func (c checkCmd) Run() error { return check(os.Stdout, config.ThisMachine(), c.File, c.Beside) }
 
 // check writes each mistake of a configuration as one line with its place, key and reason, or what the configuration turns on. platform is
-// the platform's file beside an operator's file, or empty.
-func check(w io.Writer, path, platform string) error {
+// the platform's file beside an operator's file, or empty; machine gives the defaults of an operator's file that stands alone.
+func check(w io.Writer, machine config.Machine, path, platform string) error {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return fmt.Errorf("reading the configuration: %w", err)
 	}
 	if !config.IsPlatform(text) || platform != "" {
-		return checkFile(w, path, text, platform)
+		return checkFile(w, machine, path, text, platform)
 	}
 	parse := config.Parse
 	if config.IsPluginConfig(text) {
@@ -53,8 +53,8 @@
 }
 
 // checkFile is check for an operator's file.
-func checkFile(w io.Writer, path string, text []byte, platform string) error {
-	parse := config.ParseFile
+func checkFile(w io.Writer, machine config.Machine, path string, text []byte, platform string) error {
+	parse := func(text []byte) (*config.Plan, error) { return config.ParseFileFor(machine, text) }
 	if platform != "" {
 		loaded, err := config.Load(platform)
 		if err != nil {
--- a/cmd/orchiddrift/check_test.go
+++ b/cmd/orchiddrift/check_test.go
@@ -6,6 +6,8 @@
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"orchiddrift/internal/config"
 )
 
 // The check reports every mistake, and none where the daemon finds none.
@@ -17,7 +19,7 @@
 			t.Fatal(err)
 		}
 		var out bytes.Buffer
-		err := check(&out, path, "")
+		err := check(&out, config.ThisMachine(), path, "")
 		return out.String(), err
 	}
 	out, err := look(`{"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"1f",
@@ -42,7 +44,7 @@
 	if out, err := look(`{"listen":`); err == nil || strings.Count(out, "\n") != 1 {
 		t.Errorf("%q, %v", out, err)
 	}
-	if err := check(&bytes.Buffer{}, filepath.Join(t.TempDir(), "missing"), ""); err == nil {
+	if err := check(&bytes.Buffer{}, config.ThisMachine(), filepath.Join(t.TempDir(), "missing"), ""); err == nil {
 		t.Error("a missing file is taken")
 	}
 }
--- a/cmd/orchiddrift/golden_test.go
+++ b/cmd/orchiddrift/golden_test.go
@@ -19,6 +19,9 @@
 	golden.Match(t, "config-example.toml", out.Bytes())
 }
 
+// goldenMachine is the machine that the golden files were written for.
+var goldenMachine = config.Machine{Cores: 8}
+
 // What check and config show make of every file in deploy/ stays as it was.
 func TestDeployedFilesGolden(t *testing.T) {
 	files, err := filepath.Glob("../../deploy/*.example.*")
@@ -29,7 +32,7 @@
 		name := filepath.Base(path)
 		t.Run(name, func(t *testing.T) {
 			var out bytes.Buffer
-			if err := check(&out, path, ""); err != nil {
+			if err := check(&out, goldenMachine, path, ""); err != nil {
 				out.WriteString("error: " + err.Error() + "\n")
 			}
 			golden.Match(t, "check-"+strings.TrimSuffix(name, filepath.Ext(name))+".txt", out.Bytes())
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -1,7 +1,6 @@
 package config
 
 import (
-	"runtime"
 	"strconv"
 
 	"orchiddrift/internal/admission"
@@ -196,10 +195,10 @@
 	return entries
 }
 
-// cores returns the number of processor cores to use.
-func (l *FileLimits) cores() float64 {
+// cores returns the number of processor cores to use on a machine.
+func (l *FileLimits) cores(machine Machine) float64 {
 	if l.Cores == 0 {
-		return float64(runtime.NumCPU())
+		return float64(machine.Cores)
 	}
 	return l.Cores
 }
--- a/internal/config/file_plan.go
+++ b/internal/config/file_plan.go
@@ -29,11 +29,11 @@
 	routes       []placedRoute
 }
 
-// buildPlan makes the plan of a file that stands beside the platform's, or alone if platform is nil. The plan is complete only if the
-// document has no problems afterwards.
-func buildPlan(file *File, platform *Plan, document *tomlfile.Document) *Plan {
+// buildPlan makes the plan of a file that stands beside the platform's, or alone if platform is nil. machine gives the defaults. The
+// plan is complete only if the document has no problems afterwards.
+func buildPlan(file *File, platform *Plan, machine Machine, document *tomlfile.Document) *Plan {
 	b := &planBuilder{file: file, platform: platform, document: document, serviceIndex: map[string]int{}}
-	b.plan = file.processPlan()
+	b.plan = file.processPlan(machine)
 	if platform != nil {
 		b.addPlatform()
 	} else {
@@ -56,13 +56,13 @@
 }
 
 // processPlan returns a plan of what the file says of the process, without services.
-func (f *File) processPlan() *Plan {
+func (f *File) processPlan(machine Machine) *Plan {
 	return &Plan{
 		Name:    f.Daemon.Name,
 		Listen:  f.Daemon.Listen,
 		Control: f.Daemon.Control,
 		Limits: Limits{
-			Cores:    f.Limits.cores(),
+			Cores:    f.Limits.cores(machine),
 			MemoryMB: float64(f.Limits.Memory) / float64(units.MiB),
 			Sockets:  f.Limits.Descriptors,
 		},
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -93,20 +93,23 @@
 }
 
 // ParseFile reads an operator's file that stands alone. Its error is Problems.
-func ParseFile(text []byte) (*Plan, error) { return parseFile(nil, text) }
+func ParseFile(text []byte) (*Plan, error) { return ParseFileFor(ThisMachine(), text) }
+
+// ParseFileFor is ParseFile for a machine other than the one that the process runs on.
+func ParseFileFor(machine Machine, text []byte) (*Plan, error) { return parseFile(nil, machine, text) }
 
 // ParseBeside reads an operator's file that stands beside the platform's. The platform's name, listen address, seed, limits and timeouts
 // win; its service, called Platform, comes first, under its own routes. Its error is Problems.
 func ParseBeside(platform *Config, text []byte) (*Plan, error) {
-	return parseFile(platform.Plan(), text)
+	return parseFile(platform.Plan(), ThisMachine(), text)
 }
 
-func parseFile(platform *Plan, text []byte) (*Plan, error) {
+func parseFile(platform *Plan, machine Machine, text []byte) (*Plan, error) {
 	file := &File{}
 	document := tomlfile.Decode(text, file)
 	var plan *Plan
 	if !document.Broken() {
-		plan = buildPlan(file, platform, document)
+		plan = buildPlan(file, platform, machine, document)
 	}
 	if err := problemsOf(document); err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/config/machine.go
@@ -0,0 +1,11 @@
+package config
+
+import "runtime"
+
+// Machine is what the defaults of an operator's file depend on: equal files have equal plans on equal machines.
+type Machine struct {
+	Cores int // processor cores that the process may use
+}
+
+// ThisMachine returns the machine that the process runs on.
+func ThisMachine() Machine { return Machine{Cores: runtime.NumCPU()} }
