lint: what go prints while it downloads is no finding

Developers saw: the first check on a fresh machine red, the second green. Cause: `go tool revive ... 2>&1` wrote "go: downloading ..." into the list of findings, where each line that is not a finding fails the check. Change: the tool is built first, with go's own output on standard error; the binary then runs as before, and all that it prints still counts.

--- a/.ci/lint.sh
+++ b/.ci/lint.sh
@@ -6,7 +6,9 @@
 list=.ci/lint-exclusions.txt
 found=$(mktemp)
 trap 'rm -f "$found"' EXIT
-go tool revive -config .ci/revive.toml -formatter unix ./... >"$found" 2>&1 || true
+# Built first: what the go command prints while it downloads is no finding, but everything that revive prints is one.
+revive=$(go tool -n revive)
+"$revive" -config .ci/revive.toml -formatter unix ./... >"$found" 2>&1 || true
 awk -v list="$list" '
 BEGIN {
 	while ((getline line < list) > 0) {
