server: a process that ends loses no new connection's first request

Callers saw: a connection opened later than 0.6 s after SIGTERM was accepted, its first request was written, and it ended with no answer, until the exit at 1.7 s. Cause: Connections.Close emptied the accept queue until 20 ms were quiet, so it went on while clients came; CloseIdle(0) closed what it accepted within 10 ms, however new. Fix: acceptor.Listener.Drain rejects connects by a socket filter that drops SYNs, so that the queue ends; what waits in it is accepted, then the listener is closed. A new connection has 0.5 s for its first request. The queue waits for capacity for 1 s where it was reset at once. A socket that a successor or predecessor has too is not filtered. The listener is plain TCP, since multipath TCP takes no filter. Why it works: nothing is accepted that is not given its time, and nothing waits in the queue as it is closed; without a filter (bounded, logged) only what comes up between the last accept and the close is reset.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -204,6 +204,7 @@
 		closeControl, operators = c.Close, c.Addr().String()
 		d.backgroundTasks.Go(c.Run)
 		if from != nil {
+			d.lifecycle.connections.SetShared(true)
 			d.restore(from)
 		}
 		d.backgroundTasks.Go(func() { d.runUpgrade(d.background, from, handoverFolder(), d.listener) })
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -20,5 +20,6 @@
 		}
 		return err
 	}}
+	config.SetMultipathTCP(false) // such a socket takes no filter, see acceptor.Listener.RejectConnects
 	return config.Listen(context.Background(), "tcp", address)
 }
--- a/internal/daemon/upgrade.go
+++ b/internal/daemon/upgrade.go
@@ -15,6 +15,7 @@
 	"orchiddrift/internal/endpoints"
 	"orchiddrift/internal/handover"
 	"orchiddrift/internal/lifecycle"
+	"orchiddrift/internal/server/acceptor"
 )
 
 const (
@@ -67,6 +68,7 @@
 	if listener.Addr().String() != p.Listen && !config.AnyPort(p.Listen) {
 		return nil, nil, errors.Join(errOtherAddress, listener.Close(), link.Close())
 	}
+	_ = acceptor.AllowConnects(listener) // where the system can't, the predecessor has not rejected them
 	for i := range p.Services {
 		useHandedOverList(&p.Services[i], state.Services[p.Services[i].Name])
 	}
@@ -99,8 +101,9 @@
 	}
 }
 
-// handoverState is what a successor gets.
+// handoverState is what a successor gets, beside the clients' socket.
 func (d *daemon) handoverState() handover.State {
+	d.lifecycle.connections.SetShared(true) // before the successor has the socket
 	state := handover.State{Identity: d.upgrade.identity, Draining: d.lifecycle.state() == lifecycle.Draining,
 		Descriptors: d.descriptorsHeld(), Services: map[string]handover.Service{}}
 	for name, s := range d.routing.Load().services {
@@ -180,6 +183,7 @@
 		switch {
 		case errors.Is(err, handover.ErrNoSuccessor):
 			d.log.Warn("hand-over", "reason", err)
+			d.unshareIfAlone()
 			continue
 		case err != nil:
 			return
@@ -287,6 +291,17 @@
 		LimitMemory(&config.Plan{Limits: d.limits})
 		d.resize(connectionLimit(d.limits), connectionLimit(d.limits))
 		d.lifecycle.connections.Pause(false)
+		d.lifecycle.connections.SetShared(false)
+	}
+}
+
+// unshareIfAlone notes that a successor did not take the clients' socket over.
+func (d *daemon) unshareIfAlone() {
+	u := d.upgrade
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.predecessor == nil && u.successor == nil {
+		d.lifecycle.connections.SetShared(false)
 	}
 }
 
--- a/internal/server/acceptor/acceptor.go
+++ b/internal/server/acceptor/acceptor.go
@@ -17,13 +17,14 @@
 	maxBackoff = 32 * time.Millisecond
 )
 
-// Listener is a net.Listener whose Accept fails only if it has been closed or its deadline has passed.
+// Listener is a net.Listener whose Accept fails only if it has been closed or drained, or its deadline has passed.
 type Listener struct {
 	net.Listener
 	log      *slog.Logger
 	failures atomic.Int64
 	backoff  time.Duration // after the last failure; 0: the last accept did not fail
 	deadline atomic.Pointer[time.Time]
+	queue    drainState
 }
 
 // deadlineSetter is implemented by listeners with a deadline.
@@ -34,24 +35,34 @@
 	return &Listener{Listener: l, log: log}
 }
 
-// Accept waits for the next connection, whatever the system's failures. It returns net.ErrClosed or os.ErrDeadlineExceeded.
+// Accept waits for the next connection, whatever the system's failures. It returns net.ErrClosed, also once
+// the listener is drained, or os.ErrDeadlineExceeded.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		conn, err := l.Listener.Accept()
 		switch {
 		case err == nil:
 			l.recovered()
+			l.queue.accepted()
 			return conn, nil
-		case errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrDeadlineExceeded):
+		case errors.Is(err, net.ErrClosed):
 			return nil, err
+		case errors.Is(err, os.ErrDeadlineExceeded) || l.deadlinePassed():
+			if err := l.deadlineExceeded(); err != nil {
+				return nil, err
+			}
+		default:
+			l.backOff(err)
 		}
-		if deadline := l.deadline.Load(); deadline != nil && !time.Now().Before(*deadline) {
-			return nil, os.ErrDeadlineExceeded
-		}
-		l.backOff(err)
 	}
 }
 
+// deadlinePassed reports whether the deadline is over, also where accepts that fail hide that.
+func (l *Listener) deadlinePassed() bool {
+	deadline := l.deadline.Load()
+	return deadline != nil && !time.Now().Before(*deadline)
+}
+
 // Failures is the number of accepts that have failed.
 func (l *Listener) Failures() int64 { return l.failures.Load() }
 
--- a/internal/server/downstream/connections.go
+++ b/internal/server/downstream/connections.go
@@ -1,10 +1,8 @@
 package downstream
 
 import (
-	"errors"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"time"
 )
@@ -14,15 +12,8 @@
 	requestGap = 2 * time.Second
 	// firstRequestTime is how long a new connection may take to bring its first request before others are preferred.
 	firstRequestTime = 500 * time.Millisecond
-	// After Close, connections that wait in the listener's queue are still accepted until none has come for queueQuiet, for queueMaxWait
-	// at most.
-	queueQuiet   = 20 * time.Millisecond
-	queueMaxWait = time.Second
 )
 
-// deadlineSetter is implemented by listeners whose Accept can be bounded in time.
-type deadlineSetter interface{ SetDeadline(time.Time) error }
-
 // Connections is the listener for clients. It bounds the number of their connections: one that comes beyond the limit evicts the one
 // that is needed least. Where all are in use it is accepted, but no further one until there is capacity. A connection counts from its
 // accept until its socket is closed. It is safe for concurrent use.
@@ -30,17 +21,17 @@
 	net.Listener
 	tls *TLS // nil: connections are not encrypted
 
-	mu            sync.Mutex
-	changed       *sync.Cond // some of the following fields
-	limit         int        // of connections
-	paused        bool       // new connections are left to another process that has the listener too
-	closed        bool
-	stopped       bool      // nothing more is accepted
-	queueEmpty    bool      // closed: no connection waits in the queue
-	queueDeadline time.Time // closed: until when the queue is emptied
-	conns         map[*conn]*connInfo
-	closing       int   // connections whose sockets are closed and which the server has not ended yet
-	newest        *conn // accepted last: it is not evicted before its first request has had its time
+	mu         sync.Mutex
+	changed    *sync.Cond // some of the following fields
+	limit      int        // of connections
+	paused     bool       // new connections are left to another process that has the listener too
+	shared     bool       // another process has the listener too
+	closed     bool
+	stopped    bool      // nothing more is accepted
+	drainUntil time.Time // closed: until when connections in the queue wait for capacity
+	conns      map[*conn]*connInfo
+	closing    int   // connections whose sockets are closed and which the server has not ended yet
+	newest     *conn // accepted last: it is not evicted before its first request has had its time
 }
 
 // connInfo is what Connections knows of a connection.
@@ -59,14 +50,16 @@
 
 // Accept implements net.Listener. It is called by the server's one accept loop.
 func (c *Connections) Accept() (net.Conn, error) {
-	c.awaitCapacity()
-	accepted, err := c.acceptNext()
+	hasCapacity := c.awaitCapacity()
+	accepted, err := net.Conn(nil), net.ErrClosed
+	if hasCapacity {
+		accepted, err = c.Listener.Accept()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err != nil {
 		return nil, c.acceptFailedLocked(err)
 	}
-	c.queueEmpty = false
 	client := newConn(accepted)
 	c.conns[client] = &connInfo{quietSince: time.Now()}
 	c.newest = client
@@ -82,47 +75,21 @@
 // openLocked is the number of connections that hold a descriptor. c.mu is held.
 func (c *Connections) openLocked() int { return len(c.conns) - c.closing }
 
-// awaitCapacity waits until another connection may be accepted, or the listener is closed.
-func (c *Connections) awaitCapacity() {
+// awaitCapacity waits until another connection may be accepted. It returns false if the listener was closed, and there is no capacity for
+// what waits in its queue.
+func (c *Connections) awaitCapacity() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for (c.paused || c.openLocked() > c.limit) && !c.closed {
+	for c.paused && !c.closed || c.openLocked() > c.limit {
+		if c.closed && !time.Now().Before(c.drainUntil) {
+			return false
+		}
 		if !c.paused && c.evictLocked(c.newest) {
 			continue
 		}
 		c.changed.Wait()
 	}
-}
-
-// acceptFailedLocked ends a closed listener. c.mu is held.
-func (c *Connections) acceptFailedLocked(err error) error {
-	if !c.closed {
-		return err
-	}
-	c.stopped = true
-	_ = c.Listener.Close() // it may be closed already
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return net.ErrClosed
-	}
-	return err
-}
-
-// acceptNext accepts a connection; from a closed listener, one that waits in its queue. The deadline that Close sets only interrupts the
-// wait for new connections: it is set again here, since it may have passed before this was called.
-func (c *Connections) acceptNext() (net.Conn, error) {
-	for {
-		accepted, err := c.Listener.Accept()
-		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
-			return accepted, err
-		}
-		c.mu.Lock()
-		last := !c.closed || c.queueEmpty || time.Now().After(c.queueDeadline)
-		c.queueEmpty = true
-		c.mu.Unlock()
-		if last || c.Listener.(deadlineSetter).SetDeadline(time.Now().Add(queueQuiet)) != nil {
-			return nil, err
-		}
-	}
+	return true
 }
 
 // evictionRank orders connections for eviction: the highest rank goes first, rankNeeded never.
@@ -186,30 +153,6 @@
 	}
 }
 
-// Close ends the listener. Connections that wait in its queue are still accepted, unless they are left to another process or there is no
-// capacity for them.
-func (c *Connections) Close() error {
-	c.mu.Lock()
-	wasClosed := c.closed
-	leaveQueue := c.paused || c.openLocked() >= c.limit
-	c.closed = true
-	if !wasClosed {
-		c.queueDeadline = time.Now().Add(queueMaxWait)
-	}
-	c.mu.Unlock()
-	if wasClosed {
-		return nil
-	}
-	c.changed.Broadcast()
-	if l, ok := c.Listener.(deadlineSetter); ok && !leaveQueue && l.SetDeadline(time.Now()) == nil {
-		return nil // Accept closes it
-	}
-	c.mu.Lock()
-	c.stopped = true
-	c.mu.Unlock()
-	return c.Listener.Close()
-}
-
 // Resize changes the limit of connections. Those that are open stay, even beyond it.
 func (c *Connections) Resize(limit int) {
 	c.mu.Lock()
@@ -240,24 +183,6 @@
 	return c.stopped && len(c.conns) == 0
 }
 
-// CloseIdle closes the connections that have carried no request for at least quiet, and on which no bytes wait: see conn.closeIdle.
-func (c *Connections) CloseIdle(quiet time.Duration) {
-	for _, client := range c.idleFor(quiet) {
-		client.closeIdle()
-	}
-}
-
-func (c *Connections) idleFor(quiet time.Duration) (idle []*conn) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for client, info := range c.conns {
-		if client.currentPhase() == phaseIdle && time.Since(info.quietSince) >= quiet {
-			idle = append(idle, client)
-		}
-	}
-	return idle
-}
-
 // CloseAll closes all connections at once.
 func (c *Connections) CloseAll() {
 	c.mu.Lock()
--- /dev/null
+++ b/internal/testing/processes/shutdown_test.go
@@ -0,0 +1,440 @@
+package processes
+
+import (
+	"bufio"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"orchiddrift/internal/fakes"
+	"orchiddrift/internal/testing/testutil"
+	"orchiddrift/internal/testing/testutil/base"
+)
+
+var (
+	shutdowns       = flag.Int("shutdowns", 1, "how many shutdowns of each kind are played under clients that keep connecting")
+	shutdownClients = flag.Int("shutdown-clients", 60, "how many clients keep connecting during a shutdown")
+)
+
+const (
+	// redialInterval is the wait of a client whose connection was refused.
+	redialInterval = time.Millisecond
+	// loadBeforeSignal is how many requests are answered before the first signal.
+	loadBeforeSignal = 400
+	// maxShutdownTime is the longest time from SIGTERM to the exit with upstreams that answer in 50 ms.
+	maxShutdownTime = 1900 * time.Millisecond
+)
+
+// lostRequest is a request that was written completely, and whose connection ended without a response.
+type lostRequest struct {
+	first bool // of its connection
+	dial  time.Time
+	sent  time.Time
+	err   error
+}
+
+// crowd is a number of clients that send one request at a time on a kept connection, and open another one when it ends.
+type crowd struct {
+	address string
+	secure  *tls.Config // nil: not encrypted
+	class   string
+	seed    uint64
+	stop    chan struct{}
+	running sync.WaitGroup
+
+	mu       sync.Mutex
+	statuses map[int]int
+	lost     []lostRequest
+	refused  int // connects
+	unsent   int // requests whose connection had ended before they were written
+}
+
+func newCrowd(address, class string, secure *tls.Config, seed uint64) *crowd {
+	return &crowd{address: address, class: class, secure: secure, seed: seed, stop: make(chan struct{}), statuses: map[int]int{}}
+}
+
+func (c *crowd) start(clients int) {
+	for i := range clients {
+		rng := rand.New(rand.NewPCG(c.seed, uint64(i)))
+		c.running.Go(func() {
+			for !c.stopped() {
+				c.connect(i, rng)
+			}
+		})
+	}
+}
+
+func (c *crowd) stopped() bool {
+	select {
+	case <-c.stop:
+		return true
+	default:
+		return false
+	}
+}
+
+func (c *crowd) count(add func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	add()
+}
+
+func (c *crowd) answered() (n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, count := range c.statuses {
+		n += count
+	}
+	return n
+}
+
+// connect opens a connection, and sends requests on it until it ends.
+func (c *crowd) connect(client int, rng *rand.Rand) {
+	dialed := time.Now()
+	socket, err := net.DialTimeout("tcp", c.address, Patience)
+	if err != nil {
+		c.count(func() { c.refused++ })
+		time.Sleep(redialInterval)
+		return
+	}
+	defer socket.Close()
+	conn := socket
+	_ = conn.SetDeadline(time.Now().Add(Patience)) // should it fail, reads show it
+	if c.secure != nil {
+		conn = tls.Client(conn, c.secure)
+	}
+	in := bufio.NewReader(conn)
+	for n := 0; !c.stopped() && (n == 0 || !hasEnded(socket)); n++ {
+		request := fmt.Sprintf("POST /%s/1 HTTP/1.1\r\nHost: s\r\nX-Request-ID: %x-%x\r\nX-Priority-Class: %s\r\nContent-Length: 1\r\n\r\nx",
+			c.class, client, rng.Uint64(), c.class)
+		sent := time.Now()
+		if _, err := io.WriteString(conn, request); err != nil {
+			c.unwritten(n, dialed, sent, err)
+			return
+		}
+		response, err := http.ReadResponse(in, nil)
+		if err == nil {
+			_, err = io.Copy(io.Discard, response.Body)
+		}
+		if err != nil {
+			c.count(func() { c.lost = append(c.lost, lostRequest{n == 0, dialed, sent, err}) })
+			return
+		}
+		c.count(func() { c.statuses[response.StatusCode]++ })
+		if response.Close {
+			return
+		}
+	}
+}
+
+// hasEnded reports whether the server has ended a connection on which no response is awaited: its end, or the TLS alert before it, waits to be
+// read. As any client that keeps connections, those of a crowd look before they send another request.
+func hasEnded(socket net.Conn) (ended bool) {
+	raw, err := socket.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		ended = err == nil
+		return true
+	})
+	return ended || err != nil
+}
+
+// unwritten counts a request that could not be written. The first one of an encrypted connection includes the handshake.
+func (c *crowd) unwritten(n int, dialed, sent time.Time, err error) {
+	c.count(func() {
+		c.unsent++
+		if n == 0 {
+			c.lost = append(c.lost, lostRequest{true, dialed, sent, err})
+		}
+	})
+}
+
+// end stops the clients, and returns the requests without a response as lines that tell their times since a signal.
+func (c *crowd) end(signaled time.Time) (lost []string) {
+	close(c.stop)
+	c.running.Wait()
+	for _, l := range c.lost {
+		lost = append(lost, fmt.Sprintf("first of its connection: %v, connected %v and sent %v after the signal: %v", l.first,
+			l.dial.Sub(signaled).Round(time.Millisecond), l.sent.Sub(signaled).Round(time.Millisecond), l.err))
+	}
+	return lost
+}
+
+// slowUpstreams starts three upstreams that answer in 5 to 50 ms.
+func slowUpstreams(t *testing.T) (addresses []string) {
+	t.Helper()
+	for i := range 3 {
+		rng := rand.New(rand.NewPCG(7, uint64(i)))
+		var mu sync.Mutex
+		addresses = append(addresses, base.HTTP(t, nil, func(w http.ResponseWriter, _ *http.Request) {
+			mu.Lock()
+			work := 5*time.Millisecond + time.Duration(rng.Int64N(int64(45*time.Millisecond)))
+			mu.Unlock()
+			time.Sleep(work)
+			_, _ = io.WriteString(w, "x")
+		}))
+	}
+	return addresses
+}
+
+// shutdownFile is the operator's file of a daemon before upstreams, with tables in tls.
+func shutdownFile(listen string, upstreams []string, tables string) string {
+	return fmt.Sprintf("[daemon]\nname = \"s\"\nlisten = %q\ncontrol = \"127.0.0.1:0\"\nseed = \"5\"\n[limits]\nmemory = \"192MiB\"\ndescriptors = 8192\n"+
+		"[log]\nformat = \"json\"\n%s[[service]]\nname = \"web\"\naddresses = [\"%s\"]\n", listen, tables, strings.Join(upstreams, `", "`))
+}
+
+// shutdownKind is a way in which a process is ended.
+type shutdownKind struct {
+	name     string
+	signals  []syscall.Signal // one after the other, 20 ms apart, the first SIGTERM counts
+	badFile  bool             // the configuration is unusable at the signals
+	platform bool             // the platform's form of configuration
+	tls      bool
+}
+
+var shutdownKinds = []shutdownKind{
+	{name: "TERM", signals: []syscall.Signal{syscall.SIGTERM}},
+	{name: "TERM, platform's form", signals: []syscall.Signal{syscall.SIGTERM}, platform: true},
+	{name: "TERM, TLS", signals: []syscall.Signal{syscall.SIGTERM}, tls: true},
+	{name: "HUP and TERM in series", signals: []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGHUP}},
+	{name: "a bad file and a second TERM", signals: []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM}, badFile: true},
+}
+
+// signalInterval is the time between two signals of a shutdownKind.
+const signalInterval = 20 * time.Millisecond
+
+// TestShutdownAnswersNewConnections guards against connections that a process accepts as it ends, and closes without a response to their
+// first request. A long run: -shutdowns 30 -shutdown-clients 1000.
+func TestShutdownAnswersNewConnections(t *testing.T) {
+	for _, kind := range shutdownKinds {
+		t.Run(kind.name, func(t *testing.T) {
+			upstreams := slowUpstreams(t)
+			for round := range *shutdowns {
+				playShutdown(t, kind, upstreams, uint64(round+1))
+			}
+		})
+	}
+}
+
+// playShutdown ends one process under a crowd.
+func playShutdown(t *testing.T, kind shutdownKind, upstreams []string, seed uint64) {
+	r := New(t, seed)
+	reserved, err := fakes.Reserve("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer reserved.Release()
+	p, secure := shutdownProcess(t, r, kind, reserved.Address, upstreams)
+	if err := p.Start(within(t, Patience), nil); err != nil {
+		t.Fatal(err)
+	}
+	clients := newCrowd(reserved.Address, "confirm", secure, seed)
+	clients.start(*shutdownClients)
+	base.Eventually(t, "requests are answered", func() bool { return clients.answered() > loadBeforeSignal })
+	if kind.badFile {
+		for name := range p.spec.Files {
+			base.Replace(t, filepath.Join(p.Dir, name), []byte("{"))
+		}
+	}
+	var signaled time.Time
+	for _, signal := range kind.signals {
+		if signaled.IsZero() && signal == syscall.SIGTERM {
+			signaled = time.Now()
+		}
+		if err := p.Signal(signal); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(signalInterval)
+	}
+	if err := p.Await(within(t, Patience)); err != nil {
+		t.Fatal(err)
+	}
+	took := time.Since(signaled)
+	lost := clients.end(signaled)
+	t.Logf("seed %d: %d clients, ended after %v, statuses %v, %d connects refused, %d requests not written, %d without a response", seed,
+		*shutdownClients, took.Round(time.Millisecond), clients.statuses, clients.refused, clients.unsent, len(lost))
+	for _, line := range lost[:min(len(lost), 8)] {
+		t.Errorf("lost: %s", line)
+	}
+	if code := p.current().cmd.ProcessState.ExitCode(); code != 0 {
+		t.Errorf("it ended with %d", code)
+	}
+	if took > maxShutdownTime {
+		t.Errorf("it ended after %v", took)
+	}
+}
+
+// replacementKind is a way in which a process is replaced.
+type replacementKind struct {
+	name   string
+	early  bool // it is ended as soon as the successor has its listening socket
+	beside bool // the successor can't ask for the listening socket, and opens one of its own at the same address
+}
+
+// TestReplacementUnderCrowd guards against connections that are lost while a successor takes over: the two processes share a listening
+// socket, so that what one does to it holds for both, or have one each.
+func TestReplacementUnderCrowd(t *testing.T) {
+	for _, kind := range []replacementKind{{name: "late"}, {name: "early", early: true}, {name: "beside", beside: true}} {
+		t.Run(kind.name, func(t *testing.T) {
+			upstreams := slowUpstreams(t)
+			for round := range *shutdowns {
+				playReplacement(t, kind, upstreams, uint64(round+1))
+			}
+		})
+	}
+}
+
+// playReplacement replaces a process under a crowd, and checks that every connect succeeds and every request has its response.
+func playReplacement(t *testing.T, kind replacementKind, upstreams []string, seed uint64) {
+	r := New(t, seed)
+	reserved, err := fakes.Reserve("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer reserved.Release()
+	p, _ := shutdownProcess(t, r, shutdownKind{}, reserved.Address, upstreams)
+	if kind.beside {
+		p.spec.Env = []string{"TMPDIR=" + filepath.Join(p.Dir, "missing")}
+	}
+	if err := p.Start(within(t, Patience), nil); err != nil {
+		t.Fatal(err)
+	}
+	clients := newCrowd(reserved.Address, "confirm", nil, seed)
+	clients.start(*shutdownClients)
+	base.Eventually(t, "requests are answered", func() bool { return clients.answered() > loadBeforeSignal })
+	if kind.early {
+		replaceEarly(t, r, p)
+	} else if err := p.Replace(within(t, Patience), nil); err != nil {
+		t.Fatal(err)
+	}
+	before := clients.answered()
+	base.Eventually(t, "the successor answers", func() bool { return clients.answered() > before+loadBeforeSignal })
+	lost := clients.end(time.Now())
+	t.Logf("seed %d: %d clients, statuses %v, %d connects refused, %d without a response", seed, *shutdownClients, clients.statuses,
+		clients.refused, len(lost))
+	for _, line := range lost[:min(len(lost), 8)] {
+		t.Errorf("lost: %s", line)
+	}
+	if clients.refused > 0 {
+		t.Errorf("%d connects were refused", clients.refused)
+	}
+}
+
+// replaceEarly ends a process as soon as its successor has the listening socket.
+func replaceEarly(t *testing.T, r *Rig, p *Process) {
+	t.Helper()
+	old := p.current()
+	p.mu.Lock()
+	err := p.launchLocked(nil)
+	p.mu.Unlock()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := r.History.Wait(within(t, Patience), old.from, func(e Event) bool {
+		return e.What == "hand-over: a successor has the clients' socket"
+	}); err != nil {
+		t.Fatal(err)
+	}
+	if err := old.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-old.over:
+	case <-within(t, Patience).Done():
+		t.Fatal("the process before the successor goes on")
+	}
+}
+
+// shutdownProcess makes the process of a shutdown, and the TLS configuration of its clients.
+func shutdownProcess(t *testing.T, r *Rig, kind shutdownKind, listen string, upstreams []string) (*Process, *tls.Config) {
+	t.Helper()
+	spec := Spec{Name: "s", Ready: Listening, Args: []string{"--config", "web.toml"}}
+	switch {
+	case kind.platform:
+		var known []string
+		for i, address := range upstreams {
+			known = append(known, testutil.Entry(fmt.Sprintf("u%d", i), address, "Ready"))
+		}
+		text := strings.Replace(testutil.ConfigText(testutil.Quiet(t).Address, known...), "127.0.0.1:9000", listen, 1)
+		text = strings.Replace(text, `"sockets":1024`, `"sockets":8192`, 1)
+		spec.Args = []string{"serve", "--config", "config.json", "--file", "operators.toml"}
+		spec.Files = map[string]string{"config.json": text, "operators.toml": "[log]\nformat = \"json\"\n"}
+		return r.Process(spec), nil
+	case kind.tls:
+		ca := base.CA(t, "one")
+		issued := base.Issue(t, ca, "127.0.0.1")
+		spec.Files = map[string]string{"front.crt": string(issued.Certificate), "front.key": string(issued.Key),
+			"web.toml": shutdownFile(listen, upstreams, "[tls]\ncertificate = \"front.crt\"\nkey = \"front.key\"\n")}
+		roots := x509.NewCertPool()
+		roots.AppendCertsFromPEM(ca.PEM)
+		return r.Process(spec), &tls.Config{RootCAs: roots, ServerName: "127.0.0.1", MinVersion: tls.VersionTLS12}
+	default:
+		spec.Files = map[string]string{"web.toml": shutdownFile(listen, upstreams, "")}
+		return r.Process(spec), nil
+	}
+}
+
+// TestRefusedOnceNothingIsAccepted guards against connects that succeed, or hang, while nothing more is accepted.
+func TestRefusedOnceNothingIsAccepted(t *testing.T) {
+	r := New(t, 1)
+	came, release := make(chan struct{}), make(chan struct{})
+	upstream := base.HTTP(t, nil, func(http.ResponseWriter, *http.Request) {
+		close(came)
+		<-release
+	})
+	p := daemons(r, 1, upstream)[0]
+	if err := p.Start(within(t, Patience), nil); err != nil {
+		t.Fatal(err)
+	}
+	held := make(chan error, 1)
+	go func() { // keeps the process until the end of the test
+		response, err := http.Post("http://"+p.Address()+"/a", "text/plain", strings.NewReader("x"))
+		if err == nil {
+			response.Body.Close()
+		}
+		held <- err
+	}()
+	<-came
+	if err := p.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	base.Eventually(t, "a connect is refused", func() bool {
+		conn, err := net.DialTimeout("tcp", p.Address(), Patience)
+		if err == nil {
+			conn.Close()
+		}
+		return errors.Is(err, syscall.ECONNREFUSED)
+	})
+	for range 100 {
+		begun := time.Now()
+		conn, err := net.DialTimeout("tcp", p.Address(), Patience)
+		if err == nil {
+			conn.Close()
+		}
+		if !errors.Is(err, syscall.ECONNREFUSED) || time.Since(begun) > time.Second/2 {
+			t.Fatalf("a connect: %v after %v", err, time.Since(begun))
+		}
+	}
+	close(release)
+	if err := <-held; err != nil {
+		t.Errorf("the request in flight: %v", err)
+	}
+	if err := p.Await(within(t, Patience)); err != nil {
+		t.Error(err)
+	}
+}
