control: calls that were accepted are answered as the server closes

Operators saw: a call at the second address that reached a process in its last moment ended with a reset; whether a drain had begun could not be told. Fix: the listener is drained (acceptor.Listener.Drain), and calls that have begun have 0.1 s for their rest. Why it works: connects are rejected before the queue is emptied, and nothing is closed that was accepted less than 0.1 s before.

--- a/internal/server/control/server.go
+++ b/internal/server/control/server.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"errors"
 	"log/slog"
 	"net"
@@ -20,6 +21,8 @@
 	// lingerTimeout is how long a caller that has sent more than was read may take to read its answer.
 	lingerTimeout = 500 * time.Millisecond
 	writeTimeout  = time.Second
+	// closeTimeout is how long calls whose bytes are on their way may take as the server is closed.
+	closeTimeout = 100 * time.Millisecond
 )
 
 // Handler answers calls. It must not block.
@@ -28,7 +31,7 @@
 // Server answers calls on a listener. A call that has arrived completely when its connection is accepted is answered by the accepting
 // goroutine, whatever others wait for. Otherwise the connection waits for the rest; if MaxWaiting wait, the longest waiting is closed.
 type Server struct {
-	listener net.Listener
+	listener *acceptor.Listener
 	handler  Handler
 	log      *slog.Logger
 
@@ -36,11 +39,15 @@
 	waiting []*net.TCPConn // oldest first
 	closed  bool
 	running sync.WaitGroup
+
+	accepting sync.WaitGroup // Run
 }
 
 // Listen opens the address. Run serves it.
 func Listen(address string, answer Handler, log *slog.Logger) (*Server, error) {
-	l, err := net.Listen("tcp", address)
+	var config net.ListenConfig
+	config.SetMultipathTCP(false) // such a socket takes no filter, see acceptor.Listener.RejectConnects
+	l, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -52,6 +59,8 @@
 
 // Run serves until Close. It blocks.
 func (s *Server) Run() {
+	s.accepting.Add(1)
+	defer s.accepting.Done()
 	buffer := make([]byte, MaxHead+2*MaxBody+1)
 	for {
 		c, err := s.listener.Accept()
@@ -62,16 +71,27 @@
 	}
 }
 
-// Close ends the server and all its connections, and waits for their goroutines.
+// Close answers the calls that wait in the accept queue, and ends the server and all its connections. It waits for their goroutines. Calls
+// that are not complete after closeTimeout are not answered.
 func (s *Server) Close() {
-	s.listener.Close()
+	if s.listener.Drain() != nil {
+		s.listener.Close()
+	}
+	s.accepting.Wait()
+	late := time.AfterFunc(closeTimeout, s.closeWaiting)
+	defer late.Stop()
+	s.running.Wait()
+	s.closeWaiting()
+}
+
+// closeWaiting closes the connections that wait for the rest of their calls, and all that would.
+func (s *Server) closeWaiting() {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.closed = true
 	for _, c := range s.waiting {
 		c.Close()
 	}
-	s.mu.Unlock()
-	s.running.Wait()
 }
 
 // handle answers a call that has arrived completely, or waits for the rest on a goroutine of its own.
