balancer: unused slow-start tokens lapse, and an attempt costs a whole one

Callers saw: rarely a starting upstream got up to 1.15 times what the settings allow in a window, from sidecars that each kept to their share. An attempt cost its estimated work, down to a quarter, so that one token sent four small requests. And each idle bucket kept a full token however small its share: after a lull all sidecars held one at once. Fix: an attempt takes one token at least; a token that is not used within half a window lapses, where the bucket gets less than one in that time. Why it works: the phases of the buckets stay spread, so that only sidecars whose turn it is hold a token, whatever the traffic was before. TestSlowStartTokensLapse (18 of 200 hold a token) and TestSlowStartTokenOfASmallRequest (0.75 left) fail without.

--- a/balancer/requests.go
+++ b/balancer/requests.go
@@ -116,7 +116,7 @@
 		u.inFlight = append(u.inFlight, a)
 	}
 	u.report.inFlight++
-	u.slowStart.tokens -= r.cost
+	u.slowStart.tokens -= max(1, r.cost)
 	u.zoneState.delayNextTrial(b.now + b.lateAttemptDelay(r))
 	b.emit(Action{
 		Kind:     Send,
--- a/balancer/slow_start.go
+++ b/balancer/slow_start.go
@@ -15,6 +15,10 @@
 
 	// slowStartBurstParts: the token bucket holds the tokens of OverloadWindow divided by this, at least one.
 	slowStartBurstParts = 10
+
+	// slowStartLapseParts: a token that is not used for OverloadWindow divided by this lapses, if the bucket
+	// gets less than one in that time.
+	slowStartLapseParts = 2
 )
 
 // beginSlowStart holds back an upstream that started at u.startedAt, within SlowStartWindow. The bucket
@@ -45,7 +49,8 @@
 }
 
 // slowStartAllows refills u's token bucket up to now and reports whether it holds a token for an attempt.
-// send takes as many as the attempt's cost, so the bucket may fall below 0. Outside slow start it is true.
+// send takes as many as the attempt's cost, at least one, so the bucket may fall below 0. Outside slow start
+// it is true.
 //
 // Tokens a second: the offered rate, in mean requests a second, divided by the candidate set's size, times
 // the present capacity; with OverloadMultiple also times slowStartOverloadFraction, OverloadMultiple and the
@@ -66,9 +71,6 @@
 		share *= slowStartOverloadFraction * b.settings.OverloadMultiple * capacityRatio
 	}
 	perSecond := share * b.offeredRate.perSecond(b.now) / float64(size)
-	burst := max(1, perSecond*b.settings.OverloadWindow.Seconds()/slowStartBurstParts)
-	s := &u.slowStart
-	s.tokens = min(burst, s.tokens+perSecond*(b.now-s.refilledAt).Seconds())
-	s.refilledAt = b.now
-	return s.tokens >= 1
+	u.slowStart.refill(b.now, perSecond, b.settings.OverloadWindow)
+	return u.slowStart.tokens >= 1
 }
--- a/balancer/slow_start_test.go
+++ b/balancer/slow_start_test.go
@@ -245,3 +245,45 @@
 		}
 	}
 }
+
+// TestSlowStartTokensLapse guards against buckets that are all full after a lull: of many sidecars with a small share each, only those
+// whose turn it is hold a token at one moment.
+func TestSlowStartTokensLapse(t *testing.T) {
+	const (
+		sidecars  = 200
+		window    = 2 * time.Second
+		perSecond = 0.02 // of each
+	)
+	random := rand.New(rand.NewPCG(1, 2))
+	buckets := make([]slowStartState, sidecars)
+	for i := range buckets {
+		buckets[i].tokens = random.Float64()
+	}
+	now := time.Duration(0)
+	for now < 5*time.Minute { // nothing is sent
+		now += time.Second
+		holding := 0
+		for i := range buckets {
+			buckets[i].refill(now, perSecond, window)
+			if buckets[i].tokens >= 1 {
+				holding++
+			}
+		}
+		// Each holds one for half a window of the 50 s between two: 4 in the mean.
+		if holding > 14 {
+			t.Fatalf("after %v %d of %d sidecars hold a token", now, holding, sidecars)
+		}
+	}
+}
+
+// TestSlowStartTokenOfASmallRequest guards against small requests of which one token sends several.
+func TestSlowStartTokenOfASmallRequest(t *testing.T) {
+	r := newHarness(t, testSettings())
+	r.addUpstreams(1)
+	u := r.balancer.upstreams["u0"]
+	u.slowStart = slowStartState{active: true, startedAt: r.now, refilledAt: r.now, tokens: 1}
+	r.balancer.send(&request{id: "small", cost: 0.25, class: r.balancer.classes["c"]}, u)
+	if u.slowStart.tokens != 0 {
+		t.Errorf("%v tokens are left", u.slowStart.tokens)
+	}
+}
