staleness: a call that a crowded server has not rejected keeps its place

Cause: a call without its first byte was replaced after 1.5 s, which fits a queue of 1 s. This server lets calls queue for 3 s: they were given up while they waited, went on taking its time, and their successors stood at its end. Fix: after two rejections in a row a call may wait for its first byte for 4 s. Why it works: a rejection says that the server is there and its queue long; what it does not reject is in the queue and will be answered.

--- a/internal/discovery/staleness/schedule.go
+++ b/internal/discovery/staleness/schedule.go
@@ -15,12 +15,17 @@
 // firstByteTimeout returns how long a call opened at openedAt may wait for its first byte until another one is opened beside it.
 //
 // Before the deadline it is half of the remaining time, so that two calls fit. Once the deadline has passed it is short at first and
-// doubles with each consecutive timeout, so that a slow answer is waited for in the end.
+// doubles with each consecutive timeout, so that a slow answer is waited for in the end. Where calls before it were rejected, the server
+// is there and its queue is long: a call that is not rejected has a place in it, and one beside it would take the place of another
+// sidecar's.
 func (m *Machine) firstByteTimeout(openedAt time.Duration) time.Duration {
 	doublings := min(m.consecutiveTimeouts, maxTimeoutDoublings)
 	if m.options.Pushed {
 		return min(m.options.gracePercent(pushedFirstByteTimeoutPercent)<<doublings, m.options.gracePercent(pushedMaxFirstByteTimeoutPercent))
 	}
+	if m.consecutiveFailures >= crowdedFailures {
+		return crowdedFirstByteTimeout
+	}
 	if m.deadline <= openedAt {
 		return min(minFirstByteTimeout<<doublings, maxFirstByteTimeout)
 	}
--- a/internal/discovery/staleness/timing.go
+++ b/internal/discovery/staleness/timing.go
@@ -46,6 +46,9 @@
 	maxFirstByteTimeout = notificationDeadline / 2 // two calls in a row fit
 	maxTimeoutDoublings = 8                        // of the first byte timeout, by consecutive timeouts
 
+	crowdedFailures         = 2               // calls in a row that ended without an answer, from which on the server counts as crowded
+	crowdedFirstByteTimeout = 4 * time.Second // then: a queue of up to 3 s, and the call itself
+
 	maxOpenCalls       = 2 // at the present address: the one that timed out, and its successor
 	maxSupersededCalls = 4 // at earlier addresses
 )
