soak: clients keep connections, signals come in series, crowds connect

Need: the soak could not see requests lost on connections that come up as a process ends: each request had a connection of its own, SIGTERM came alone, and 15 requests a second let the accept queue fall quiet. "terminate in series" sends SIGHUP and SIGTERM in turn until the process has ended, and SIGHUP as soon as the next one is ready. "crowd" opens 100 to 300 connections in a second to a process that is being ended, every second one idle.

--- a/internal/testing/processes/shutdown_test.go
+++ b/internal/testing/processes/shutdown_test.go
@@ -116,7 +116,7 @@
 		conn = tls.Client(conn, c.secure)
 	}
 	in := bufio.NewReader(conn)
-	for n := 0; !c.stopped() && (n == 0 || !hasEnded(socket)); n++ {
+	for n := 0; !c.stopped() && (n == 0 || !ConnectionEnded(socket)); n++ {
 		request := fmt.Sprintf("POST /%s/1 HTTP/1.1\r\nHost: s\r\nX-Request-ID: %x-%x\r\nX-Priority-Class: %s\r\nContent-Length: 1\r\n\r\nx",
 			c.class, client, rng.Uint64(), c.class)
 		sent := time.Now()
@@ -139,21 +139,6 @@
 	}
 }
 
-// hasEnded reports whether the server has ended a connection on which no response is awaited: its end, or the TLS alert before it, waits to be
-// read. As any client that keeps connections, those of a crowd look before they send another request.
-func hasEnded(socket net.Conn) (ended bool) {
-	raw, err := socket.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		return true
-	}
-	err = raw.Read(func(fd uintptr) bool {
-		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		ended = err == nil
-		return true
-	})
-	return ended || err != nil
-}
-
 // unwritten counts a request that could not be written. The first one of an encrypted connection includes the handshake.
 func (c *crowd) unwritten(n int, dialed, sent time.Time, err error) {
 	c.count(func() {
--- a/internal/testing/soak/fleet.go
+++ b/internal/testing/soak/fleet.go
@@ -51,6 +51,8 @@
 	firstSecond = time.Second             // in which no process gets SIGHUP
 	movedFor    = 1500 * time.Millisecond // an address of discovery's ends so long behind the reload that names another
 	readyLook   = 10 * time.Millisecond
+
+	seriesInterval = 90 * time.Millisecond // between the signals of TerminateSeries
 )
 
 // Play plays a script and returns what was seen. It fails the test only where the fleet cannot be set up.
@@ -63,6 +65,10 @@
 	var load sync.WaitGroup
 	for i, s := range f.sidecars {
 		c := newClient(i, s.address, script.Deadline, script.Seed, f.record)
+		for number := range keepingClients {
+			k := newKeepingClient(c, number)
+			load.Go(func() { k.run(ctx) })
+		}
 		load.Go(func() { c.run(ctx, script.Rate) })
 	}
 	f.play()
@@ -145,7 +151,7 @@
 func (f *fleet) files(s *sidecar) map[string]string {
 	config := map[string]any{
 		"name": s.process.Name(), "listen": s.address, "discovery": s.lists, "seed": fmt.Sprintf("%x", f.script.Seed*100+uint64(s.number)),
-		"limits": map[string]any{"cores": 1, "memory_mb": 96, "sockets": 512},
+		"limits": map[string]any{"cores": 1, "memory_mb": 96, "sockets": 1024},
 		"known":  f.known(), "settings": f.settings(),
 	}
 	text, err := json.Marshal(config)
@@ -242,8 +248,10 @@
 		f.leave(f.upstreams[step.Target].name, step.Kind == Remove)
 	case Reload:
 		f.playing.Go(func() { f.reload(f.sidecars[step.Target]) })
-	case Terminate, Kill:
-		f.playing.Go(func() { f.restart(f.sidecars[step.Target], step.Kind == Kill) })
+	case Terminate, TerminateSeries, Kill:
+		f.playing.Go(func() { f.restart(f.sidecars[step.Target], step.Kind) })
+	case Crowd:
+		f.playing.Go(func() { f.crowd(f.sidecars[step.Target], step) })
 	case Pause:
 		f.playing.Go(func() { f.pause(f.sidecars[step.Target], step.For) })
 	case UpstreamHangs:
@@ -294,17 +302,21 @@
 	}
 }
 
-func (f *fleet) restart(s *sidecar, kill bool) {
+func (f *fleet) restart(s *sidecar, kind StepKind) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !f.end(s, kill) {
+	if !f.end(s, kind) {
 		return
 	}
 	f.start(s)
+	if kind == TerminateSeries { // and at once when it is ready
+		_ = s.process.Signal(syscall.SIGHUP) // a process that has ended is a finding of its own
+	}
 }
 
-// end ends a sidecar's process, with SIGKILL at once or as early as one may come behind SIGTERM.
-func (f *fleet) end(s *sidecar, kill bool) bool {
+// end ends a sidecar's process, with SIGKILL at once or as early as one may come after SIGTERM.
+func (f *fleet) end(s *sidecar, kind StepKind) bool {
+	kill := kind == Kill
 	now := f.record.now()
 	f.record.do(func(r *Record) {
 		if kill {
@@ -323,7 +335,14 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), f.script.Deadline+killSlack)
 	defer cancel()
-	if s.process.Await(ctx) != nil {
+	var signaling sync.WaitGroup
+	if kind == TerminateSeries {
+		signaling.Go(func() { f.signalUntilEnd(ctx, s) })
+	}
+	notEnded := s.process.Await(ctx)
+	cancel()
+	signaling.Wait() // the next process gets none of these signals
+	if notEnded != nil {
 		killed, stop := context.WithTimeout(context.Background(), processes.Patience)
 		defer stop()
 		_ = s.process.Kill(killed)
@@ -332,6 +351,20 @@
 	return true
 }
 
+// signalUntilEnd sends SIGHUP and SIGTERM in turn to a process that ends.
+func (f *fleet) signalUntilEnd(ctx context.Context, s *sidecar) {
+	for n := 0; ctx.Err() == nil; n++ {
+		select {
+		case <-time.After(seriesInterval):
+		case <-ctx.Done():
+			return
+		}
+		if s.process.Signal([]syscall.Signal{syscall.SIGHUP, syscall.SIGTERM}[n%2]) != nil {
+			return
+		}
+	}
+}
+
 // pause holds a process up, as a busy machine does.
 func (f *fleet) pause(s *sidecar, d time.Duration) {
 	s.mu.Lock()
@@ -347,7 +380,7 @@
 func (f *fleet) endLives() {
 	for _, s := range f.sidecars {
 		s.mu.Lock()
-		f.end(s, false)
+		f.end(s, Terminate)
 		s.mu.Unlock()
 	}
 }
--- a/internal/testing/soak/script.go
+++ b/internal/testing/soak/script.go
@@ -15,13 +15,15 @@
 	DiscoveryDown    StepKind = "discovery down"    // calls fail and watches end
 	DiscoveryRefuses StepKind = "discovery refuses" // the first calls at each address are rejected
 	WatchesReset     StepKind = "watches reset"
-	WatchesSilent    StepKind = "watches silent" // open calls and watches get no more bytes
-	Drain            StepKind = "drain"          // an upstream is listed as draining; it serves on
-	Remove           StepKind = "remove"         // an upstream is removed from the list
-	Reload           StepKind = "reload"         // a sidecar's configuration names another address of discovery
-	Terminate        StepKind = "terminate"      // SIGTERM, and a new start once the process has ended
-	Kill             StepKind = "kill"           // SIGKILL and a new start
-	Pause            StepKind = "pause"          // SIGSTOP, and SIGCONT
+	WatchesSilent    StepKind = "watches silent"      // open calls and watches get no more bytes
+	Drain            StepKind = "drain"               // an upstream is listed as draining; it serves on
+	Remove           StepKind = "remove"              // an upstream is removed from the list
+	Reload           StepKind = "reload"              // a sidecar's configuration names another address of discovery
+	Terminate        StepKind = "terminate"           // SIGTERM, and a new start once the process has ended
+	Kill             StepKind = "kill"                // SIGKILL and a new start
+	TerminateSeries  StepKind = "terminate in series" // the same, with SIGHUP and SIGTERM again and again until it ends
+	Crowd            StepKind = "crowd"               // Count connections to a sidecar within For; every second one stays idle
+	Pause            StepKind = "pause"               // SIGSTOP, and SIGCONT
 	UpstreamHangs    StepKind = "upstream hangs"
 	UpstreamResets   StepKind = "upstream resets" // connections close under requests that have begun
 )
@@ -32,7 +34,7 @@
 	Kind   StepKind
 	Target int           // a sidecar or an upstream, where the kind has one
 	For    time.Duration // how long it lasts
-	Count  int           // of DiscoveryRefuses: calls
+	Count  int           // of DiscoveryRefuses: calls; of Crowd: connections
 }
 
 // Script holds the settings and steps of a seed.
@@ -56,6 +58,10 @@
 	minLength    = quietBegin + quietEnd + time.Second
 	drainDivisor = 3 // of the upstreams one in so many drains or goes at most
 	maxRefusals  = 6
+
+	minCrowd    = 100 // connections
+	maxCrowd    = 300
+	crowdLength = time.Second
 )
 
 // Draw returns the script of a seed with a total length.
@@ -128,7 +134,7 @@
 	at := d.moment()
 	sidecar := d.rng.IntN(d.script.Sidecars)
 	upstream := d.remainingUpstream()
-	switch d.rng.IntN(9) {
+	switch d.rng.IntN(10) {
 	case 0:
 		d.add(Step{At: at, Kind: WatchesReset})
 	case 1:
@@ -142,6 +148,8 @@
 	case 6:
 		d.add(Step{At: at, Kind: Pause, Target: sidecar, For: between(d.rng, 20*time.Millisecond, maxPause)})
 	case 7:
+		d.restart(sidecar, at)
+	case 8:
 		d.add(Step{At: at, Kind: UpstreamHangs, Target: upstream, For: between(d.rng, 500*time.Millisecond, 4*time.Second)})
 	default:
 		d.add(Step{At: at, Kind: UpstreamResets, Target: upstream, For: between(d.rng, 500*time.Millisecond, 3*time.Second)})
@@ -155,9 +163,9 @@
 		return
 	}
 	d.restarts[sidecar] = at
-	kind := Terminate
-	if d.rng.IntN(3) == 0 {
-		kind = Kill
+	kind := []StepKind{Terminate, TerminateSeries, Kill}[d.rng.IntN(3)]
+	if kind != Kill && d.rng.IntN(2) == 0 { // connections come until nothing more is accepted
+		d.add(Step{At: at, Kind: Crowd, Target: sidecar, For: crowdLength, Count: minCrowd + d.rng.IntN(maxCrowd-minCrowd)})
 	}
 	d.add(Step{At: at, Kind: kind, Target: sidecar})
 	if d.rng.IntN(2) == 0 { // its requests in flight hang
