--- a/internal/fakes/node_test.go
+++ b/internal/fakes/node_test.go
@@ -120,6 +120,27 @@
 	}
 }
 
+// checkSilence checks that a watch gets nothing while discovery is silent, and its beats or the change afterwards.
+func checkSilence(t *testing.T, d *Discovery, lines *bufio.Scanner) {
+	t.Helper()
+	d.Silence(true)
+	d.Drain("b")
+	said := make(chan string, 1)
+	go func() {
+		lines.Scan()
+		said <- lines.Text()
+	}()
+	select {
+	case text := <-said:
+		t.Errorf("while silent: %q", text)
+	case <-time.After(50 * time.Millisecond): // five beats
+	}
+	d.Silence(false)
+	if text := <-said; !strings.Contains(text, `"b"`) && text != "" {
+		t.Errorf("after the silence: %q", text)
+	}
+}
+
 // TestDiscoveryPollsAndWatches checks watches and polls through silence, outage and a move to another address.
 func TestDiscoveryPollsAndWatches(t *testing.T) {
 	d := NewDiscovery()
@@ -147,22 +168,7 @@
 	if _, ok := d.FirstNotified("a", "Terminating"); !ok {
 		t.Error("the change was not told")
 	}
-	d.Silence(true)
-	d.Drain("b")
-	said := make(chan string, 1)
-	go func() {
-		lines.Scan()
-		said <- lines.Text()
-	}()
-	select {
-	case text := <-said:
-		t.Errorf("while silent: %q", text)
-	case <-time.After(50 * time.Millisecond): // five beats
-	}
-	d.Silence(false)
-	if text := <-said; !strings.Contains(text, `"b"`) && text != "" {
-		t.Errorf("after the silence: %q", text)
-	}
+	checkSilence(t, d, lines)
 	d.Break()
 	for lines.Scan() {
 	}
--- a/internal/lease/raftgroup/processes_test.go
+++ b/internal/lease/raftgroup/processes_test.go
@@ -31,7 +31,7 @@
 				names = append(names, p.Name())
 			}
 			script := processes.Draw(seed, processes.Mix{Processes: names, Links: f.links, Length: *faultDuration, Every: 150 * time.Millisecond,
-				Shortest: 50 * time.Millisecond, Longest: 2500 * time.Millisecond, Down: 2, Weights: map[processes.Deed]float64{processes.Kill: 3, processes.Pause: 4,
+				Shortest: 50 * time.Millisecond, Longest: 2500 * time.Millisecond, Down: 2, Weights: map[processes.StepKind]float64{processes.Kill: 3, processes.Pause: 4,
 					processes.DropBoth: 1, processes.DropOut: 1, processes.DropBack: 1, processes.Slow: 1, processes.Hang: 1, processes.CutOut: 1, processes.Part: 1, processes.PartOne: 1}})
 			if err := f.rig.Play(testContext(t), script); err != nil {
 				t.Fatal(err)
--- a/internal/task/runner/processes_test.go
+++ b/internal/task/runner/processes_test.go
@@ -45,7 +45,7 @@
 			f := newFleet(t, seed)
 			f.eventually("the first runs", func(lines []sinkLine) bool { return len(lines) >= 6 })
 			script := processes.Draw(seed, processes.Mix{Processes: []string{"a", "b", "c"}, Links: f.links, Length: *faultDuration, Every: 200 * time.Millisecond,
-				Shortest: 50 * time.Millisecond, Longest: 2500 * time.Millisecond, Down: 1, Weights: map[processes.Deed]float64{processes.Kill: 4, processes.Pause: 4,
+				Shortest: 50 * time.Millisecond, Longest: 2500 * time.Millisecond, Down: 1, Weights: map[processes.StepKind]float64{processes.Kill: 4, processes.Pause: 4,
 					processes.DropBoth: 1, processes.DropOut: 1, processes.DropBack: 1, processes.Slow: 1, processes.Hang: 1, processes.CutOut: 1}})
 			if err := f.rig.Play(testContext(t), script); err != nil {
 				t.Fatal(err)
--- a/internal/testing/processes/history.go
+++ b/internal/testing/processes/history.go
@@ -11,10 +11,10 @@
 
 // Kinds of events.
 const (
-	Did   = "did"   // an action of the rig on a process or link
-	Told  = "told"  // a line of a process, in Data if it is JSON
-	Ended = "ended" // a process ended
-	Noted = "noted" // a note of the test or its rule checker
+	Did    = "did"   // an action of the rig on a process or link
+	Logged = "told"  // a line of a process, in Data if it is JSON
+	Ended  = "ended" // a process ended
+	Noted  = "noted" // a note of the test or its rule checker
 )
 
 // Event is one line of a history.
@@ -22,7 +22,7 @@
 	At   time.Duration   `json:"at"` // since the history began, by a clock that does not jump
 	Kind string          `json:"kind"`
 	Who  string          `json:"who"`            // a process, a link, or whoever notes
-	Life int             `json:"life,omitempty"` // the process's, from 1: each start is one
+	Run  int             `json:"life,omitempty"` // the process's, from 1: each start is one
 	What string          `json:"what"`
 	Data json.RawMessage `json:"data,omitempty"`
 }
--- a/internal/testing/processes/process.go
+++ b/internal/testing/processes/process.go
@@ -25,8 +25,8 @@
 	Ready func(Event) bool  // matches the line that a process logs once it serves; nil: it is ready when it runs
 }
 
-// life is one run of a Process.
-type life struct {
+// processRun is one run of a Process.
+type processRun struct {
 	number int
 	cmd    *exec.Cmd
 	over   chan struct{} // closed after its end, when all its lines are in the history
@@ -39,10 +39,10 @@
 	spec Spec
 	Dir  string // its working directory and, where nothing else is said, TMPDIR
 
-	mu    sync.Mutex
-	lives int
-	now   *life // nil: none has begun
-	all   []*life
+	mu   sync.Mutex
+	runs int
+	now  *processRun // nil: none has begun
+	all  []*processRun
 }
 
 // Name returns the name of the Spec.
@@ -91,8 +91,8 @@
 	cmd.Env = append(append(os.Environ(), "TMPDIR="+p.Dir), p.spec.Env...)
 	// A group of its own, so that what it has started can be ended too; and the kernel ends it with the rig.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
-	p.lives++
-	l := &life{number: p.lives, cmd: cmd, over: make(chan struct{}), from: len(p.rig.History.Events(0))}
+	p.runs++
+	l := &processRun{number: p.runs, cmd: cmd, over: make(chan struct{}), from: len(p.rig.History.Events(0))}
 	if err := start(cmd); err != nil {
 		return errors.Join(fmt.Errorf("%s: %w", p.spec.Name, err), read.Close())
 	}
@@ -110,18 +110,18 @@
 		// What it has started may hold the pipe: that ends with it.
 		_ = syscall.Kill(-cmd.Process.Pid, syscall.SIGKILL)
 		<-lines
-		p.rig.History.Add(Event{Kind: Ended, Who: p.spec.Name, Life: l.number, What: cmd.ProcessState.String()})
+		p.rig.History.Add(Event{Kind: Ended, Who: p.spec.Name, Run: l.number, What: cmd.ProcessState.String()})
 	}()
 	return nil
 }
 
 // readLines adds the lines of a run to the history.
-func (p *Process) readLines(l *life, from io.Reader) {
+func (p *Process) readLines(l *processRun, from io.Reader) {
 	in := bufio.NewReaderSize(from, 64<<10)
 	for {
 		line, err := in.ReadSlice('\n')
 		if text := bytes.TrimSpace(line); len(text) > 0 {
-			e := Event{Kind: Told, Who: p.spec.Name, Life: l.number}
+			e := Event{Kind: Logged, Who: p.spec.Name, Run: l.number}
 			var said struct {
 				Msg string `json:"msg"`
 			}
@@ -138,7 +138,7 @@
 	}
 }
 
-func (l *life) ended() bool {
+func (l *processRun) ended() bool {
 	select {
 	case <-l.over:
 		return true
@@ -147,7 +147,7 @@
 	}
 }
 
-func (p *Process) current() *life {
+func (p *Process) current() *processRun {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.now
@@ -166,9 +166,9 @@
 	}
 	var ended bool
 	_, _, err := p.rig.History.Wait(ctx, l.from, func(e Event) bool {
-		mine := e.Who == p.spec.Name && e.Life == l.number
+		mine := e.Who == p.spec.Name && e.Run == l.number
 		ended = mine && e.Kind == Ended
-		return ended || mine && e.Kind == Told && p.spec.Ready(e)
+		return ended || mine && e.Kind == Logged && p.spec.Ready(e)
 	})
 	if err == nil && ended {
 		err = errNone
--- a/internal/testing/processes/processes_test.go
+++ b/internal/testing/processes/processes_test.go
@@ -93,7 +93,7 @@
 	var story []string
 	for _, e := range r.History.Events(0) {
 		if e.Who == process && (e.Kind == Did || e.Kind == Ended) {
-			story = append(story, fmt.Sprint(e.Life, " ", e.What))
+			story = append(story, fmt.Sprint(e.Run, " ", e.What))
 		}
 	}
 	return story
@@ -116,7 +116,7 @@
 			t.Fatal(err)
 		}
 		if _, err := os.Stat(kept); (err == nil) != (i == 0) {
-			t.Errorf("life %d: %v", i, err)
+			t.Errorf("run %d: %v", i, err)
 		}
 	}
 }
@@ -283,8 +283,8 @@
 func TestDraw(t *testing.T) {
 	m := Mix{Processes: []string{"a", "b", "c", "d", "e"}, Links: []string{"a>b", "b>a"}, Length: 30 * time.Second, Every: 100 * time.Millisecond,
 		Shortest: 50 * time.Millisecond, Longest: 2 * time.Second, Down: 2,
-		Weights: map[Deed]float64{Kill: 1, KillBare: 1, Pause: 1, DropBoth: 1, DropBack: 1, Slow: 1, Hang: 1, CutOut: 1, Part: 1, PartOne: 1}}
-	seen := map[Deed]int{}
+		Weights: map[StepKind]float64{Kill: 1, KillBare: 1, Pause: 1, DropBoth: 1, DropBack: 1, Slow: 1, Hang: 1, CutOut: 1, Part: 1, PartOne: 1}}
+	seen := map[StepKind]int{}
 	for seed := range uint64(50) {
 		script := Draw(seed, m)
 		if !reflect.DeepEqual(script, Draw(seed, m)) {
@@ -332,7 +332,7 @@
 		t.Fatal(err)
 	}
 	script := Draw(4, Mix{Processes: []string{"n0", "n1"}, Links: []string{"n0>up"}, Length: 1500 * time.Millisecond, Every: 100 * time.Millisecond,
-		Shortest: 20 * time.Millisecond, Longest: 300 * time.Millisecond, Down: 1, Weights: map[Deed]float64{Kill: 1, Pause: 2, DropBoth: 1, Hang: 1, CutOut: 1}})
+		Shortest: 20 * time.Millisecond, Longest: 300 * time.Millisecond, Down: 1, Weights: map[StepKind]float64{Kill: 1, Pause: 2, DropBoth: 1, Hang: 1, CutOut: 1}})
 	if len(script) < 4 {
 		t.Fatalf("%d steps", len(script))
 	}
--- a/internal/testing/processes/rig.go
+++ b/internal/testing/processes/rig.go
@@ -135,8 +135,8 @@
 }
 
 // did records an action of the rig.
-func (r *Rig) did(who string, life int, what string, detail any) {
-	e := Event{Kind: Did, Who: who, Life: life, What: what}
+func (r *Rig) did(who string, run int, what string, detail any) {
+	e := Event{Kind: Did, Who: who, Run: run, What: what}
 	if detail != nil {
 		e.Data, _ = json.Marshal(detail) // of plain values
 	}
@@ -171,7 +171,7 @@
 		return ""
 	}
 	for _, e := range p.rig.History.Events(l.from) {
-		if e.Who == p.spec.Name && e.Life == l.number && e.Kind == Told && Listening(e) {
+		if e.Who == p.spec.Name && e.Run == l.number && e.Kind == Logged && Listening(e) {
 			var fields map[string]any
 			if json.Unmarshal(e.Data, &fields) == nil {
 				value, _ := fields[key].(string)
--- a/internal/testing/processes/script.go
+++ b/internal/testing/processes/script.go
@@ -9,31 +9,31 @@
 	"time"
 )
 
-// Deed is the kind of a step.
-type Deed string
+// StepKind is the kind of a step.
+type StepKind string
 
 // The kinds of steps. Those that have an end last for Step.For.
 const (
-	Kill      Deed = "kill"         // SIGKILL; started again after For with its disk
-	KillBare  Deed = "kill-bare"    // the same, with an empty directory
-	Pause     Deed = "pause"        // SIGSTOP, and SIGCONT after For
-	Terminate Deed = "terminate"    // SIGTERM; started again after For once it has ended
-	Replace   Deed = "replace"      // a new process beside it, then SIGTERM
-	DropBoth  Deed = "drop"         // a link, both ways
-	DropOut   Deed = "drop-out"     // one way
-	DropBack  Deed = "drop-back"    // the other way
-	Slow      Deed = "slow"         // a link, by Lag and up to Lag more each way
-	Hang      Deed = "hang"         // all connections, for ever
-	Reset     Deed = "reset"        // all connections
-	CutOut    Deed = "cut"          // in the middle of a message, after Bytes
-	Part      Deed = "part"         // all links between Group and the others, both ways
-	PartOne   Deed = "part-one-way" // all links from Group to the others, and back over links of the others
+	Kill      StepKind = "kill"         // SIGKILL; started again after For with its disk
+	KillBare  StepKind = "kill-bare"    // the same, with an empty directory
+	Pause     StepKind = "pause"        // SIGSTOP, and SIGCONT after For
+	Terminate StepKind = "terminate"    // SIGTERM; started again after For once it has ended
+	Replace   StepKind = "replace"      // a new process beside it, then SIGTERM
+	DropBoth  StepKind = "drop"         // a link, both ways
+	DropOut   StepKind = "drop-out"     // one way
+	DropBack  StepKind = "drop-back"    // the other way
+	Slow      StepKind = "slow"         // a link, by Lag and up to Lag more each way
+	Hang      StepKind = "hang"         // all connections, for ever
+	Reset     StepKind = "reset"        // all connections
+	CutOut    StepKind = "cut"          // in the middle of a message, after Bytes
+	Part      StepKind = "part"         // all links between Group and the others, both ways
+	PartOne   StepKind = "part-one-way" // all links from Group to the others, and back over links of the others
 )
 
 // Step is a fault or restart at a time.
 type Step struct {
 	At    time.Duration `json:"at"`
-	Do    Deed          `json:"do"`
+	Do    StepKind      `json:"do"`
 	Who   string        `json:"who,omitempty"` // a process or a link
 	Group []string      `json:"group,omitempty"`
 	For   time.Duration `json:"for,omitempty"`
@@ -44,22 +44,22 @@
 // Mix holds the parameters by which Draw makes a script.
 type Mix struct {
 	Processes, Links []string
-	Length           time.Duration    // all steps have ended by then
-	Every            time.Duration    // a step begins, on average
-	Shortest         time.Duration    // a fault
-	Longest          time.Duration    // a fault
-	Weights          map[Deed]float64 // relative frequencies of the deeds
-	Down             int              // maximum of processes that are down or stopped at the same time
+	Length           time.Duration        // all steps have ended by then
+	Every            time.Duration        // a step begins, on average
+	Shortest         time.Duration        // a fault
+	Longest          time.Duration        // a fault
+	Weights          map[StepKind]float64 // relative frequencies of the kinds
+	Down             int                  // maximum of processes that are down or stopped at the same time
 }
 
 // Draw returns the script of a seed: the same seed and Mix give the same one. A process or link gets no second fault before its first has
 // ended.
 func Draw(seed uint64, m Mix) []Step {
 	d := drawer{mix: m, rng: rand.New(rand.NewPCG(seed, 0x70726f6373)), busyUntil: map[string]time.Duration{}}
-	for deed, weight := range m.Weights {
-		d.deeds, d.totalWeight = append(d.deeds, deed), d.totalWeight+weight
+	for kind, weight := range m.Weights {
+		d.kinds, d.totalWeight = append(d.kinds, kind), d.totalWeight+weight
 	}
-	slices.Sort(d.deeds) // map iteration order is random
+	slices.Sort(d.kinds) // map iteration order is random
 	var steps []Step
 	for at := time.Duration(0); d.totalWeight > 0; {
 		at += time.Duration(d.rng.ExpFloat64() * float64(m.Every))
@@ -67,7 +67,7 @@
 		if at+s.For >= m.Length {
 			break
 		}
-		s.Do = d.deed()
+		s.Do = d.kind()
 		if d.complete(&s) {
 			steps = append(steps, s)
 		}
@@ -82,21 +82,21 @@
 type drawer struct {
 	mix         Mix
 	rng         *rand.Rand
-	deeds       []Deed // sorted
+	kinds       []StepKind // sorted
 	totalWeight float64
 	busyUntil   map[string]time.Duration // end of the last fault by process or link
 }
 
-// deed draws a deed by the weights.
-func (d *drawer) deed() (deed Deed) {
+// kind draws a kind by the weights.
+func (d *drawer) kind() (kind StepKind) {
 	x := d.rng.Float64() * d.totalWeight
-	for _, deed = range d.deeds {
-		if x < d.mix.Weights[deed] {
+	for _, kind = range d.kinds {
+		if x < d.mix.Weights[kind] {
 			break
 		}
-		x -= d.mix.Weights[deed]
+		x -= d.mix.Weights[kind]
 	}
-	return deed
+	return kind
 }
 
 // complete draws the target and the parameters of a step; false: it cannot take place at its time.
@@ -165,7 +165,7 @@
 	}
 	var all []due
 	for _, s := range script {
-		begin, end, err := r.deed(ctx, s)
+		begin, end, err := r.stepActions(ctx, s)
 		if err != nil {
 			return err
 		}
@@ -189,8 +189,8 @@
 	return nil
 }
 
-// deed returns the actions of a step at its start and at its end; end is nil if there is none.
-func (r *Rig) deed(ctx context.Context, s Step) (begin, end func() error, err error) {
+// stepActions returns the actions of a step at its start and at its end; end is nil if there is none.
+func (r *Rig) stepActions(ctx context.Context, s Step) (begin, end func() error, err error) {
 	r.mu.Lock()
 	p, l := r.processes[s.Who], r.links[s.Who]
 	r.mu.Unlock()
@@ -250,7 +250,7 @@
 		return func() error { r.part(s.Group, s.Do == PartOne, true); return nil },
 			func() error { r.part(s.Group, s.Do == PartOne, false); return nil }, nil
 	}
-	return nil, nil, fmt.Errorf("no such deed: %q", s.Do)
+	return nil, nil, fmt.Errorf("no such kind: %q", s.Do)
 }
 
 // part begins or ends a partition between a group of processes and the others. With oneWay only what the group sends is lost.
