--- a/review/testdata/cases/cases_test.go
+++ b/review/testdata/cases/cases_test.go
@@ -26,8 +26,8 @@
 // Guards against a payment that runs twice because a sidecar's key file is forgotten at its second restart.
 func TestCase1(t *testing.T) { runScript(t, "../../1/run.sh") }
 
-// Guards against a sidecar that cannot start again with the key file that it has written.
+// Guards against a payment that runs twice because it is sent again while the sidecar's process is replaced.
 func TestCase2(t *testing.T) { runScript(t, "../../2/run.sh") }
 
-// Guards against a client that gets the answer to another one's request.
+// Guards against a sidecar that cannot start again with the key file that it has written.
 func TestCase3(t *testing.T) { runScript(t, "../../3/run.sh") }
--- a/review/testdata/standin/main.go
+++ b/review/testdata/standin/main.go
@@ -34,6 +34,7 @@
 	"keys":    forgottenKeys,
 	"late":    lateAnswers,
 	"upload":  lostUploads,
+	"upgrade": repeatedAcrossProcesses,
 	"full":    fullStore,
 	"chunked": cutAnswers,
 	"halves":  unheardClients,
