--- a/review/testdata/standin/chunked.go
+++ b/review/testdata/standin/chunked.go
@@ -53,8 +53,8 @@
 	if err != nil {
 		return nil, err
 	}
-	classes := []class{{Name: "coach-map", Semantics: "retryable", KeyScope: "all", AimMs: 600, DeadlineMs: 1500, DedupWindowMs: 5000, Importance: 3, LateShare: 0.3}}
-	environment, err := p.platformFile("n1", address, "", d, "thika-road", 4, classes, smallLimits)
+	search := theSite().Search
+	environment, err := p.platformFile("n1", address, "", d, "thika-road", 4, []class{search}, smallLimits)
 	if err != nil {
 		return nil, err
 	}
@@ -68,12 +68,12 @@
 	for i := range chunkedRequests {
 		id := fmt.Sprintf("%016x", 0x65000000+i)
 		sending.Go(func() {
-			request, err := http.NewRequestWithContext(p, http.MethodGet, "http://"+address+"/coach-map/"+id, nil)
+			request, err := http.NewRequestWithContext(p, http.MethodGet, "http://"+address+"/"+search.Name+"/"+id, nil)
 			if err != nil {
 				return
 			}
 			request.Header.Set("X-Request-ID", id)
-			request.Header.Set("X-Priority-Class", "coach-map")
+			request.Header.Set("X-Priority-Class", search.Name)
 			request.Header.Set("X-Timeout", fmt.Sprintf("%dm", chunkedTime.Milliseconds()))
 			started := time.Now()
 			status, bytes := 0, int64(0)
@@ -86,7 +86,7 @@
 			if status != http.StatusOK || bytes != chunkedPieces*chunkedPiece {
 				mu.Lock()
 				defer mu.Unlock()
-				breaks = append(breaks, fmt.Sprintf("coach-map %s got %d with %d bytes", id, status, bytes))
+				breaks = append(breaks, fmt.Sprintf("%s %s got %d with %d bytes", search.Name, id, status, bytes))
 			}
 		})
 		if err := p.pause(chunkedEvery); err != nil {
--- a/review/testdata/standin/halves.go
+++ b/review/testdata/standin/halves.go
@@ -47,8 +47,8 @@
 	if err != nil {
 		return nil, err
 	}
-	classes := []class{{Name: "seat-search", Semantics: "retryable", KeyScope: "all", AimMs: 800, DeadlineMs: 1500, DedupWindowMs: 5000, Importance: 3, LateShare: 0.3}}
-	environment, err := p.platformFile("n1", address, "", d, "thika-road", 4, classes, smallLimits)
+	search := theSite().Search
+	environment, err := p.platformFile("n1", address, "", d, "thika-road", 4, []class{search}, smallLimits)
 	if err != nil {
 		return nil, err
 	}
@@ -77,7 +77,7 @@
 				mu.Lock()
 				switch {
 				case late:
-					breaks = append(breaks, "seat-search "+id+" has no answer, and its connection is open")
+					breaks = append(breaks, "request "+id+" has no answer, and its connection is open")
 				case status == http.StatusOK:
 					served++
 				default:
@@ -106,7 +106,7 @@
 			_ = p.pause(10 * time.Millisecond)
 			continue
 		}
-		_, _ = io.WriteString(conn, "GET /seat-search/1 HTTP/1.1\r\nHost: service.internal\r\nX-Req")
+		_, _ = io.WriteString(conn, "GET /"+theSite().Search.Name+"/1 HTTP/1.1\r\nHost: service.internal\r\nX-Req")
 		_ = conn.SetReadDeadline(time.Now().Add(halfPatience))
 		_, _ = io.Copy(io.Discard, conn)
 		conn.Close()
@@ -116,6 +116,7 @@
 // search sends one request on a client's connection, or on a new one if that is nil or ends unread. It returns the connection if it can be used
 // again. late says that no answer came in time on a connection that is open.
 func (p *play) search(conn net.Conn, address, id string) (_ net.Conn, status int, late bool) {
+	name := theSite().Search.Name
 	for {
 		isNew := conn == nil
 		if isNew {
@@ -124,8 +125,8 @@
 				return nil, 0, false
 			}
 		}
-		_, err := fmt.Fprintf(conn, "GET /seat-search/%s HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: %s\r\nX-Priority-Class: seat-search\r\nX-Timeout: %dm\r\n\r\n",
-			id, id, usualTime.Milliseconds())
+		_, err := fmt.Fprintf(conn, "GET /%s/%s HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: %s\r\nX-Priority-Class: %s\r\nX-Timeout: %dm\r\n\r\n",
+			name, id, id, name, usualTime.Milliseconds())
 		_ = conn.SetReadDeadline(time.Now().Add(usualTime + usualSlack))
 		var response *http.Response
 		if err == nil {
--- a/review/testdata/standin/keys.go
+++ b/review/testdata/standin/keys.go
@@ -106,12 +106,13 @@
 
 // paymentFile returns the operator's file of a sidecar before payment nodes, without its store of keys.
 func paymentFile(address string, list []endpoint) string {
+	name := theSite().Record.Name
 	text := fmt.Sprintf("[daemon]\nlisten = %q\n\n[limits]\nmemory = \"128MiB\"\ndescriptors = 1024\n\n[[service]]\nname = \"payments\"\nzone = \"upper-hill\"\n\n", address)
 	for _, e := range list {
 		text += fmt.Sprintf("[[service.endpoint]]\nname = %q\naddress = %q\nzone = %q\n\n", e.Name, e.Address, e.Zone)
 	}
-	return text + fmt.Sprintf("[[service.class]]\nname = \"payment-record\"\neffect = \"keyed\"\ngroup = \"zone\"\nwindow = %q\naim = \"2500ms\"\ndeadline = \"6s\"\nworth = 8.0\n\n"+
-		"[[route]]\nmatch = \"POST /payment-record/{id}\"\nclass = \"payment-record\"\ntenant = \"header:X-Tenant-Id\"\n\n", paymentWindow)
+	return text + fmt.Sprintf("[[service.class]]\nname = %q\neffect = \"keyed\"\ngroup = \"zone\"\nwindow = %q\naim = \"2500ms\"\ndeadline = \"6s\"\nworth = 8.0\n\n"+
+		"[[route]]\nmatch = \"POST /%s/{id}\"\nclass = %q\ntenant = \"header:X-Tenant-Id\"\n\n", name, paymentWindow, name, name)
 }
 
 // pay sends one payment of the first tenant once, and returns the answer's status, or 0 if there was none.
@@ -121,7 +122,7 @@
 func (p *play) payAs(tenant, address, key, try string) int {
 	ctx, cancel := context.WithTimeout(p, paymentWindow)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/payment-record/"+key, strings.NewReader(`{"amount":1200}`))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/"+theSite().Record.Name+"/"+key, strings.NewReader(`{"amount":1200}`))
 	if err != nil {
 		return 0
 	}
@@ -129,7 +130,7 @@
 	request.Header.Set("X-Tenant-Id", tenant)
 	request.Header.Set("Idempotency-Key", key)
 	request.Header.Set("X-Timeout", "5000m")
-	request.Header.Set("X-Priority-Class", "payment-record")
+	request.Header.Set("X-Priority-Class", theSite().Record.Name)
 	p.note("client sends payment %s, try %s", key, try)
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(request)
--- a/review/testdata/standin/late.go
+++ b/review/testdata/standin/late.go
@@ -147,10 +147,7 @@
 	if err != nil {
 		return nil, err
 	}
-	classes := []class{
-		{Name: "seat-search", Semantics: "retryable", KeyScope: "all", AimMs: 400, DeadlineMs: 1500, DedupWindowMs: 5000, Importance: 3, LateShare: 0.3},
-		{Name: "confirm-booking", Semantics: "fragile", KeyScope: "all", AimMs: 600, DeadlineMs: 3000, DedupWindowMs: 5000, Importance: 10, LateShare: 0.5},
-	}
+	classes := []class{theSite().Search, theSite().Confirm}
 	environment, err := p.platformFile("n1", address, "", d, "upper-hill", 4, classes, smallLimits)
 	if err != nil {
 		return nil, err
@@ -169,9 +166,9 @@
 		if err := p.pause(time.Duration(random.ExpFloat64() * float64(time.Second) / lateRate)); err != nil {
 			return nil, err
 		}
-		id, method, name := fmt.Sprintf("%016x", random.Uint64()), http.MethodGet, "seat-search"
+		id, method, name := fmt.Sprintf("%016x", random.Uint64()), http.MethodGet, classes[0].Name
 		if random.Float64() < 0.4 {
-			method, name = http.MethodPost, "confirm-booking"
+			method, name = http.MethodPost, classes[1].Name
 		}
 		sending.Go(func() {
 			status, body := p.ask(client, address, method, name, id)
--- a/review/testdata/standin/memory.go
+++ b/review/testdata/standin/memory.go
@@ -77,9 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	classes := []class{
-		{Name: "confirm-booking", Semantics: "fragile", KeyScope: "all", AimMs: 1200, DeadlineMs: 5000, DedupWindowMs: 5000, Importance: 10, LateShare: 0.5},
-	}
+	classes := []class{theSite().Confirm}
 	limits := map[string]any{"cores": 1.0, "memory_mb": memoryMB, "sockets": memorySockets}
 	environment, err := p.platformFile("n1", address, "", d, "thika-road", 4, classes, limits)
 	if err != nil {
@@ -146,8 +144,9 @@
 		return 0
 	}
 	defer conn.Close()
-	_, err = fmt.Fprintf(conn, "POST /confirm-booking/%s HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: %s\r\nX-Priority-Class: confirm-booking\r\n"+
-		"X-Timeout: 5000m\r\nTransfer-Encoding: chunked\r\n\r\n", id, id)
+	name := theSite().Confirm.Name
+	_, err = fmt.Fprintf(conn, "POST /%s/%s HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: %s\r\nX-Priority-Class: %s\r\n"+
+		"X-Timeout: 5000m\r\nTransfer-Encoding: chunked\r\n\r\n", name, id, id, name)
 	piece := strings.Repeat("x", bulkPiece)
 	for range bulkPieces {
 		if err != nil {
--- a/review/testdata/standin/upgrade.go
+++ b/review/testdata/standin/upgrade.go
@@ -41,7 +41,7 @@
 	if err := os.WriteFile(file, []byte("[[repeats]]\nservice = \"platform\"\nkeep = \"10m\"\n"), 0o600); err != nil {
 		return nil, err
 	}
-	classes := []class{{Name: "payment-record", Semantics: "dedup", KeyScope: "zone", AimMs: 2500, DeadlineMs: 6000, DedupWindowMs: 6000, Importance: 8, LateShare: 0.3}}
+	classes := []class{theSite().Record}
 	start := func(name string) (*sidecar, error) {
 		control, err := freeAddress()
 		if err != nil {
--- a/review/testdata/standin/upload.go
+++ b/review/testdata/standin/upload.go
@@ -104,9 +104,7 @@
 	if err != nil {
 		return nil, err
 	}
-	classes := []class{
-		{Name: "confirm-booking", Semantics: "fragile", KeyScope: "all", AimMs: 1200, DeadlineMs: 5000, DedupWindowMs: 5000, Importance: 10, LateShare: 0.5},
-	}
+	classes := []class{theSite().Confirm}
 	limits := map[string]any{"cores": 1.0, "memory_mb": 64, "sockets": 1024}
 	environment, err := p.platformFile("n1", address, "", d, "thika-road", 4, classes, limits)
 	if err != nil {
@@ -135,9 +133,9 @@
 			switch {
 			case !taken:
 			case status == 0:
-				breaks = append(breaks, fmt.Sprintf("confirm-booking %s has no answer %v after its last byte", id, took.Round(time.Millisecond)))
+				breaks = append(breaks, fmt.Sprintf("request %s has no answer %v after its last byte", id, took.Round(time.Millisecond)))
 			case took > uploadTime+uploadSlack:
-				breaks = append(breaks, fmt.Sprintf("confirm-booking %s got %d %v after its last byte, its time is %v", id, status, took.Round(time.Millisecond), uploadTime))
+				breaks = append(breaks, fmt.Sprintf("request %s got %d %v after its last byte, its time is %v", id, status, took.Round(time.Millisecond), uploadTime))
 			case status == http.StatusOK:
 				served++
 			}
@@ -163,8 +161,9 @@
 		return false, 0, 0
 	}
 	defer conn.Close()
-	head := fmt.Sprintf("POST /confirm-booking/%s HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: %s\r\nX-Priority-Class: confirm-booking\r\n"+
-		"X-Timeout: %dm\r\nContent-Length: %d\r\n\r\n", id, id, uploadTime.Milliseconds(), len(body))
+	name := theSite().Confirm.Name
+	head := fmt.Sprintf("POST /%s/%s HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: %s\r\nX-Priority-Class: %s\r\n"+
+		"X-Timeout: %dm\r\nContent-Length: %d\r\n\r\n", name, id, id, name, uploadTime.Milliseconds(), len(body))
 	_ = conn.SetWriteDeadline(time.Now().Add(uploadTime))
 	n, err := conn.Write(append([]byte(head), body...))
 	if err != nil {
