Review case 7: requests are served with another one's second answer

Cause: a connection is used again 5 ms after an answer.

Change: the folder review/7 with claim and script; nodes that answer some requests a second time, and links of 1.4 to 2.6 ms between data centres.

--- a/review/testdata/second/cases_test.go
+++ b/review/testdata/second/cases_test.go
@@ -38,5 +38,6 @@
 }
 
 func TestPaymentInUnknownGroup(t *testing.T) { playScript(t, "6") }
+func TestSecondAnswer(t *testing.T)          { playScript(t, "7") }
 func TestAnswerAcrossReload(t *testing.T)    { playScript(t, "9") }
 func TestPaymentWithoutLength(t *testing.T)  { playScript(t, "10") }
--- a/review/testdata/second/client.go
+++ b/review/testdata/second/client.go
@@ -47,6 +47,11 @@
 
 // send sends one request over a new connection and returns what came. A client sends no byte again by itself.
 func (t *trial) send(listen string, r request) answer {
+	return t.sendOver(&http.Transport{DisableKeepAlives: true, DisableCompression: true}, listen, r)
+}
+
+// sendOver sends one request over a connection of the transport.
+func (t *trial) sendOver(transport *http.Transport, listen string, r request) answer {
 	id := t.nextID()
 	started := time.Now()
 	out := answer{id: id}
@@ -67,7 +72,6 @@
 	defer cancel()
 	// The client leaves when no answer has begun half a second after its time: then the request counts as lost.
 	leave := time.AfterFunc(r.timeout+lostAfter, cancel)
-	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
 	response, err := transport.RoundTrip(message.WithContext(ctx))
 	leave.Stop()
 	if err != nil {
--- a/review/testdata/second/node.go
+++ b/review/testdata/second/node.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"orchiddrift/internal/endpoints"
@@ -55,6 +57,7 @@
 	noLength bool          // the answer has no length, and ends with the connection
 	size     int           // bytes of the answer's body, if above its text's length
 	pace     int           // bytes a second at which the body is written; 0: at once
+	second   int           // of so many answers one comes a second time, if nothing else waits on the connection; 0: of none
 }
 
 // node is a stand-in for an upstream. It speaks the protocol's HTTP/1.1 and begins a request once its last byte has come.
@@ -70,6 +73,7 @@
 	does     behaviour
 	conns    map[net.Conn]bool
 	ran      []execution
+	seconds  int // answers that came a second time
 	isClosed bool
 }
 
@@ -137,11 +141,49 @@
 	return of
 }
 
-func (n *node) serve(c net.Conn) {
+// watched counts the bytes that have come, and keeps a second answer apart from another one.
+type watched struct {
+	net.Conn
+	bytes   atomic.Int64
+	writing sync.Mutex
+}
+
+func (w *watched) Read(p []byte) (int, error) {
+	n, err := w.Conn.Read(p)
+	w.bytes.Add(int64(n))
+	return n, err
+}
+
+func (w *watched) Write(p []byte) (int, error) {
+	w.writing.Lock()
+	defer w.writing.Unlock()
+	return w.Conn.Write(p)
+}
+
+// answerAgain gives an answer a second time, some milliseconds late, unless something has come on the connection since the first time.
+func (n *node) answerAgain(w *watched, id, answer string) {
+	come := w.bytes.Load()
+	late := time.Duration(secondFirst*1000+rand.IntN((secondLast-secondFirst)*1000)) * time.Microsecond
+	time.Sleep(late)
+	w.writing.Lock()
+	defer w.writing.Unlock()
+	if w.bytes.Load() != come {
+		return
+	}
+	if _, err := io.WriteString(w.Conn, answer); err == nil {
+		n.trial.note("node %s: answers %s a second time, %v after the first", n.name, id, late)
+		n.mu.Lock()
+		n.seconds++
+		n.mu.Unlock()
+	}
+}
+
+func (n *node) serve(socket net.Conn) {
+	c := &watched{Conn: socket}
 	defer func() {
 		c.Close()
 		n.mu.Lock()
-		delete(n.conns, c)
+		delete(n.conns, socket)
 		n.mu.Unlock()
 	}()
 	r := bufio.NewReader(c)
@@ -163,7 +205,7 @@
 }
 
 // answer handles one request and reports whether the connection stays open.
-func (n *node) answer(c net.Conn, request *http.Request, e execution) bool {
+func (n *node) answer(c *watched, request *http.Request, e execution) bool {
 	if request.URL.Path == "/-/healthy" || request.URL.Path == "/-/load" {
 		return write(c, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
 	}
@@ -200,10 +242,16 @@
 	time.Sleep(does.work)
 	if does.reset > 0 && ran%does.reset == 0 {
 		n.trial.note("node %s: the connection is reset under %s, which has run", n.name, e.id)
-		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Conn.(*net.TCPConn).SetLinger(0)
+		return false
+	}
+	if !n.write(c, does, body) {
 		return false
 	}
-	return n.write(c, does, body)
+	if does.second > 0 && ran%does.second == 0 {
+		go n.answerAgain(c, e.id, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+	}
+	return true
 }
 
 // write writes a 200 answer.
--- a/review/testdata/second/trial.go
+++ b/review/testdata/second/trial.go
@@ -30,6 +30,7 @@
 	record   *os.File
 	sidecars []*sidecar
 	nodes    []*node
+	links    []net.Listener
 	ids      int
 	closed   bool
 }
@@ -72,7 +73,7 @@
 		t.mu.Unlock()
 		return
 	}
-	sidecars, nodes := t.sidecars, t.nodes
+	sidecars, nodes, links := t.sidecars, t.nodes, t.links
 	t.mu.Unlock()
 	for _, s := range sidecars {
 		s.kill()
@@ -80,6 +81,9 @@
 	for _, n := range nodes {
 		n.close()
 	}
+	for _, l := range links {
+		l.Close()
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.closed = true
