Review case 8: a planned restart behind a new configuration leaves bookings unanswered

Cause: when the time for the end is over, the daemon fails the unanswered requests of the services that the routing names. A service that a new configuration has replaced isn't among them, so its requests lose their connections with no answer.

--- a/review/testdata/second/cases_test.go
+++ b/review/testdata/second/cases_test.go
@@ -37,7 +37,8 @@
 	t.Fatalf("the case could not run: %v\n%s", err, output)
 }
 
-func TestPaymentInUnknownGroup(t *testing.T) { playScript(t, "6") }
-func TestSecondAnswer(t *testing.T)          { playScript(t, "7") }
-func TestAnswerAcrossReload(t *testing.T)    { playScript(t, "9") }
-func TestPaymentWithoutLength(t *testing.T)  { playScript(t, "10") }
+func TestPaymentInUnknownGroup(t *testing.T)     { playScript(t, "6") }
+func TestSecondAnswer(t *testing.T)              { playScript(t, "7") }
+func TestRestartAfterConfiguration(t *testing.T) { playScript(t, "8") }
+func TestAnswerAcrossReload(t *testing.T)        { playScript(t, "9") }
+func TestPaymentWithoutLength(t *testing.T)      { playScript(t, "10") }
