Payments no longer run twice where no list tells an upstream's group

Cause: the deduplication scope compared zones as texts and cells as numbers, with the empty zone and cell 0 for 'not known', so that all upstreams of unknown group were one group.

--- a/balancer/request_state.go
+++ b/balancer/request_state.go
@@ -1,6 +1,9 @@
 package balancer
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // attempt is one transmission of a request to an upstream.
 type attempt struct {
@@ -61,6 +64,20 @@
 	}
 }
 
+// mayHaveRunInUnknownGroup reports whether an attempt that may have run was sent to an upstream of which no list tells the zone or cell
+// that is the request's deduplication scope.
+func (r *request) mayHaveRunInUnknownGroup() bool {
+	isUnknown := func(zone string, cell int) bool {
+		return r.class.DedupScope == ScopeZone && zone == "" || r.class.DedupScope == ScopeCell && cell == UnknownCell
+	}
+	for _, a := range r.attempts {
+		if a.mayHaveRun && isUnknown(a.zone, a.cell) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(r.earlierAttempts, func(a EarlierAttempt) bool { return isUnknown(a.Zone, a.Cell) })
+}
+
 // attemptInFlight returns an attempt by its request's ID and its number, or nil if it is not in flight.
 func (b *Balancer) attemptInFlight(id string, number int) *attempt {
 	r := b.requests[id]
--- a/balancer/retry.go
+++ b/balancer/retry.go
@@ -68,7 +68,7 @@
 }
 
 // retryForbidden reports whether no attempt may follow one that may have run: the request is non-idempotent,
-// or the deduplication window of its idempotency key is over or within dedupMarginTicks of its end.
+// or the group that knows its key is unknown, or forgets it within dedupMarginTicks.
 func (b *Balancer) retryForbidden(r *request) bool {
 	since, mayHaveRun := r.firstPossibleExecution()
 	if !mayHaveRun {
@@ -78,7 +78,7 @@
 	case NonIdempotent:
 		return true
 	case IdempotentWithKey:
-		return b.now > b.latestRetryTime(r, since)
+		return b.now > b.latestRetryTime(r, since) || r.mayHaveRunInUnknownGroup()
 	default:
 		return false
 	}
--- a/balancer/retry_test.go
+++ b/balancer/retry_test.go
@@ -266,3 +266,21 @@
 		t.Errorf("retry budget changed to %.2f tokens after a hundred rejected requests, want no change", r.balancer.retryTokens)
 	}
 }
+
+// A request with an idempotency key that may have run at an upstream of unknown group was sent to upstreams of other groups, which
+// executed it again.
+func TestRetryWithKeyNeverLeavesUnknownGroup(t *testing.T) {
+	for scope, unknown := range map[DedupScope]Endpoint{
+		ScopeZone: {Zone: "", Cell: 1},
+		ScopeCell: {Zone: "a", Cell: UnknownCell},
+	} {
+		r := newHarness(t, keyedSettings(scope))
+		p, q, s := unknown, unknown, unknown
+		p.Name, q.Name, s.Name = "p", "q", "s"
+		r.updateEndpoints(FullUpdate, p, q, s)
+		r.wantSend(r.request("1", "k", time.Second))
+		r.wantFinal(r.outcome("1", 0, ServerError, 10*ms), Fail) // at once: no upstream can get it any more
+		r.wantSend(r.request("2", "k", time.Second))
+		r.wantSend(r.outcome("2", 0, Rejected, 10*ms)) // it has not run
+	}
+}
--- a/cmd/orchiddrift/check.go
+++ b/cmd/orchiddrift/check.go
@@ -7,9 +7,11 @@
 	"os"
 	"strings"
 
+	"orchiddrift/balancer"
 	"orchiddrift/grpcbalancer"
 	"orchiddrift/internal/config"
 	"orchiddrift/internal/discovery/staleness"
+	"orchiddrift/internal/endpoints"
 )
 
 // checkCmd checks a configuration and lists its problems.
@@ -139,6 +141,48 @@
 		fmt.Fprint(w, "; no route leads to it")
 	}
 	fmt.Fprintln(w)
+	warnOfUnknownGroups(w, s)
+}
+
+// warnOfUnknownGroups writes a line for each class whose requests are not sent again after they may have run, because the file lists upstreams
+// without the zone or cell that the class's group is.
+func warnOfUnknownGroups(w io.Writer, s *config.ServicePlan) {
+	if s.InitialEndpoints == nil {
+		return
+	}
+	for _, class := range s.Settings.Classes {
+		key, isUnknown := groupKey(&class)
+		if isUnknown == nil {
+			continue
+		}
+		unknown := 0
+		for _, endpoint := range s.InitialEndpoints.Endpoints {
+			if isUnknown(&endpoint) {
+				unknown++
+			}
+		}
+		if unknown > 0 {
+			fmt.Fprintf(w, "warning: service %s: class %s repeats only within a %s, and %d of %d upstreams have no %q: what may have run there is not sent again\n",
+				s.Name, class.Name, key.scope, unknown, len(s.InitialEndpoints.Endpoints), key.setting)
+		}
+	}
+}
+
+// groupName names the deduplication scope of a class, and the key of an upstream that tells its group.
+type groupName struct{ scope, setting string }
+
+// groupKey returns the name of a class's deduplication scope, and a function that reports whether an upstream's group is unknown. The function
+// is nil if requests of the class may be repeated at all upstreams, or at none.
+func groupKey(class *balancer.Class) (name groupName, isUnknown func(*endpoints.Endpoint) bool) {
+	switch {
+	case class.Idempotency != balancer.IdempotentWithKey:
+		return groupName{}, nil
+	case class.DedupScope == balancer.ScopeZone:
+		return groupName{"zone", "zone"}, func(e *endpoints.Endpoint) bool { return e.Zone == "" }
+	case class.DedupScope == balancer.ScopeCell:
+		return groupName{"cell", "group"}, func(e *endpoints.Endpoint) bool { return e.Cell == balancer.UnknownCell }
+	}
+	return groupName{}, nil
 }
 
 // endpointSource describes the source of a service's own endpoint list.
--- a/cmd/orchiddrift/check_test.go
+++ b/cmd/orchiddrift/check_test.go
@@ -48,3 +48,36 @@
 		t.Error("check accepts a file that does not exist")
 	}
 }
+
+// check accepted a class that repeats within a zone, beside upstreams without a zone, without a word.
+func TestCheckWarnsOfUnknownGroups(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "web.toml")
+	text := `
+[daemon]
+listen = "127.0.0.1:1"
+[[service]]
+name = "payments"
+addresses = ["127.0.0.1:2", "127.0.0.1:3"]
+[[service.class]]
+name = "record"
+effect = "keyed"
+group = "GROUP"
+window = "6s"
+deadline = "6s"
+[[route]]
+match = "POST /payments/{id}"
+class = "record"
+`
+	for group, want := range map[string]bool{"zone": true, "cell": true, "all": false} {
+		if err := os.WriteFile(path, []byte(strings.ReplaceAll(text, "GROUP", group)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		var out bytes.Buffer
+		if err := check(&out, config.ThisMachine(), path, ""); err != nil {
+			t.Fatal(err, out.String())
+		}
+		if got := strings.Contains(out.String(), "warning: service payments: class record"); got != want {
+			t.Errorf("group %s: warned %v, want %v:\n%s", group, got, want, out.String())
+		}
+	}
+}
--- a/grpcbalancer/config.go
+++ b/grpcbalancer/config.go
@@ -139,7 +139,7 @@
 			Address:  e.Address,
 			Zone:     e.Zone,
 			Type:     e.MachineType,
-			Group:    e.Cell,
+			Group:    endpoints.GroupOfCell(e.Cell),
 			Since:    since,
 			Identity: e.TLSIdentity,
 		})
--- a/grpcbalancer/options.go
+++ b/grpcbalancer/options.go
@@ -40,11 +40,11 @@
 
 // Endpoint is an upstream in the endpoint list.
 type Endpoint struct {
-	Name    string // unique in the list, and the same in every client process
-	Address string // IP address and port
-	Zone    string
+	Name    string    // unique in the list, and the same in every client process
+	Address string    // IP address and port
+	Zone    string    // empty if it is not known; calls that may have run are then not sent again in a class with ScopeZone
 	Type    string    // machine type
-	Group   int       // number of the upstream's cell
+	Group   int       // number of the upstream's cell, from 1; 0 if it is not known
 	Since   time.Time // time of the upstream's last start; the zero time means that it was long ago
 	// Identity is the DNS name or URI that the upstream's certificate must have. If it is empty, TLS.Name applies.
 	Identity string
--- a/grpcbalancer/sources.go
+++ b/grpcbalancer/sources.go
@@ -91,7 +91,7 @@
 			Address:     e.Address,
 			Zone:        e.Zone,
 			MachineType: e.Type,
-			Cell:        e.Group,
+			Cell:        endpoints.CellOfGroup(e.Group),
 			Status:      endpoints.StatusReady,
 			StartedMs:   startedMs,
 			TLSIdentity: e.Identity,
--- a/internal/discovery/eureka/instance.go
+++ b/internal/discovery/eureka/instance.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"strings"
 
+	"orchiddrift/balancer"
 	"orchiddrift/internal/discovery/membership"
 	"orchiddrift/internal/endpoints"
 )
@@ -101,7 +102,10 @@
 	if e.Zone == "" {
 		e.Zone = i.dataCenterZone
 	}
-	e.Cell, _ = strconv.Atoi(i.metadata[m.GroupKey]) // 0 if it is not a number
+	e.Cell = balancer.UnknownCell
+	if cell, err := strconv.Atoi(i.metadata[m.GroupKey]); err == nil {
+		e.Cell = cell
+	}
 	if m.WithApp {
 		e.Name = i.application + "/" + e.Name
 	}
--- a/internal/discovery/listfile/listfile.go
+++ b/internal/discovery/listfile/listfile.go
@@ -71,8 +71,8 @@
 
 // endpoint converts the entry to an endpoint of a list. A malformed start time counts as long ago; Check reports it as an error.
 func (e *Entry) endpoint() endpoints.Endpoint {
-	out := endpoints.Endpoint{Name: e.Name, Address: e.Address, Zone: e.Zone, MachineType: e.MachineType, Cell: e.Cell, Status: e.Status,
-		TLSIdentity: e.TLSIdentity}
+	out := endpoints.Endpoint{Name: e.Name, Address: e.Address, Zone: e.Zone, MachineType: e.MachineType, Status: e.Status,
+		Cell: endpoints.CellOfGroup(e.Cell), TLSIdentity: e.TLSIdentity}
 	if startedAt, err := time.Parse(time.RFC3339, e.StartedAt); err == nil {
 		out.StartedMs = float64(startedAt.UnixMilli())
 	}
--- a/internal/discovery/membership/describe.go
+++ b/internal/discovery/membership/describe.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"orchiddrift/balancer"
 	"orchiddrift/internal/endpoints"
 )
 
@@ -24,7 +25,9 @@
 		e.Zone = cmp.Or(e.Zone, o.Zone)
 		e.MachineType = cmp.Or(e.MachineType, o.MachineType)
 		e.TLSIdentity = cmp.Or(e.TLSIdentity, o.TLSIdentity)
-		e.Cell = cmp.Or(e.Cell, o.Cell)
+		if e.Cell == balancer.UnknownCell {
+			e.Cell = o.Cell
+		}
 		if o.Address != addressRecord.endpoint.Address && o.Address != "" && m.hasPreferredAddress(r, addressRecord) {
 			addressRecord = r
 		}
--- a/internal/endpoints/list.go
+++ b/internal/endpoints/list.go
@@ -1,11 +1,12 @@
 package endpoints
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
 	"strconv"
+
+	"orchiddrift/balancer"
 )
 
 // List is one message of a discovery service: a snapshot of the endpoint list, or only the endpoints that changed.
@@ -21,7 +22,7 @@
 	Address     string  `json:"address"`
 	Zone        string  `json:"zone"`
 	MachineType string  `json:"type"`
-	Cell        int     `json:"group"`
+	Cell        int     `json:"group"` // balancer.UnknownCell if the list does not tell it
 	Status      string  `json:"status"`
 	StartedMs   float64 `json:"since_ms"` // when the endpoint last started, Unix time in milliseconds; 0 counts as long ago
 	// TLSIdentity is the DNS name or URI that the endpoint's certificate must contain. If it is empty, the certificate must contain the
@@ -44,7 +45,7 @@
 // ParseList parses a message of a discovery service. It rejects an incomplete message, which would otherwise replace a valid list.
 func ParseList(text []byte) (*List, error) {
 	l := &List{}
-	if err := json.Unmarshal(text, l); err != nil {
+	if err := l.UnmarshalJSON(text); err != nil {
 		return nil, err
 	}
 	if l.Index == nil {
@@ -63,6 +64,22 @@
 	return l, nil
 }
 
+// CellOfGroup returns the cell of a group that an operator or a caller has configured, where 0 stands for no group.
+func CellOfGroup(group int) int {
+	if group == 0 {
+		return balancer.UnknownCell
+	}
+	return group
+}
+
+// GroupOfCell is the inverse of CellOfGroup. Cell 0, which no configured group has, becomes unknown.
+func GroupOfCell(cell int) int {
+	if cell == balancer.UnknownCell {
+		return 0
+	}
+	return cell
+}
+
 // CheckAddress returns an error unless address is an IP address and a port. Host names are not resolved, and an empty host is rejected
 // because listening on it would accept connections on all interfaces.
 func CheckAddress(address string) error {
