Heads of more than 128 fields are answered 431 before they are parsed

Cause: net/http keeps each field as a key, a slice and a string, and forwarding copies the map: some 200 KB for a head of 8 KB.

Change: the detector that follows a connection's bytes counts the fields, conn.Read ends the head at the limit, and the handler answers 431 by the request's turn on the connection, so that pipelined requests before it keep their answers.

--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -28,6 +28,10 @@
 	if !downstream.StartRequest(r.Context()) { // the request arrived while its connection was being closed; the client can retry it
 		panic(http.ErrAbortHandler)
 	}
+	if rejection := downstream.HeadRejection(r.Context(), r.Header); rejection != nil {
+		s.reject(w, rejection)
+		return
+	}
 	if s.aborted.Load() {
 		w.Header().Set("Connection", "close")
 		s.writeAnswer(w, engine.Answer{Kind: engine.EngineClosed})
--- a/internal/server/downstream/connection.go
+++ b/internal/server/downstream/connection.go
@@ -44,6 +44,8 @@
 
 	framing   framing.Detector // used by the reader; net/http has one reader at a time
 	ambiguous atomic.Bool      // see framing.Detector.Ambiguous
+	headEnd   []byte           // what is left of the end that the server reads of a head with too many fields
+	headCut   atomic.Bool      // a head had too many fields; nothing that follows it is read
 
 	phase        atomic.Int32
 	pipelined    atomic.Bool // bytes arrived after the request in flight, which has been read completely
@@ -83,12 +85,17 @@
 	}
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. A head with too many fields ends early, see cutHead.
 func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.readNext(p)
-	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-		c.markClientGone()
+	if len(c.headEnd) > 0 {
+		n := copy(p, c.headEnd)
+		c.headEnd = c.headEnd[n:]
+		return n, nil
 	}
+	if c.headCut.Load() {
+		return 0, c.discard()
+	}
+	n, err := c.readClient(p)
 	if n > 0 {
 		if !c.tryActivate() {
 			return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: net.ErrClosed}
@@ -98,10 +105,23 @@
 			c.startReadAhead()
 		}
 	}
-	c.framing.Feed(p[:n])
+	accepted := c.framing.Feed(p[:n])
 	if c.framing.Ambiguous() {
 		c.ambiguous.Store(true)
 	}
+	if c.framing.TooManyFields() {
+		c.cutHead()
+		return accepted, nil
+	}
+	return n, err
+}
+
+// readClient reads for the server, and records that the client has disconnected if it has.
+func (c *conn) readClient(p []byte) (int, error) {
+	n, err := c.readNext(p)
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.markClientGone()
+	}
 	return n, err
 }
 
--- a/internal/server/framing/framing.go
+++ b/internal/server/framing/framing.go
@@ -12,6 +12,10 @@
 // maxLineBytes is the number of bytes that are kept of a line. No framing header is longer.
 const maxLineBytes = 256
 
+// MaxHeadFields is the largest number of header fields in the head of a request, and in its trailer. Each field costs many times its length
+// once net/http has parsed it.
+const MaxHeadFields = 128
+
 // maxLengthBits bounds the lengths of bodies and chunks, as net/http does.
 const maxLengthBits = 62
 
@@ -19,13 +23,14 @@
 type state int8
 
 const (
-	inHead      state = iota // lines of a head, the request line first
-	inBody                   // remaining bytes of a body
-	inChunkSize              // the line with a chunk's size
-	inChunkData              // remaining bytes of a chunk
-	afterChunk               // the line end after a chunk
-	inTrailer                // lines after the last chunk
-	unknown                  // the requests can no longer be followed
+	inHead        state = iota // lines of a head, the request line first
+	inBody                     // remaining bytes of a body
+	inChunkSize                // the line with a chunk's size
+	inChunkData                // remaining bytes of a chunk
+	afterChunk                 // the line end after a chunk
+	inTrailer                  // lines after the last chunk
+	unknown                    // the requests can no longer be followed
+	tooManyFields              // a head has more than MaxHeadFields fields
 )
 
 var (
@@ -43,6 +48,7 @@
 	lineTooLong bool // the line has more than maxLineBytes bytes
 
 	requestLineSeen bool // the current head's request line has been read
+	fields          int  // lines of the current head or trailer after the request line
 	hasLength       bool
 	contentLength   int64
 	chunked         bool
@@ -53,25 +59,33 @@
 // a chunked request must not be trusted.
 func (d *Detector) Ambiguous() bool { return d.ambiguous || d.state == unknown }
 
-// Feed processes the next bytes of the connection.
-func (d *Detector) Feed(b []byte) {
+// TooManyFields reports whether a head or trailer has more than MaxHeadFields fields. Nothing is followed any more.
+func (d *Detector) TooManyFields() bool { return d.state == tooManyFields }
+
+// Feed processes the next bytes of the connection. It returns how many of them precede the end of the line with which a head has too many
+// fields: all of them, unless TooManyFields.
+func (d *Detector) Feed(b []byte) (accepted int) {
+	size := len(b)
 	for len(b) > 0 {
 		switch d.state {
 		case unknown:
-			return
+			return size
+		case tooManyFields:
+			return size - len(b)
 		case inBody, inChunkData:
 			b = d.skipData(b)
 		default:
 			end := bytes.IndexByte(b, '\n')
 			if end < 0 {
 				d.appendLine(b)
-				return
+				return size
 			}
 			d.appendLine(b[:end])
 			b = b[end+1:]
 			d.endLine()
 		}
 	}
+	return size
 }
 
 // skipData skips the bytes of a body or chunk, and returns the bytes that follow.
@@ -95,7 +109,7 @@
 }
 
 func (d *Detector) nextRequest() {
-	d.state, d.requestLineSeen = inHead, false
+	d.state, d.requestLineSeen, d.fields = inHead, false, 0
 	d.hasLength, d.contentLength, d.chunked = false, 0, false
 }
 
@@ -117,7 +131,16 @@
 	case inTrailer:
 		if len(line) == 0 && !tooLong {
 			d.nextRequest()
+			return
 		}
+		d.countField()
+	}
+}
+
+// countField counts a line of a head or trailer.
+func (d *Detector) countField() {
+	if d.fields++; d.fields > MaxHeadFields {
+		d.state = tooManyFields
 	}
 }
 
@@ -128,7 +151,7 @@
 	case err != nil:
 		d.state = unknown
 	case n == 0:
-		d.state = inTrailer
+		d.state, d.fields = inTrailer, 0
 	default:
 		d.state, d.remaining = inChunkData, int64(n)
 	}
@@ -143,6 +166,7 @@
 		d.endHead()
 	default:
 		d.header(line, tooLong)
+		d.countField()
 	}
 }
 
--- a/internal/server/framing/framing_test.go
+++ b/internal/server/framing/framing_test.go
@@ -103,3 +103,32 @@
 		detector.Feed(head)
 	}
 }
+
+// Heads of very many short fields took many times their length in memory. Feed must accept nothing after the line that is one too many,
+// wherever the pieces end, and count the fields of each head and trailer by themselves.
+func TestTooManyFields(t *testing.T) {
+	fields := func(n int) string { return strings.Repeat("a:1\r\n", n) }
+	small := "GET /a HTTP/1.1\r\n" + fields(MaxHeadFields) + "\r\n"
+	trailer := "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"
+	for name, c := range map[string]struct {
+		accepted, rest string
+	}{
+		"small heads":       {small + small + plain, ""},
+		"a head":            {small + "GET /a HTTP/1.1\r\n" + fields(MaxHeadFields+1), fields(3) + "\r\n" + get},
+		"a trailer":         {trailer + fields(MaxHeadFields+1), fields(1)},
+		"in a body, no one": {"POST /a HTTP/1.1\r\nContent-Length: 5000\r\n\r\n" + fields(1000) + get, ""},
+	} {
+		text := c.accepted + c.rest
+		for _, step := range []int{1, 7, len(text)} {
+			var detector Detector
+			accepted := 0
+			for i := 0; i < len(text); i += step {
+				accepted += detector.Feed([]byte(text[i:min(len(text), i+step)]))
+			}
+			if accepted != len(c.accepted) || detector.TooManyFields() != (c.rest != "") {
+				t.Errorf("%s, in pieces of %d bytes: %d bytes are accepted, want %d; TooManyFields returns %v", name, step, accepted, len(c.accepted),
+					detector.TooManyFields())
+			}
+		}
+	}
+}
