Clients that stop half way through a request give way to new connections

Cause: a connection in the middle of a request was never evicted, so that half requests held all 496 places until their time was up, the idle connections of usual clients were evicted in their stead, and new ones waited in the accept queue.

Change: a connection records since when the rest of a head, or of a body that is being read, is awaited. After 0.5 s it may be evicted, if no request of it is in flight and no byte waits to be read: a request that has not come completely was not taken.

--- a/internal/server/downstream/connection.go
+++ b/internal/server/downstream/connection.go
@@ -44,8 +44,9 @@
 
 	framing   framing.Detector // used by the reader; net/http has one reader at a time
 	ambiguous atomic.Bool      // see framing.Detector.Ambiguous
-	headEnd   []byte           // what is left of the end that the server reads of a head with too many fields
-	headCut   atomic.Bool      // a head had too many fields; nothing that follows it is read
+	arrival   arrival
+	headEnd   []byte      // what is left of the end that the server reads of a head with too many fields
+	headCut   atomic.Bool // a head had too many fields; nothing that follows it is read
 
 	phase        atomic.Int32
 	pipelined    atomic.Bool // bytes arrived after the request in flight, which has been read completely
@@ -80,6 +81,7 @@
 // requestEnded records that the request in flight got its response. The connection becomes idle unless a part of the next request was read.
 func (c *conn) requestEnded() {
 	c.onClientGone.Store(nil)
+	c.arrival.requestEnded()
 	if !c.pipelined.Swap(false) {
 		c.phase.CompareAndSwap(phaseActive, phaseIdle)
 	}
@@ -95,6 +97,7 @@
 	if c.headCut.Load() {
 		return 0, c.discard()
 	}
+	c.arrival.readBegins(&c.framing)
 	n, err := c.readClient(p)
 	if n > 0 {
 		if !c.tryActivate() {
@@ -106,6 +109,7 @@
 		}
 	}
 	accepted := c.framing.Feed(p[:n])
+	c.arrival.readEnds(&c.framing)
 	if c.framing.Ambiguous() {
 		c.ambiguous.Store(true)
 	}
@@ -197,6 +201,16 @@
 	return true
 }
 
+// closeIfStalled closes the connection at once if its client has begun a request and does not go on with it. If there are unread bytes it
+// does nothing, since they may complete the request.
+func (c *conn) closeIfStalled(now time.Time) bool {
+	if !c.arrival.stalled(now) || c.hasUnreadBytes() || !c.phase.CompareAndSwap(phaseActive, phaseShut) {
+		return false
+	}
+	c.closeNow()
+	return true
+}
+
 // closeNow closes the connection without lingering.
 func (c *conn) closeNow() {
 	c.phase.Store(phaseShut)
--- a/internal/server/downstream/connections.go
+++ b/internal/server/downstream/connections.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -13,6 +14,8 @@
 	// firstRequestTime is how long the client of a new connection may take to send its first request before the connection is evicted in
 	// preference to others.
 	firstRequestTime = 500 * time.Millisecond
+	// stallChecks is how often stalled connections are looked for in stallTime, while a connection waits for capacity.
+	stallChecks = 10
 )
 
 // Connections is the listener for clients. It bounds the number of their connections: a connection beyond the limit evicts the connection
@@ -88,11 +91,18 @@
 		if !c.paused && c.evictLocked(c.newest) {
 			continue
 		}
-		c.changed.Wait()
+		c.waitLocked()
 	}
 	return true
 }
 
+// waitLocked waits for a change, or until another connection may have become evictable. c.mu is held.
+func (c *Connections) waitLocked() {
+	wake := time.AfterFunc(stallTime/stallChecks, c.changed.Broadcast)
+	defer wake.Stop()
+	c.changed.Wait()
+}
+
 // evictionRank orders connections for eviction: connections with the highest rank are evicted first, and those with rankNeeded never.
 type evictionRank int
 
@@ -100,6 +110,7 @@
 	rankNeeded         evictionRank = iota
 	rankNewSilent                   // it has had no request yet, but is new
 	rankRecentlyUsed                // its latest request ended within requestGap
+	rankStalled                     // its client has begun a request and does not go on with it
 	rankUnused                      // its latest request ended before that
 	rankNeverRequested              // it never had a request
 	rankShut                        // it was shut after its last response
@@ -117,6 +128,8 @@
 		return rankNeeded
 	case client.clientGone.Load():
 		return rankClientGone
+	case client.currentPhase() == phaseActive && client.arrival.stalled(now):
+		return rankStalled
 	case client.currentPhase() == phaseActive:
 		return rankNeeded
 	case client.currentPhase() == phaseShut:
@@ -135,24 +148,32 @@
 // closes the one that has been idle longest. c.mu is held.
 func (c *Connections) evictLocked(except *conn) bool {
 	now := time.Now()
-	for { // repeated if the candidate begins a request meanwhile
-		var candidate *conn
-		highest := rankNeeded
-		for client, info := range c.conns {
-			rank := info.evictionRank(client, except, now)
-			if rank > highest || rank > rankNeeded && rank == highest && info.idleSince.Before(c.conns[candidate].idleSince) {
-				candidate, highest = client, rank
-			}
-		}
+	var tried []*conn
+	for { // repeated if the candidate goes on with a request or begins one meanwhile
+		candidate := c.candidateLocked(except, tried, now)
 		if candidate == nil {
 			return false
 		}
-		if candidate.closeUnlessActive() {
+		if candidate.closeIfStalled(now) || candidate.closeUnlessActive() {
 			c.conns[candidate].closing = true
 			c.closing++
 			return true
 		}
+		tried = append(tried, candidate)
+	}
+}
+
+// candidateLocked returns the connection to evict next, without those that were tried, or nil if there is none. c.mu is held.
+func (c *Connections) candidateLocked(except *conn, tried []*conn, now time.Time) (candidate *conn) {
+	highest := rankNeeded
+	for client, info := range c.conns {
+		rank := info.evictionRank(client, except, now)
+		isPreferred := rank > highest || rank > rankNeeded && rank == highest && info.idleSince.Before(c.conns[candidate].idleSince)
+		if isPreferred && !slices.Contains(tried, client) {
+			candidate, highest = client, rank
+		}
 	}
+	return candidate
 }
 
 // Resize changes the limit of connections. Connections that are open stay, even beyond the new limit.
--- a/internal/server/framing/framing.go
+++ b/internal/server/framing/framing.go
@@ -48,7 +48,8 @@
 	lineTooLong bool // the line has more than maxLineBytes bytes
 
 	requestLineSeen bool // the current head's request line has been read
-	fields          int  // lines of the current head or trailer after the request line
+	complete        int64
+	fields          int // lines of the current head or trailer after the request line
 	hasLength       bool
 	contentLength   int64
 	chunked         bool
@@ -59,6 +60,15 @@
 // a chunked request must not be trusted.
 func (d *Detector) Ambiguous() bool { return d.ambiguous || d.state == unknown }
 
+// InHead reports whether a head has begun and not ended.
+func (d *Detector) InHead() bool { return d.state == inHead && (d.requestLineSeen || d.lineLength > 0) }
+
+// InBody reports whether more of a body has to come.
+func (d *Detector) InBody() bool { return d.state >= inBody && d.state <= inTrailer }
+
+// Complete returns the number of requests that have come completely.
+func (d *Detector) Complete() int64 { return d.complete }
+
 // TooManyFields reports whether a head or trailer has more than MaxHeadFields fields. Nothing is followed any more.
 func (d *Detector) TooManyFields() bool { return d.state == tooManyFields }
 
@@ -109,6 +119,7 @@
 }
 
 func (d *Detector) nextRequest() {
+	d.complete++
 	d.state, d.requestLineSeen, d.fields = inHead, false, 0
 	d.hasLength, d.contentLength, d.chunked = false, 0, false
 }
