A flood of own pages on one connection no longer delays other clients

What callers saw: while one client sent GET /-/ready without a pause on one connection, usual clients' p50 went from 4 to 31 ms and their p99 from 6 to 76 ms.

Cause: a connection whose requests await no upstream never blocks; with one core the scheduler then polls the network only each 10 ms.

--- a/internal/daemon/response.go
+++ b/internal/daemon/response.go
@@ -23,6 +23,9 @@
 	// rejectedReadTime is how long the rest of a rejected request is read: closing a connection with unread bytes resets it, and the client
 	// would lose the answer.
 	rejectedReadTime = 900 * time.Millisecond
+	// An answer for which no upstream is awaited counts as a transfer of ownAnswerWork bytes, since a connection on which such requests are
+	// pipelined never blocks.
+	ownAnswerWork = 128 << 10
 	// passThroughBuffer is the size in bytes of the largest chunk of an answer that is forwarded as it arrives.
 	passThroughBuffer = 32 << 10
 )
@@ -57,6 +60,7 @@
 
 // reject answers a request that is malformed, too slow or too large.
 func (s *server) reject(w http.ResponseWriter, rejection *downstream.Rejection) {
+	s.daemon.shared.yieldAfter(ownAnswerWork)
 	w.Header().Set("Connection", "close")
 	if rejection.Allow != "" {
 		w.Header().Set("Allow", rejection.Allow)
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -54,6 +54,7 @@
 
 // serveOwn serves the sidecar's own pages.
 func (s *server) serveOwn(w http.ResponseWriter, r *http.Request) {
+	s.daemon.shared.yieldAfter(ownAnswerWork)
 	switch {
 	case r.URL.Path != ownPathPrefix+"ready":
 		s.writeText(w, http.StatusNotFound, "no such page")
--- a/internal/testing/processes/process.go
+++ b/internal/testing/processes/process.go
@@ -48,6 +48,9 @@
 // Name returns the name in the process's Spec.
 func (p *Process) Name() string { return p.spec.Name }
 
+// PID returns the process ID of the current run.
+func (p *Process) PID() int { return p.currentRun().cmd.Process.Pid }
+
 var errRunning = errors.New("the process is already running")
 
 // Start starts the process in its directory and waits until the process is ready. Files of earlier runs stay in the directory. If files is
