Slow bodies and answers of many clients stay within the memory limit

Cause: the first 64 KiB of each body were kept whatever others had, a streamed body kept them to its end beside two pieces of 32 KiB, and an answer that its client did not read kept its first part and a buffer of 32 KiB. Nothing bounded their sum.

Change: the spool, an eighth of the memory limit, counts all bytes of bodies beyond 4 KiB each and the buffers of transfers. Without space a long body is forwarded in small pieces; a usual one waits 0.25 s at most and gets 503 with Retry-After, unsent. First parts are dropped once they are written. One connection for each 64 KiB of memory.

--- a/internal/daemon/body.go
+++ b/internal/daemon/body.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -15,12 +16,21 @@
 )
 
 const (
-	// alwaysBufferedBytes is how many bytes of each body are read before the request is forwarded, whatever memory other bodies take.
+	// alwaysBufferedBytes is how many bytes of each body are read before the request is forwarded, if there is memory for them.
 	alwaysBufferedBytes = 64 << 10
-	// The bytes of longer bodies beyond alwaysBufferedBytes share a spool, whose size is 1/spoolMemoryFraction of the memory limit. A body
-	// that need not be complete before it is forwarded is streamed if it is longer than 1/maxSpoolFraction of the spool, or the spool is full.
+	// The bytes of bodies beyond unspooledBytes of each share a spool, whose size is 1/spoolMemoryFraction of the memory limit. A body that
+	// need not be complete before it is forwarded is streamed if it is longer than 1/maxSpoolFraction of the spool, or if it is longer than
+	// alwaysBufferedBytes and the spool is full. Other bodies wait for space in the spool.
 	spoolMemoryFraction = 8
 	maxSpoolFraction    = 4
+	unspooledBytes      = 4 << 10
+	// maxSpoolWait is the longest wait for space in the spool, which is also at most 1/spoolWaitFraction of the request's time.
+	maxSpoolWait      = 250 * time.Millisecond
+	spoolWaitFraction = 4
+	// spoolRetryAfter is when the client of a request for whose body there is no space may come back.
+	spoolRetryAfter = time.Second
+	// smallPieceBytes is the size of the pieces in which a body is streamed if the spool has no space for larger ones.
+	smallPieceBytes = 4 << 10
 	// minClientRate is the lowest rate at which a client may send its body, in bytes per second.
 	minClientRate = 32 << 10
 	// uploadSlack is added to the deadline of a streamed request, in addition to the time that its body may take.
@@ -33,7 +43,10 @@
 // expiredDeadline is a deadline in the past, which interrupts a read at once.
 var expiredDeadline = time.Unix(1, 0)
 
-var errBodyTooLarge = errors.New("the body is too large")
+var (
+	errBodyTooLarge = errors.New("the body is too large")
+	errSpoolFull    = errors.New("not done: too much is in hand to keep the body")
+)
 
 // clientBody reads a client's body, which has to arrive at minClientRate or faster. The time that reads take is subtracted from timeLeft,
 // and each byte that arrives extends timeLeft. The time between reads does not count.
@@ -108,12 +121,12 @@
 		onRead: c.daemon.shared.yieldAfter}
 	c.body = make([]byte, 0, min(max(length, minBodyBuffer), maxBodyBuffer))
 	for {
-		if len(c.body) == cap(c.body) && !c.makeSpace(length, complete) {
-			if complete {
-				return &downstream.Rejection{Status: http.StatusInternalServerError, Text: "not done: too much is in hand to keep the body"}
+		if len(c.body) == cap(c.body) && !c.makeSpace(req, length, complete) {
+			c.bodyStreams = !complete && c.mayStream(length)
+			if c.bodyStreams {
+				return nil
 			}
-			c.bodyStreams = true
-			return nil
+			return &downstream.Rejection{Status: http.StatusServiceUnavailable, Text: errSpoolFull.Error(), RetryAfter: spoolRetryAfter}
 		}
 		n, err := c.bodyReader.Read(c.body[len(c.body):cap(c.body)])
 		c.body = c.body[:len(c.body)+n]
@@ -127,19 +140,27 @@
 	}
 }
 
+// mayStream reports whether a body may be forwarded as it arrives, if there is no space for it. Its length is -1 if it is not known. A body of
+// usual length is not: it would keep an upstream waiting for a client that may be slow.
+func (c *clientRequest) mayStream(length int64) bool { return length < 0 || length > alwaysBufferedBytes }
+
 // makeSpace grows the body's buffer. It returns false if the rest of the body has to be streamed or rejected.
-func (c *clientRequest) makeSpace(length int64, complete bool) bool {
+func (c *clientRequest) makeSpace(req *downstream.Request, length int64, complete bool) bool {
 	buffered := int64(len(c.body))
 	limit := c.daemon.shared.spoolSize / maxSpoolFraction
 	if !complete && buffered >= alwaysBufferedBytes && (buffered >= limit || length > limit) {
 		return false
 	}
-	return c.growBody(length)
+	wait := time.Duration(0)
+	if complete || !c.mayStream(length) {
+		wait = min(maxSpoolWait, req.Timeout/spoolWaitFraction)
+	}
+	return c.growBody(length, wait)
 }
 
 // growBody doubles the buffer, but not beyond length, which is the length of the body, or -1 if that is unknown. It returns false if the
-// spool is full.
-func (c *clientRequest) growBody(length int64) bool {
+// spool has no space until wait is over.
+func (c *clientRequest) growBody(length int64, wait time.Duration) bool {
 	size := int64(cap(c.body))
 	grown := 2 * size
 	if size < alwaysBufferedBytes {
@@ -148,21 +169,55 @@
 	if length > size {
 		grown = min(grown, length)
 	}
-	if more := grown - alwaysBufferedBytes - c.spooled; more > 0 {
-		if !c.daemon.shared.bodySpool.TryAcquire(more) {
+	if more := grown - unspooledBytes - c.spooled.Load(); more > 0 && !c.reserveSpool(more, wait) {
+		return false
+	}
+	c.body = append(make([]byte, 0, grown), c.body...)
+	return true
+}
+
+// reserveSpool reserves bytes of the spool for the body, and reports whether there was space for them until wait was over.
+func (c *clientRequest) reserveSpool(bytes int64, wait time.Duration) bool {
+	spool := c.daemon.shared.bodySpool
+	if !spool.TryAcquire(bytes) {
+		if wait <= 0 {
+			return false
+		}
+		ctx, cancel := context.WithTimeout(c.r.Context(), wait)
+		defer cancel()
+		if spool.Acquire(ctx, bytes) != nil {
 			return false
 		}
-		c.spooled += more
 	}
-	c.body = append(make([]byte, 0, grown), c.body...)
+	c.spooled.Add(bytes)
 	return true
 }
 
 // releaseSpool returns the body's bytes to the spool.
 func (c *clientRequest) releaseSpool() {
-	if c.spooled > 0 {
-		c.daemon.shared.bodySpool.Release(c.spooled)
-		c.spooled = 0
+	if bytes := c.spooled.Swap(0); bytes > 0 {
+		c.daemon.shared.bodySpool.Release(bytes)
+	}
+}
+
+// reservePieces reserves space for the pieces in which a body is streamed, and returns their size.
+func (c *clientRequest) reservePieces(length int64) int {
+	bytes := int64(upstream.MaxPieceBytes)
+	if length < 0 {
+		bytes *= 2 // a chunk is put together from a piece
+	}
+	if !c.daemon.shared.bodySpool.TryAcquire(bytes) {
+		return smallPieceBytes
+	}
+	c.pieces = bytes
+	return upstream.MaxPieceBytes
+}
+
+// releasePieces returns the space of the pieces to the spool. The body is no longer read.
+func (c *clientRequest) releasePieces() {
+	if c.pieces > 0 {
+		c.daemon.shared.bodySpool.Release(c.pieces)
+		c.pieces = 0
 	}
 }
 
@@ -176,6 +231,6 @@
 	}
 	call.StreamedBody = true
 	call.Deadline += time.Duration(maxLength)*time.Second/minClientRate + uploadSlack
-	return upstream.NewUpload(req.Method, req.Target, req.Host, req.Header, c.body,
-		&upstream.Upload{Body: c.bodyReader, Length: length, Timeout: req.Timeout, Interrupt: c.bodyReader.interrupt})
+	return upstream.NewUpload(req.Method, req.Target, req.Host, req.Header, c.body, &upstream.Upload{Body: c.bodyReader, Length: length,
+		Timeout: req.Timeout, Interrupt: c.bodyReader.interrupt, PieceBytes: c.reservePieces(length), Forwarding: c.releaseSpool})
 }
--- a/internal/daemon/request.go
+++ b/internal/daemon/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"orchiddrift/internal/admission/controller"
@@ -27,7 +28,8 @@
 	body        []byte // the part of the body that has been read
 	bodyStreams bool   // the rest of the body is streamed
 	bodyReader  *clientBody
-	spooled     int64 // bytes of the body spool that the body takes
+	spooled     atomic.Int64 // bytes of the body spool that the body takes
+	pieces      int64        // bytes of the body spool that the pieces of a streamed body take
 
 	metric       metrics.Request
 	entryMetrics []metrics.Request // metrics of a GraphQL request's operations
@@ -159,8 +161,10 @@
 	call := engine.Call{ID: routed.id, Class: routed.Class.Name, Tenant: routed.Tenant, CostHint: routed.CostHint,
 		Deadline: c.startedAt + routed.Timeout}
 	var out *upstream.Request
+	bodyBytes := len(c.body)
 	if c.bodyStreams {
 		out = c.upload(&routed.Request, &call)
+		defer c.releasePieces()
 		defer out.Upload.End()
 	} else {
 		out = upstream.NewRequest(routed.Method, routed.Target, routed.Host, routed.Header, c.body)
@@ -169,7 +173,7 @@
 	out.Written = c.daemon.metrics.AttemptSent
 	attempts := &transport{pool: routed.service.pool, request: out, engine: routed.service.engine}
 	defer attempts.release()
-	permit, rejected := c.awaitAdmission(c.r, routed.service, &routed.Request, c.startedAt, len(c.body))
+	permit, rejected := c.awaitAdmission(c.r, routed.service, &routed.Request, c.startedAt, bodyBytes)
 	if rejected != nil {
 		if rejected.Kind == engine.Rejected && routed.gate.closed.Load() && !c.stopping.Load() {
 			return true // the request's new route may have capacity
@@ -177,6 +181,9 @@
 		c.answerEarly(*rejected, out.Upload)
 		return false
 	}
+	if c.bodyStreams {
+		c.body = nil // the upload drops it once it is no longer needed
+	}
 	if routed.executor != nil {
 		c.forwardOnce(routed, call, out, permit)
 		return false
--- a/internal/daemon/resources.go
+++ b/internal/daemon/resources.go
@@ -22,6 +22,9 @@
 const (
 	// reservedDescriptors are file descriptors for anything but connections to clients and upstreams.
 	reservedDescriptors = 32
+	// connectionBytes is the memory that a client's connection may take with its request and the connection to the upstream, beside what
+	// the spool and the answers have. It bounds the connections where memory is short.
+	connectionBytes = 64 << 10
 	// heapFraction is the part of the memory limit that the heap may use.
 	heapFraction = 0.75
 	// gcBaseMB is the memory limit up to which the garbage collector runs at Go's default pace, see GCPercent.
@@ -129,7 +132,11 @@
 }
 
 // connectionLimit returns the largest number of connections to clients, which is also the largest number of connections to upstreams.
-func connectionLimit(l config.Limits) int { return max(1, (l.Sockets-reservedDescriptors)/2) }
+func connectionLimit(l config.Limits) int {
+	byDescriptors := (l.Sockets - reservedDescriptors) / 2
+	byMemory := int(l.MemoryMB * bytesPerMB / connectionBytes)
+	return max(1, min(byDescriptors, byMemory))
+}
 
 // LimitMemory makes the garbage collector keep to the plan's memory limit.
 func LimitMemory(p *config.Plan) {
--- a/internal/daemon/response.go
+++ b/internal/daemon/response.go
@@ -26,12 +26,27 @@
 	// An answer for which no upstream is awaited counts as a transfer of ownAnswerWork bytes, since a connection on which such requests are
 	// pipelined never blocks.
 	ownAnswerWork = 128 << 10
-	// passThroughBuffer is the size in bytes of the largest chunk of an answer that is forwarded as it arrives.
-	passThroughBuffer = 32 << 10
+	// passThroughBuffer is the size in bytes of the largest chunk of an answer that is forwarded as it arrives, if the spool has space for
+	// it, and smallPassThroughBuffer that if it has not.
+	passThroughBuffer      = 32 << 10
+	smallPassThroughBuffer = 4 << 10
 )
 
 var passThroughBuffers = sync.Pool{New: func() any { return new([passThroughBuffer]byte) }}
 
+// transferBuffer returns a buffer in which an answer is forwarded. The owner calls release once it no longer uses the buffer. Clients that
+// read slowly hold theirs for long, so that all of them together take no more than the spool.
+func (sh *sharedResources) transferBuffer() (buffer []byte, release func()) {
+	if !sh.bodySpool.TryAcquire(passThroughBuffer) {
+		return make([]byte, smallPassThroughBuffer), func() {}
+	}
+	large := passThroughBuffers.Get().(*[passThroughBuffer]byte)
+	return large[:], func() {
+		passThroughBuffers.Put(large)
+		sh.bodySpool.Release(passThroughBuffer)
+	}
+}
+
 // writeAnswer writes a final answer in the form of the platform's protocol.
 func (s *server) writeAnswer(w http.ResponseWriter, answer engine.Answer) {
 	switch answer.Kind {
@@ -65,6 +80,7 @@
 	if rejection.Allow != "" {
 		w.Header().Set("Allow", rejection.Allow)
 	}
+	setRetryAfter(w.Header(), rejection.RetryAfter)
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(rejectedReadTime))
 	s.writeText(w, rejection.Status, rejection.Text)
 }
@@ -127,10 +143,11 @@
 	if err := c.writeChunk(response.Body, false); err != nil {
 		return err
 	}
-	buffer := passThroughBuffers.Get().(*[passThroughBuffer]byte)
-	defer passThroughBuffers.Put(buffer)
+	response.Body = nil
+	buffer, release := c.daemon.shared.transferBuffer()
+	defer release()
 	for {
-		n, readErr := response.Remainder.Read(buffer[:])
+		n, readErr := response.Remainder.Read(buffer)
 		if n > 0 {
 			if err := c.writeChunk(buffer[:n], response.Remainder.Buffered() > 0); err != nil {
 				return err
--- a/internal/daemon/transport.go
+++ b/internal/daemon/transport.go
@@ -50,11 +50,12 @@
 	return response
 }
 
-// retain keeps an attempt's response until release.
+// retain keeps what an attempt's response holds until release.
 func (t *transport) retain(r upstream.Response) {
 	if r.ReservedBytes == 0 && r.Remainder == nil {
 		return
 	}
+	r.Body, r.Header = nil, nil // the answer has them, and drops the body once it is written
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.released {
--- a/internal/routes/rejection.go
+++ b/internal/routes/rejection.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"time"
 
 	"orchiddrift/internal/httpheader"
 )
@@ -14,6 +15,8 @@
 	Status int
 	Allow  string // with status 405, the methods that are allowed
 	Text   string // one line
+	// RetryAfter, with status 503, is when the client may send the request again.
+	RetryAfter time.Duration
 }
 
 func reject(status int, format string, args ...any) *Rejection {
--- a/internal/testing/processes/overload_test.go
+++ b/internal/testing/processes/overload_test.go
@@ -66,14 +66,17 @@
 	return p, listen
 }
 
-// hostileTime is how long each shape is played.
-const hostileTime = 3 * time.Second
+// How long a shape is played, with one client and with many: these come one after the other.
+const (
+	floodTime = 3 * time.Second
+	crowdTime = 5 * time.Second
+)
 
 // playHostile plays a shape against a sidecar of its own.
-func playHostile(t *testing.T, shape hostile.Shape, memoryMB int) hostile.Result {
+func playHostile(t *testing.T, shape hostile.Shape, memoryMB int, duration time.Duration) hostile.Result {
 	t.Helper()
 	p, address := startPlatformSidecar(t, New(t, 1), memoryMB, 6)
-	result := hostile.Play(t.Context(), hostile.Target{Address: address, PID: p.PID()}, shape, hostileTime)
+	result := hostile.Play(t.Context(), hostile.Target{Address: address, PID: p.PID()}, shape, duration)
 	t.Logf("%d MB: %v", memoryMB, result)
 	return result
 }
@@ -87,7 +90,7 @@
 		if shape.Clients > 1 {
 			continue
 		}
-		result := playHostile(t, shape, memoryMB)
+		result := playHostile(t, shape, memoryMB, floodTime)
 		if shape.Clients == 0 {
 			usual = result
 		}
@@ -99,3 +102,21 @@
 		}
 	}
 }
+
+// A process passed its memory limit while hundreds of clients sent or read slowly, stopped half way through a request or sent heads of very
+// many fields.
+func TestMemoryOfHostileClients(t *testing.T) {
+	const memoryMB = 48
+	for _, shape := range hostile.Shapes() {
+		if shape.Clients <= 1 {
+			continue
+		}
+		result := playHostile(t, shape, memoryMB, crowdTime)
+		if result.Ended || result.PrivateMB > memoryMB {
+			t.Errorf("%v: want at most %d MiB", result, memoryMB)
+		}
+		if result.Lost > 0 || result.Served == 0 {
+			t.Errorf("%v: want an answer to each request", result)
+		}
+	}
+}
--- a/internal/upstream/body_pump.go
+++ b/internal/upstream/body_pump.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"sync"
@@ -13,8 +14,9 @@
 // would end the request: net/http cancels a request's context on any read error (connReader.handleReadErrorLocked), and a chunked body
 // cannot be read after a read error.
 type bodyPump struct {
-	startOnce sync.Once
-	endOnce   sync.Once
+	startOnce  sync.Once
+	endOnce    sync.Once
+	pieceBytes int // size of the largest piece; 0 stands for MaxPieceBytes
 	pieces    chan []byte
 	consumed  chan struct{} // receives once the piece that was handed out has been consumed
 	ending    chan struct{} // closed by end
@@ -29,7 +31,7 @@
 // run reads until the body ends, a read fails, or end is called.
 func (p *bodyPump) run(from io.Reader) {
 	defer close(p.done)
-	buffer := make([]byte, uploadPieceBytes)
+	buffer := make([]byte, cmp.Or(p.pieceBytes, MaxPieceBytes))
 	for p.err == nil {
 		n, err := from.Read(buffer)
 		if n > 0 && !p.offer(buffer[:n]) {
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -74,6 +74,7 @@
 		r.head = appendHeader(r.head, "Transfer-Encoding", "chunked")
 	}
 	r.body, r.Upload, rest.pump = first, rest, newBodyPump()
+	rest.pump.pieceBytes = rest.pieceBytes()
 	return r
 }
 
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -13,7 +13,7 @@
 
 const (
 	// uploadPieceBytes is the maximum number of bytes of a body that are read before they are written.
-	uploadPieceBytes = 32 << 10
+	uploadPieceBytes = MaxPieceBytes
 	// chunkOverheadBytes is the maximum size of the size line and the line ends of a chunk.
 	chunkOverheadBytes = 32
 	// writeIdleTimeout is the longest time for which an upstream may accept no byte of a body.
@@ -23,6 +23,9 @@
 	lastChunkSize = "0\r\n"
 )
 
+// MaxPieceBytes is the largest value of Upload.PieceBytes.
+const MaxPieceBytes = 32 << 10
+
 var errUploadStopped = errors.New("the upload was stopped")
 
 // Upload is the part of a request's body that is forwarded as it arrives, after Request.body. It can be read only once: an attempt that
@@ -31,6 +34,11 @@
 	Body    io.Reader
 	Length  int64         // length of the complete body in bytes; if -1, the length is unknown and the body is forwarded in chunks
 	Timeout time.Duration // how long the client waits for a response after the last byte of its body
+	// PieceBytes is the size of the largest piece of Body that is read before it is written; 0 stands for MaxPieceBytes. A body that is
+	// forwarded in chunks takes it twice.
+	PieceBytes int
+	// Forwarding, unless nil, is called once the first part of the body has been written and is no longer needed.
+	Forwarding func()
 	// Interrupt makes a pending Read of Body return. End calls it.
 	Interrupt func()
 	// Done, unless nil, is called once the last byte has been written.
@@ -41,6 +49,14 @@
 	broken  atomic.Bool // the client aborted the body: no attempt can send a complete request
 }
 
+// pieceBytes returns the size of the largest piece of Body that is read before it is written.
+func (u *Upload) pieceBytes() int {
+	if u.PieceBytes <= 0 {
+		return MaxPieceBytes
+	}
+	return min(u.PieceBytes, MaxPieceBytes)
+}
+
 // Drain reads and discards the rest of the body, until the body ends or a read fails, so that a client that is still writing can read a
 // response that arrives early. No attempt may be made after Drain.
 func (u *Upload) Drain() { u.pump.drain() }
@@ -147,9 +163,9 @@
 	if upload == nil {
 		return w.writePiece(w.request.body, len(w.request.body))
 	}
-	framer := &bodyFramer{writer: w, chunked: upload.Length < 0, remaining: upload.Length}
+	framer := &bodyFramer{writer: w, chunked: upload.Length < 0, remaining: upload.Length, pieceBytes: upload.pieceBytes()}
 	for first := w.request.body; len(first) > 0; {
-		n := min(len(first), uploadPieceBytes)
+		n := min(len(first), framer.pieceBytes)
 		if err := framer.write(first[:n]); err != nil {
 			return err
 		}
@@ -166,7 +182,7 @@
 			return nil
 		}
 		if err == nil {
-			upload.started.Store(true)
+			w.startForwarding(upload)
 			if err := framer.write(piece); err != nil {
 				return err
 			}
@@ -183,12 +199,25 @@
 	}
 }
 
+// startForwarding records that a part of Body was taken: no other attempt can send the request, and the first part is no longer needed.
+func (w *uploadWriter) startForwarding(upload *Upload) {
+	if upload.started.Swap(true) {
+		return
+	}
+	w.request.body = nil
+	if upload.Forwarding != nil {
+		upload.Forwarding()
+	}
+}
+
 // bodyFramer writes the pieces of a body: unchanged if the body's length is known, or else as chunks.
 type bodyFramer struct {
 	writer    *uploadWriter
 	chunked   bool
 	remaining int64  // bytes still to be written of a body with a known length
 	chunk     []byte // buffer for a chunk
+	// pieceBytes is the size of the largest piece.
+	pieceBytes int
 }
 
 func (f *bodyFramer) write(piece []byte) error {
@@ -197,7 +226,7 @@
 		return f.writer.writePiece(piece, lastByteIn(piece, f.remaining == 0))
 	}
 	if f.chunk == nil {
-		f.chunk = make([]byte, 0, uploadPieceBytes+chunkOverheadBytes)
+		f.chunk = make([]byte, 0, f.pieceBytes+chunkOverheadBytes)
 	}
 	f.chunk = strconv.AppendInt(f.chunk[:0], int64(len(piece)), 16)
 	f.chunk = append(f.chunk, "\r\n"...)
