--- a/internal/daemon/body.go
+++ b/internal/daemon/body.go
@@ -142,7 +142,9 @@
 
 // mayStream reports whether a body may be forwarded as it arrives, if there is no space for it. Its length is -1 if it is not known. A body of
 // usual length is not: it would keep an upstream waiting for a client that may be slow.
-func (c *clientRequest) mayStream(length int64) bool { return length < 0 || length > alwaysBufferedBytes }
+func (c *clientRequest) mayStream(length int64) bool {
+	return length < 0 || length > alwaysBufferedBytes
+}
 
 // makeSpace grows the body's buffer. It returns false if the rest of the body has to be streamed or rejected.
 func (c *clientRequest) makeSpace(req *downstream.Request, length int64, complete bool) bool {
--- a/internal/upstream/body_pump.go
+++ b/internal/upstream/body_pump.go
@@ -17,11 +17,11 @@
 	startOnce  sync.Once
 	endOnce    sync.Once
 	pieceBytes int // size of the largest piece; 0 stands for MaxPieceBytes
-	pieces    chan []byte
-	consumed  chan struct{} // receives once the piece that was handed out has been consumed
-	ending    chan struct{} // closed by end
-	done      chan struct{} // closed once the goroutine has ended; err is set by then
-	err       error
+	pieces     chan []byte
+	consumed   chan struct{} // receives once the piece that was handed out has been consumed
+	ending     chan struct{} // closed by end
+	done       chan struct{} // closed once the goroutine has ended; err is set by then
+	err        error
 }
 
 func newBodyPump() *bodyPump {
