Long answers without a length are forwarded while their upstream gives them

What callers saw: answers of 128 KiB in chunks at 64 kB a second got 503 at the end of their time although their first bytes had come at once (TestChunkedAnswers: 40 of 40).

Cause: of an answer without a length the first 64 KiB and a byte were awaited, since a small one is kept to its end. Reading could not be given up without an error of the reader, so the attempt timed out with the bytes in hand.

Change: such a body is read on a goroutine of its own, by the pump that long uploads have. 0.2 s after its beginning, if 16 KiB have come, and 0.05 s before the end of the attempt's time it is forwarded if it comes at 32 KiB a second or faster. One that stops or trickles still ends with the attempt's time, so that another attempt can follow.

--- a/internal/upstream/remainder.go
+++ b/internal/upstream/remainder.go
@@ -37,6 +37,7 @@
 	conn       *pooledConn
 	reader     *responseReader
 	body       io.Reader
+	pumped     *pumpedBody // the body, if its length is unknown; nil otherwise
 	ctx        context.Context
 	detach     func() bool // see exchange.detach
 	closeAfter bool        // the connection cannot be reused after this response
@@ -78,7 +79,12 @@
 }
 
 // Buffered returns the number of bytes that can be read without waiting.
-func (r *Remainder) Buffered() int { return r.reader.Buffered() }
+func (r *Remainder) Buffered() int {
+	if r.pumped != nil {
+		return len(r.pumped.piece)
+	}
+	return r.reader.Buffered()
+}
 
 // Result returns how the attempt ended. It is called once reading has ended: the result is Reset if the upstream closed the connection
 // early, and Cancelled if nobody read the body to its end.
@@ -97,6 +103,9 @@
 	if r.ended.Swap(true) {
 		return
 	}
+	if r.pumped != nil {
+		r.pumped.end(r.conn.closeSocket)
+	}
 	detached := r.detach()
 	reusable := detached && r.complete && !r.closeAfter && r.reader.Buffered() == 0 && r.conn.SetReadDeadline(time.Time{}) == nil
 	r.reader.release()
@@ -110,21 +119,29 @@
 // readFirstPart reads the beginning of a body that is forwarded as it arrives, because the body is longer than maxBufferedBodyBytes or of
 // unknown length. If remainder is nil, first is the complete body.
 func (x *exchange) readFirstPart(message *http.Response) (first []byte, remainder *Remainder, err error) {
-	if message.ContentLength >= 0 {
-		x.reader.limit.remaining = int(message.ContentLength) + x.reader.Size()
-		first = make([]byte, firstPartBytes)
-		n, err := io.ReadAtLeast(message.Body, first, 1) // a response counts as begun only once its body has begun
-		if err != nil {
-			return nil, nil, err
-		}
-		first = first[:n]
-	} else {
-		x.reader.limit.remaining = withChunkOverhead(MaxPassThroughBytes)
-		first, err = io.ReadAll(io.LimitReader(message.Body, maxBufferedBodyBytes+1))
-		if err != nil || len(first) <= maxBufferedBodyBytes {
-			return first, nil, err
-		}
+	remainder = &Remainder{Length: message.ContentLength, pool: x.pool, conn: x.conn, reader: x.reader, body: message.Body, ctx: x.ctx,
+		detach: x.detach, closeAfter: message.Close}
+	if message.ContentLength < 0 {
+		return x.readFirstUndelimited(remainder)
+	}
+	x.reader.limit.remaining = int(message.ContentLength) + x.reader.Size()
+	first = make([]byte, firstPartBytes)
+	n, err := io.ReadAtLeast(message.Body, first, 1) // a response counts as begun only once its body has begun
+	if err != nil {
+		return nil, nil, err
+	}
+	return first[:n], remainder, nil
+}
+
+// readFirstUndelimited is readFirstPart for a body of unknown length, which it makes the body of remainder.
+func (x *exchange) readFirstUndelimited(remainder *Remainder) (first []byte, _ *Remainder, err error) {
+	x.reader.limit.remaining = withChunkOverhead(MaxPassThroughBytes)
+	body := newPumpedBody(remainder.body)
+	first, complete, err := x.readUndelimited(body)
+	if err != nil || complete {
+		body.end(x.conn.closeSocket)
+		return first, nil, err
 	}
-	return first, &Remainder{Length: message.ContentLength, pool: x.pool, conn: x.conn, reader: x.reader, body: message.Body, ctx: x.ctx,
-		detach: x.detach, closeAfter: message.Close}, nil
+	remainder.body, remainder.pumped = body, body
+	return first, remainder, nil
 }
