Uploads that their upstream blocks are answered within the client's time

What callers saw: beside one hanging upstream of twenty, long bodies were answered 10 s after the client's last byte; its time was 3 s (TestUploads: 4 to 8 of about 195). Before an upstream that reads slowly the answer came as late as the upload took.

Cause: the client's time was counted from the last byte that was written to the upstream; the client's own lay in the systems' buffers.

Change: the time for which writes to the upstream block is counted from the last moment in which the client was known not to be done; when an eighth of its time is left the upload ends, incomplete, so that it has not run. The answer has what is left of the time.

--- a/internal/daemon/transport.go
+++ b/internal/daemon/transport.go
@@ -27,7 +27,7 @@
 // RoundTrip implements engine.Transport.
 func (t *transport) RoundTrip(ctx context.Context, a engine.Attempt) engine.AttemptResult {
 	if upload := t.request.Upload; upload != nil { // such a request has one attempt at a time
-		upload.Done = func() { t.engine.UploadDone(a, t.engine.Clock().Now()+upload.Timeout) }
+		upload.Done = func() { t.engine.UploadDone(a, t.engine.Clock().Now()+upload.Timeout-upload.BlockedTime()) }
 	}
 	response := t.attempt(ctx, a)
 	if response.Result != balancer.OK {
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -18,6 +18,13 @@
 	chunkOverheadBytes = 32
 	// writeIdleTimeout is the longest time for which an upstream may accept no byte of a body.
 	writeIdleTimeout = readIdleTimeout
+	// clientWait is how long a piece of the body has to be waited for to show that the client has not sent all of it.
+	clientWait = 20 * time.Millisecond
+	// systemBufferBytes is how much of a body the system may hold between a client that has written all of it and this process.
+	systemBufferBytes = 16 << 20
+	// blockedTimeParts: an upstream may block the upload of a body that its client may have written completely for all of the client's time
+	// but 1/blockedTimeParts.
+	blockedTimeParts = 8
 	// lastChunk ends a chunked body. Its first line, lastChunkSize, tells the upstream that the body is complete.
 	lastChunk     = "0\r\n\r\n"
 	lastChunkSize = "0\r\n"
@@ -45,8 +52,9 @@
 	Done func()
 
 	pump    *bodyPump
-	started atomic.Bool // an attempt has taken a part of Body, which cannot be read again
-	broken  atomic.Bool // the client aborted the body: no attempt can send a complete request
+	blocked atomic.Int64 // see BlockedTime
+	started atomic.Bool  // an attempt has taken a part of Body, which cannot be read again
+	broken  atomic.Bool  // the client aborted the body: no attempt can send a complete request
 }
 
 // pieceBytes returns the size of the largest piece of Body that is read before it is written.
@@ -80,6 +88,7 @@
 	request  *Request
 	sendBy   time.Time     // time before which the last byte is written; no limit if zero
 	done     chan struct{} // closed once the goroutine has ended
+	written  int64         // bytes of the body that were written; used by the goroutine alone
 	complete atomic.Bool   // the last byte may have left this process: see writePiece
 	stopped  atomic.Bool
 	stopping chan struct{} // closed by stop
@@ -135,6 +144,9 @@
 		if !w.sendBy.IsZero() && w.sendBy.Before(deadline) {
 			deadline = w.sendBy
 		}
+		if limit, limited := w.blockedDeadline(); limited && limit.Before(deadline) {
+			deadline = limit
+		}
 		if err := w.conn.SetWriteDeadline(deadline); err != nil {
 			return err
 		}
@@ -145,7 +157,9 @@
 		if end > 0 && end <= len(part) {
 			w.complete.Store(true)
 		}
+		startedAt := time.Now()
 		n, err := w.conn.send(part)
+		w.countBlocked(time.Since(startedAt))
 		if end > n {
 			w.complete.Store(false)
 		}
@@ -157,6 +171,27 @@
 	return nil
 }
 
+// mayBeWritten reports whether the client may have written all of its body, as far as the length and the system's buffers tell.
+func (w *uploadWriter) mayBeWritten() bool {
+	upload := w.request.Upload
+	return upload != nil && upload.Timeout > 0 && (upload.Length < 0 || upload.Length-w.written <= systemBufferBytes)
+}
+
+// blockedDeadline returns the time by which the upstream has to accept bytes, if there is one.
+func (w *uploadWriter) blockedDeadline() (deadline time.Time, limited bool) {
+	if !w.mayBeWritten() {
+		return time.Time{}, false
+	}
+	return time.Now().Add(w.request.Upload.blockedTimeLeft()), true
+}
+
+// countBlocked counts the time that a write has taken.
+func (w *uploadWriter) countBlocked(took time.Duration) {
+	if w.mayBeWritten() {
+		w.request.Upload.blocked.Add(int64(took))
+	}
+}
+
 // writeBody writes the body: first the part in memory, then the rest as it arrives.
 func (w *uploadWriter) writeBody() error {
 	upload := w.request.Upload
@@ -177,7 +212,11 @@
 // forwardUpload writes the body as it arrives.
 func (w *uploadWriter) forwardUpload(upload *Upload, framer *bodyFramer) error {
 	for again := false; ; again = true {
+		askedAt := time.Now()
 		piece, err := upload.pump.next(upload.Body, again, w.stopping)
+		if time.Since(askedAt) >= clientWait { // the client had not written this piece before
+			upload.blocked.Store(0)
+		}
 		if w.complete.Load() { // all bytes are written: this read only awaited the end of the source
 			return nil
 		}
@@ -199,6 +238,15 @@
 	}
 }
 
+// BlockedTime returns how long the upstream has blocked the upload since the client was last known not to have written all of its body. The
+// client has waited for the answer for no longer.
+func (u *Upload) BlockedTime() time.Duration { return time.Duration(u.blocked.Load()) }
+
+// blockedTimeLeft returns how long the upstream may still block the upload.
+func (u *Upload) blockedTimeLeft() time.Duration {
+	return u.Timeout - u.Timeout/blockedTimeParts - u.BlockedTime()
+}
+
 // startForwarding records that a part of Body was taken: no other attempt can send the request, and the first part is no longer needed.
 func (w *uploadWriter) startForwarding(upload *Upload) {
 	if upload.started.Swap(true) {
@@ -221,6 +269,7 @@
 }
 
 func (f *bodyFramer) write(piece []byte) error {
+	defer func() { f.writer.written += int64(len(piece)) }()
 	if !f.chunked {
 		f.remaining -= int64(len(piece))
 		return f.writer.writePiece(piece, lastByteIn(piece, f.remaining == 0))
