A new configuration no longer cuts long answers of the services it replaces

Cause: a replaced service was closed a second after the longest deadline, but an answer or upload that moves has no deadline.

Change: it is closed when its last request has ended; each request ends by itself, with its deadline or when its transfer stops.

--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -7,16 +7,12 @@
 	"os"
 	"reflect"
 	"slices"
-	"time"
 
 	"orchiddrift/internal/config"
 	"orchiddrift/internal/tlscredentials"
 	"orchiddrift/internal/tomlfile"
 )
 
-// retireSlack is how long a retired service may take to close, in addition to the longest deadline of its requests.
-const retireSlack = time.Second
-
 var (
 	errEnding        = errors.New("configuration not applied: the process is ending")
 	errRestartNeeded = errors.New("changing between the platform's file and the operator's file, or switching tls on or off, needs a restart")
@@ -244,9 +240,8 @@
 		d.retiringServices = map[*service]bool{}
 	}
 	d.retiringServices[s] = true
-	timeout := longestDeadline(d.plan) + retireSlack
 	d.retirements.Go(func() {
-		s.retire(timeout)
+		s.retire()
 		d.reloadMu.Lock()
 		defer d.reloadMu.Unlock()
 		delete(d.retiringServices, s)
@@ -257,15 +252,6 @@
 	})
 }
 
-func longestDeadline(p *config.Plan) (longest time.Duration) {
-	for _, s := range p.Services {
-		for _, class := range s.Settings.Classes {
-			longest = max(longest, class.Deadline)
-		}
-	}
-	return longest
-}
-
 // prepareCredentials opens the credentials of the clients' listener, if the listener's TLS settings have changed. The returned function
 // makes the listener use them.
 func (d *daemon) prepareCredentials(p *config.Plan) (use func(), err error) {
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -220,18 +219,12 @@
 	}
 }
 
-// retire closes the service once no request uses it, or after timeout.
-func (s *service) retire(timeout time.Duration) {
+// retire closes the service once no request uses it. Each request ends by itself: with its deadline, or, while a long body or answer moves,
+// when that stops.
+func (s *service) retire() {
 	s.retired.Store(true)
-	timer := time.NewTimer(timeout)
-	defer timer.Stop()
 	for s.inFlight.Load() > 0 {
-		select {
-		case <-s.released:
-		case <-timer.C:
-			s.close()
-			return
-		}
+		<-s.released
 	}
 	s.close()
 }
