An end right behind a new configuration answers the replaced services' requests

Cause: daemon.abort failed the requests of the running configuration's services alone; one that had just been replaced was not told that the time was over, and its connections were closed.

Change: abort covers the retiring services, which have a mutex of their own and are entered before the routing is replaced.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -57,9 +57,9 @@
 	background      context.Context // of backgroundTasks; ends with the daemon
 	backgroundTasks sync.WaitGroup
 
-	reloadMu         sync.Mutex // guards plan, retiringServices, ended and the services' shares of the limits (see setShares)
+	reloadMu         sync.Mutex // guards plan, ended and the services' shares of the limits (see setShares)
 	ended            bool       // if true, no further plan is applied
-	retiringServices map[*service]bool
+	retiringServices retiringServices
 	retirements      sync.WaitGroup // waits until the retiring services are closed
 }
 
@@ -245,6 +245,9 @@
 	for _, s := range d.routing.Load().services {
 		s.abort()
 	}
+	for _, s := range d.retiringServices.all() {
+		s.abort()
+	}
 }
 
 // endServices closes all services. It waits for a reload in progress and prevents further reloads, since the services that a later reload
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"os"
 	"reflect"
 	"slices"
+	"sync"
 
 	"orchiddrift/internal/config"
 	"orchiddrift/internal/tlscredentials"
@@ -221,30 +223,39 @@
 		update()
 	}
 	c.useCredentials()
+	replaced := c.replacedServices()
+	for _, s := range replaced { // before the routing is replaced, so that abort finds each service in one of the two
+		d.retiringServices.add(s)
+	}
 	d.routing.Store(next)
 	closeGates(closing)
-	if c.current != nil {
-		for name, s := range c.current.services {
-			if c.services[name] != s {
-				d.retireService(s)
-			}
-		}
+	for _, s := range replaced {
+		d.retireService(s)
 	}
 	d.plan = c.next
 }
 
-// retireService closes a removed service once its requests in flight have ended. Until then the service keeps its share of the limits. The
-// caller holds d.reloadMu.
-func (d *daemon) retireService(s *service) {
-	if d.retiringServices == nil {
-		d.retiringServices = map[*service]bool{}
+// replacedServices returns the running services that are not part of the next plan.
+func (c *planChange) replacedServices() (replaced []*service) {
+	if c.current == nil {
+		return nil
 	}
-	d.retiringServices[s] = true
+	for name, s := range c.current.services {
+		if c.services[name] != s {
+			replaced = append(replaced, s)
+		}
+	}
+	return replaced
+}
+
+// retireService closes a service of d.retiringServices once its requests in flight have ended. Until then the service keeps its share of the
+// limits. The caller holds d.reloadMu.
+func (d *daemon) retireService(s *service) {
 	d.retirements.Go(func() {
 		s.retire()
 		d.reloadMu.Lock()
 		defer d.reloadMu.Unlock()
-		delete(d.retiringServices, s)
+		d.retiringServices.remove(s)
 		if d.routing.Load().services[s.name] == nil {
 			d.shared.connectionSlots.OnContention(s.name, nil)
 		}
@@ -252,6 +263,35 @@
 	})
 }
 
+// retiringServices are the services that a new configuration has replaced or removed, until their last requests have ended. It has a mutex of
+// its own, since the end of the process must not wait for a reload. It is safe for concurrent use.
+type retiringServices struct {
+	mu       sync.Mutex
+	services map[*service]bool
+}
+
+func (r *retiringServices) add(s *service) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.services == nil {
+		r.services = map[*service]bool{}
+	}
+	r.services[s] = true
+}
+
+func (r *retiringServices) remove(s *service) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.services, s)
+}
+
+// all returns the services in no particular order.
+func (r *retiringServices) all() []*service {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Collect(maps.Keys(r.services))
+}
+
 // prepareCredentials opens the credentials of the clients' listener, if the listener's TLS settings have changed. The returned function
 // makes the listener use them.
 func (d *daemon) prepareCredentials(p *config.Plan) (use func(), err error) {
--- a/internal/daemon/resources.go
+++ b/internal/daemon/resources.go
@@ -117,7 +117,7 @@
 	for _, s := range services {
 		add(s)
 	}
-	for s := range d.retiringServices { // these services still need connections, and memory for answers
+	for _, s := range d.retiringServices.all() { // these services still need connections, and memory for answers
 		add(s.plan)
 	}
 	for _, limit := range []*bulkhead.Semaphore{d.shared.connectionSlots, d.shared.inFlight, d.shared.bodyBytes} {
--- a/internal/daemon/retire_test.go
+++ b/internal/daemon/retire_test.go
@@ -58,3 +58,32 @@
 		t.Errorf("got %d bytes and error %v, want all %d", n, err, pieces*piece)
 	}
 }
+
+// Requests at a service that a new configuration had just replaced lost their connections with no answer when the process ended: only the
+// services of the running configuration were told that the time is over.
+func TestEndBehindANewConfigurationAnswersAll(t *testing.T) {
+	arrived, hangs := make(chan struct{}, 1), make(chan struct{})
+	upstream := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		arrived <- struct{}{}
+		<-hangs
+	}))
+	defer upstream.Close()
+	defer close(hangs)
+	const grace = "[daemon]\ngrace = \"300ms\"\n"
+	r := startFile(t, grace+classFile(upstream, 20_000))
+	answered := make(chan int, 1)
+	go func() {
+		status, _ := r.request("POST", "/report", "")
+		answered <- status
+	}()
+	<-arrived
+	for _, deadline := range []int{19_000, 18_000} { // two in a row: both services before are retiring
+		if err := r.reload(t, grace+classFile(upstream, deadline)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r.stop()
+	if status := <-answered; status != http.StatusBadGateway {
+		t.Errorf("the request got status %d, want 502: 0 stands for an end of its connection", status)
+	}
+}
