--- a/internal/daemon/gone_unread_test.go
+++ b/internal/daemon/gone_unread_test.go
@@ -35,7 +35,6 @@
 						return fakes.Says(fakes.OK200("served"))(c, g)
 					})
 					r := start(t, testutil.Config(t, testutil.Quiet(t).Address, testutil.Entry("s", upstream.Address, "Ready")), "127.0.0.1:0")
-					var closes []time.Time
 					for round := range 3 {
 						conn := base.Dial(t, r.address)
 						var text strings.Builder
@@ -57,7 +56,6 @@
 						}
 						conn.Close()
 						closed := time.Now()
-						closes = append(closes, closed)
 						time.Sleep(goneSlack + 10*work)
 						mu.Lock()
 						for _, at := range arrivals {
