Payments sent again across a replacement of the process run once

Cause: the hand-over passed on no keys of [[repeats]] in memory, so that the successor took each repeat for a new payment.

Change: while both processes run, each asks the other about a key that it does not know, over the hand-over's link; the other one replies with its answer, waits for the running request, or leaves the key. The predecessor tells all settled keys and each outcome. Hello and Welcome say who takes part, so that processes of the release before are replaced as ever; three messages are new, with golden files of their own.

--- a/internal/daemon/idempotency.go
+++ b/internal/daemon/idempotency.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"net/http"
+	"slices"
 	"sync/atomic"
 
 	"orchiddrift/balancer"
@@ -44,9 +45,59 @@
 		sh.executors = map[string]*executor.Executor{}
 	}
 	sh.executors[plan.Name] = keyExecutor
+	if sh.keyExchange != nil {
+		keyExecutor.SetPeer(keyPeer{sh.keyExchange, plan.Name})
+	}
 	return keyExecutor, nil
 }
 
+// setKeyExchange makes all executors ask the other process of a replacement, also those that are opened later.
+func (sh *sharedResources) setKeyExchange(exchange *keyExchange) {
+	sh.executorsMu.Lock()
+	defer sh.executorsMu.Unlock()
+	sh.keyExchange = exchange
+	for name, x := range sh.executors {
+		x.SetPeer(keyPeer{exchange, name})
+	}
+}
+
+// allExecutors returns the executors in no particular order.
+func (sh *sharedResources) allExecutors() []*executor.Executor {
+	sh.executorsMu.Lock()
+	defer sh.executorsMu.Unlock()
+	return slices.Collect(maps.Values(sh.executors))
+}
+
+// awaitKeyExchange waits until a successor has been told all settled keys.
+func (sh *sharedResources) awaitKeyExchange() {
+	sh.executorsMu.Lock()
+	exchange := sh.keyExchange
+	sh.executorsMu.Unlock()
+	if exchange != nil {
+		exchange.telling.Wait()
+	}
+}
+
+// clearKeyExchange makes the executors ask no more, unless another exchange has replaced this one.
+func (sh *sharedResources) clearKeyExchange(exchange *keyExchange) {
+	sh.executorsMu.Lock()
+	defer sh.executorsMu.Unlock()
+	if sh.keyExchange != exchange {
+		return
+	}
+	sh.keyExchange = nil
+	for _, x := range sh.executors {
+		x.SetPeer(nil)
+	}
+}
+
+// executorOf returns the executor of a service, or nil if the service has none.
+func (sh *sharedResources) executorOf(service string) *executor.Executor {
+	sh.executorsMu.Lock()
+	defer sh.executorsMu.Unlock()
+	return sh.executors[service]
+}
+
 // abortExecutors makes all executors stop waiting for other processes.
 func (sh *sharedResources) abortExecutors() {
 	sh.executorsMu.Lock()
--- a/internal/daemon/upgrade.go
+++ b/internal/daemon/upgrade.go
@@ -50,6 +50,7 @@
 type receivedHandover struct {
 	state handover.State
 	link  *handover.Link
+	keys  *keyExchange // nil if the predecessor does not exchange keys; set before this process serves
 }
 
 // takeOver requests the listening socket and the state of a running process of this sidecar. If no such process runs, it returns nil, nil,
@@ -73,7 +74,7 @@
 	for i := range p.Services {
 		useHandedOverList(&p.Services[i], state.Services[p.Services[i].Name])
 	}
-	return listener, &receivedHandover{state, link}, nil
+	return listener, &receivedHandover{state: state, link: link}, nil
 }
 
 // useHandedOverList makes the predecessor's list the initial endpoint list of the service, if both processes use the same discovery address
@@ -107,7 +108,7 @@
 func (d *daemon) handoverState() handover.State {
 	d.lifecycle.connections.SetShared(true) // has to be set before the successor has the socket
 	state := handover.State{Identity: d.upgrade.identity, Draining: d.lifecycle.state() == lifecycle.Draining,
-		Descriptors: d.descriptorsHeld(), Services: map[string]handover.Service{}}
+		Descriptors: d.descriptorsHeld(), Services: map[string]handover.Service{}, ExchangesKeys: true}
 	for name, s := range d.routing.Load().services {
 		serviceState := handover.Service{Snapshot: s.engine.Snapshot()}
 		if discovery, list := s.handoverList(); discovery != "" {
@@ -133,7 +134,8 @@
 	if received != nil {
 		d.halveMemory()
 		d.limitConnections(received.state.Descriptors)
-		d.backgroundTasks.Go(func() { d.followPeer(received.link, true) })
+		keys := received.keys
+		d.backgroundTasks.Go(func() { d.followPeer(received.link, true, keys) })
 		stop := context.AfterFunc(ctx, func() { received.link.Close() })
 		defer stop()
 	}
@@ -194,10 +196,11 @@
 			previous.Close()
 		}
 		d.log.Info("hand-over: a successor has the clients' socket")
+		keys := d.exchangeKeys(link, false)
 		stop := context.AfterFunc(ctx, func() { link.Close() })
 		d.backgroundTasks.Go(func() {
 			defer stop()
-			d.followPeer(link, false)
+			d.followPeer(link, false, keys)
 		})
 	}
 }
@@ -242,17 +245,24 @@
 	return first
 }
 
-// followPeer handles the messages of the other process, until its link ends.
-func (d *daemon) followPeer(link *handover.Link, predecessor bool) {
+// followPeer handles the messages of the other process, until its link ends. keys is nil if they do not exchange keys.
+func (d *daemon) followPeer(link *handover.Link, predecessor bool, keys *keyExchange) {
 	if predecessor {
 		d.upgrade.setPredecessor(link)
 	}
 	defer link.Close()
+	defer d.endKeyExchange(keys)
 	for {
 		message, descriptors, err := link.Next()
 		if err != nil {
 			break
 		}
+		if handled, err := d.handleKeys(keys, message, link.Payload()); err != nil {
+			d.log.Warn("hand-over: a message about idempotency keys can't be read", "reason", err)
+			break
+		} else if handled {
+			continue
+		}
 		switch message {
 		case handover.DescriptorsHeld: // the first one acknowledges Ready
 			if predecessor {
@@ -262,6 +272,7 @@
 		case handover.Ready:
 			if d.upgrade.markReady(link) {
 				d.log.Info("hand-over: the successor serves")
+				d.tellSettledKeys(keys)
 				d.lifecycle.connections.Pause(true) // the successor accepts connections from the same socket
 				d.halveMemory()
 				d.backgroundTasks.Go(func() { d.reportDescriptors(link) })
--- a/internal/handover/doc.go
+++ b/internal/handover/doc.go
@@ -9,6 +9,8 @@
 //	    | -- Ready --------------------------> |   the successor serves
 //	    | <- DescriptorsHeld ----------------- |   repeatedly, while the predecessor completes its requests
 //	    | <- Drain, Undrain -----------------> |   an operator's request to either process, carried out by both
+//	    | <- KeyQuery, KeyReply -------------> |   a key that one of them does not know, if both understand these messages
+//	    | <- KeyRecord ----------------------- |   the keys that the predecessor knows, and how the requests of others end
 //
 // frame.go encodes messages, and state.go encodes and validates the state; neither opens connections. link.go, request.go and offer.go
 // exchange messages over the Unix socket.
--- a/internal/handover/frame.go
+++ b/internal/handover/frame.go
@@ -25,6 +25,9 @@
 	Drain                                  // the sidecar is to drain; sent by either process to the other
 	Undrain                                // the sidecar is to serve again; sent by either process to the other
 	DescriptorsHeld                        // the number of descriptors that the predecessor still has open: 4 bytes, big-endian
+	KeyQuery                               // a question about an idempotency key; sent by either process to the other
+	KeyReply                               // the reply to a KeyQuery
+	KeyRecord                              // the outcome of a request with an idempotency key at the predecessor
 	kindsEnd                               // one more than the highest kind
 )
 
--- a/internal/handover/golden_test.go
+++ b/internal/handover/golden_test.go
@@ -67,3 +67,31 @@
 	fmt.Fprintf(&out, "socket %s\n", SocketPath("folder", Identity{Name: "n3", Listen: "127.0.0.1:9000"}))
 	golden.Match(t, "frames.txt", []byte(out.String()))
 }
+
+// TestKeyMessagesGolden checks the messages about idempotency keys, and that Hello and Welcome announce them: processes of this release and of
+// later ones replace each other.
+func TestKeyMessagesGolden(t *testing.T) {
+	var out strings.Builder
+	for _, message := range []struct {
+		name string
+		kind MessageKind
+	}{{"query", KeyQuery}, {"reply", KeyReply}, {"record", KeyRecord}} {
+		fmt.Fprintf(&out, "%s %s\n", message.name, hex.EncodeToString(Append(nil, message.kind, []byte("payload"))))
+	}
+	own := Identity{Name: "n3", Listen: "127.0.0.1:9000"}
+	text, err := json.Marshal(hello{Identity: own, ExchangesKeys: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprintf(&out, "hello %s\n", text)
+	state, err := State{Identity: own, ExchangesKeys: true}.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprintf(&out, "welcome %s\n", state)
+	golden.Match(t, "keys.txt", []byte(out.String()))
+	var before Identity // as releases before decode Hello
+	if err := json.Unmarshal(text, &before); err != nil || before != own {
+		t.Errorf("a release before decodes Hello as %+v, error %v, want %+v", before, err, own)
+	}
+}
--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -29,7 +29,20 @@
 
 // Link is the connection between a process and its successor. Its Send methods are safe for concurrent use. Only one goroutine may call
 // Next.
-type Link struct{ conn *net.UnixConn }
+type Link struct {
+	conn          *net.UnixConn
+	exchangesKeys bool   // the other process understands the messages about idempotency keys
+	payload       []byte // of the latest message
+}
+
+// ExchangesKeys reports whether the other process understands KeyQuery, KeyReply and KeyRecord. Processes of releases before do not.
+func (l *Link) ExchangesKeys() bool { return l.exchangesKeys }
+
+// SendKeys sends a message about idempotency keys. The payload has at most MaxPayload bytes.
+func (l *Link) SendKeys(kind MessageKind, payload []byte) error { return l.send(kind, payload) }
+
+// Payload returns the payload of the message that Next returned last. Only the goroutine that calls Next may call it.
+func (l *Link) Payload() []byte { return l.payload }
 
 // Send sends a message without payload.
 func (l *Link) Send(kind MessageKind) error { return l.send(kind, nil) }
@@ -59,6 +72,7 @@
 	case kind == DescriptorsHeld:
 		held = int(binary.BigEndian.Uint32(payload))
 	}
+	l.payload = payload
 	return kind, held, nil
 }
 
--- a/internal/handover/offer.go
+++ b/internal/handover/offer.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
-	link := &Link{conn}
+	link := &Link{conn: conn}
 	if err := link.welcome(own, clientListener, state); err != nil {
 		link.Close()
 		return nil, fmt.Errorf("%w: the hand-over to the connected process failed: %w", ErrNoSuccessor, err)
@@ -75,10 +75,11 @@
 	if err != nil {
 		return err
 	}
-	var successor Identity
-	if err := json.Unmarshal(payload, &successor); err != nil || kind != Hello || successor != own {
+	var successor hello
+	if err := json.Unmarshal(payload, &successor); err != nil || kind != Hello || successor.Identity != own {
 		return ErrProtocol
 	}
+	l.exchangesKeys = successor.ExchangesKeys
 	encoded, err := state().Encode()
 	if err != nil {
 		return err
--- a/internal/handover/request.go
+++ b/internal/handover/request.go
@@ -22,7 +22,7 @@
 	if err != nil {
 		return State{}, nil, nil, err
 	}
-	link := &Link{conn.(*net.UnixConn)}
+	link := &Link{conn: conn.(*net.UnixConn)}
 	state, listener, err := link.request(own)
 	if err != nil {
 		link.Close()
@@ -36,11 +36,11 @@
 	if err := l.checkSameUser(); err != nil {
 		return State{}, nil, err
 	}
-	hello, err := json.Marshal(own)
+	text, err := json.Marshal(hello{Identity: own, ExchangesKeys: true})
 	if err != nil {
 		return State{}, nil, err
 	}
-	if err := l.send(Hello, hello); err != nil {
+	if err := l.send(Hello, text); err != nil {
 		return State{}, nil, err
 	}
 	if err := l.conn.SetReadDeadline(time.Now().Add(stepTimeout)); err != nil {
@@ -59,6 +59,7 @@
 	if err != nil {
 		return State{}, nil, err
 	}
+	l.exchangesKeys = state.ExchangesKeys
 	listener, err := in.listener()
 	if err != nil {
 		return State{}, nil, err
--- a/internal/handover/state.go
+++ b/internal/handover/state.go
@@ -15,12 +15,20 @@
 	Listen string `json:"listen"`
 }
 
+// hello is the payload of a Hello message. Processes of releases before read the Identity alone.
+type hello struct {
+	Identity
+	ExchangesKeys bool `json:"keys,omitempty"`
+}
+
 // State is the state that a process passes to its successor together with the listening socket.
 type State struct {
 	Identity
 	Draining    bool               `json:"draining"`
 	Descriptors int                `json:"held"` // number of file descriptors that the predecessor has open
 	Services    map[string]Service `json:"services"`
+	// ExchangesKeys says that the predecessor answers questions about idempotency keys.
+	ExchangesKeys bool `json:"keys,omitempty"`
 }
 
 // Service is the state of one service.
--- a/internal/idempotency/executor/execution.go
+++ b/internal/idempotency/executor/execution.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"orchiddrift/internal/idempotency"
@@ -28,7 +29,9 @@
 
 	done             chan struct{}
 	outcome          Outcome
-	decidedElsewhere bool // another process decided on the outcome
+	decidedElsewhere bool        // another process decided on the outcome
+	unknownElsewhere bool        // another process may have executed the request, and its answer is not known
+	asking           atomic.Bool // the other process of a replacement is asked about the key, or will be
 }
 
 // newExecution returns an execution that one client waits for.
@@ -59,8 +62,14 @@
 // RecordStore. If the process ends before that, the record still has the state running, and a repeated request is not executed.
 func (e *Executor) execute(ctx context.Context, request idempotency.SharedRequest, x *execution, run RunFunc) {
 	e.step(StepArrived)
-	claim, err := e.prepare(ctx, request, x)
+	var claim etcdstore.Claim
+	var err error
+	isDecided := e.askPeer(ctx, request, x)
+	if !isDecided {
+		claim, err = e.prepare(ctx, request, x)
+	}
 	switch {
+	case isDecided:
 	case err != nil:
 		x.outcome = Outcome{Verdict: idempotency.Reject, RetryAfter: storeErrorRetryAfter}
 	case claim.Verdict != idempotency.Execute:
@@ -77,6 +86,7 @@
 	}
 	e.step(StepAnswered)
 	e.finish(request.ID, claim, x)
+	e.tellPeer(request.ID, x)
 	x.cancel()
 	close(x.done)
 	x.confirmKey()
@@ -135,6 +145,7 @@
 func (e *Executor) finish(id idempotency.ID, claim etcdstore.Claim, x *execution) {
 	outcome := idempotency.MayHaveRun
 	switch {
+	case x.unknownElsewhere:
 	case x.outcome.Verdict == idempotency.Replay:
 		outcome = idempotency.Answered
 	case x.outcome.Verdict == idempotency.Reject || x.decidedElsewhere:
--- a/internal/idempotency/executor/executor.go
+++ b/internal/idempotency/executor/executor.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"orchiddrift/internal/clock"
@@ -89,6 +90,7 @@
 	options     Options
 	clockOffset time.Duration // difference between the durable clock (see now) and Options.Clock
 	running     sync.WaitGroup
+	peer        atomic.Pointer[peerState] // see SetPeer
 
 	mu          sync.Mutex
 	store       *idempotency.Store
@@ -165,6 +167,11 @@
 			d = shared
 		}
 	}
+	if peer := e.currentPeer(); d.Verdict == idempotency.Fail && peer != nil { // the other process may know the answer
+		if outcome, err := peer.Ask(ctx, id, fingerprint); err == nil && outcome.Verdict != idempotency.Execute {
+			return Result{Outcome: outcome}, nil
+		}
+	}
 	if a.execution == nil {
 		return Result{Outcome: Outcome{Verdict: d.Verdict, Answer: d.Answer, RetryAfter: d.RetryAfter}}, nil
 	}
@@ -209,6 +216,7 @@
 	switch a.decision.Verdict {
 	case idempotency.Execute:
 		a.execution = newExecution(e.options.Shared != nil)
+		a.execution.asking.Store(e.currentPeer() != nil && len(a.decision.EarlierAttempts) == 0)
 		e.executions[id] = a.execution
 		e.running.Add(1)
 	case idempotency.Wait:
--- a/internal/idempotency/store.go
+++ b/internal/idempotency/store.go
@@ -33,6 +33,7 @@
 	answer          *Answer   // set in state answered; nil if the answer was too large to store
 	attempts        []Attempt // attempts that may have been executed
 	attemptsUnknown bool      // attempts is incomplete, so the request is never executed again
+	yielded         bool      // the other process of a replacement executes the request, see Store.LookupForPeer
 	waiting         int       // number of requests that wait for the running request
 	bytes           int       // estimated memory
 	expiresAt       time.Duration
