A full store of keys starts again with its own file

Cause: attempts grow an entry beyond the limit on bytes, and the load took that for a limit that was lowered.

Change: what may have run is not sent again behind a restart, so its attempts are dropped at the load; the rest was within the limits when it was accepted.

--- a/internal/idempotency/record.go
+++ b/internal/idempotency/record.go
@@ -23,9 +23,10 @@
 
 // Load adds a record that an earlier process wrote. The parameter now is the last known time of that process's clock. Records past their
 // retention are skipped. Requests that may have been executed are not executed again, since the upstreams' deduplication windows may have
-// ended while no process ran.
+// ended while no process ran. So their attempts are not needed any more, and a store that was full fits into the limits again: attempts alone
+// may take it beyond them.
 func (s *Store) Load(now time.Duration, r Record) error {
-	size := entryOverheadBytes + r.ID.bytes() + len(r.Attempts)*attemptBytes
+	size := entryOverheadBytes + r.ID.bytes() // its attempts are dropped
 	if r.Answer != nil {
 		size += r.Answer.bytes()
 	}
@@ -35,12 +36,12 @@
 	if len(s.entries) >= s.options.MaxKeys || s.bytes+size > s.options.MaxBytes.Bytes() {
 		return ErrStoreFull
 	}
-	e := &entry{id: r.ID, fingerprint: r.Fingerprint, queueIndex: -1, attempts: r.Attempts, state: uncertain}
+	e := &entry{id: r.ID, fingerprint: r.Fingerprint, queueIndex: -1, state: uncertain}
 	switch {
 	case r.Running || r.Outcome == MayHaveRun:
 		e.attemptsUnknown = true
 	case r.Outcome == Answered:
-		e.state, e.answer, e.attempts = answered, r.Answer, nil
+		e.state, e.answer = answered, r.Answer
 	}
 	s.insert(e, size)
 	s.scheduleExpiry(e, min(r.UpdatedAt, now))
