A file of keys that holds none any more keeps its clock

Cause: the durable clock went on in the next process only if the file held a record, so that the records of a process behind a quiet time were older than the file's clock.

Change: the executor asks the store of records for its clock, whatever it holds.

--- a/internal/idempotency/boltstore/store.go
+++ b/internal/idempotency/boltstore/store.go
@@ -67,8 +67,11 @@
 // Load calls do for each record. The argument now is the last known time of the previous process's clock.
 func (s *Store) Load(do func(now time.Duration, record idempotency.Record) error) (err error) {
 	defer recoverPageFault(s.db.Path(), &err)()
+	now, err := s.Clock()
+	if err != nil {
+		return err
+	}
 	err = s.db.View(func(tx *bbolt.Tx) error {
-		now, _ := readClock(tx)
 		var previous idempotency.Record
 		return tx.Bucket(recordsBucket).ForEach(func(_, value []byte) error {
 			record, err := recordcodec.Decode(value, &previous)
@@ -85,6 +88,20 @@
 	return nil
 }
 
+// Clock returns the last known time of the clock of the process that wrote the file, or 0 if none has. It does not depend on the records: the
+// clock has to go on when they have all expired.
+func (s *Store) Clock() (now time.Duration, err error) {
+	defer recoverPageFault(s.db.Path(), &err)()
+	err = s.db.View(func(tx *bbolt.Tx) error {
+		now, _ = readClock(tx)
+		return nil
+	})
+	if err != nil {
+		return 0, fmt.Errorf("read the clock of %s: %w", s.db.Path(), err)
+	}
+	return now, nil
+}
+
 // Put writes record, if it is not nil, deletes the expired records and advances the stored clock. The parameter now is the clock's new
 // time. Put returns when these changes are durable.
 func (s *Store) Put(record *idempotency.Record, expired []idempotency.ID, now time.Duration) error {
--- a/internal/idempotency/executor/executor.go
+++ b/internal/idempotency/executor/executor.go
@@ -68,6 +68,8 @@
 
 // RecordStore stores records durably.
 type RecordStore interface {
+	// Clock returns the last known time of the previous process's clock, also if there are no records; 0 if there was no process.
+	Clock() (now time.Duration, err error)
 	// Load calls do for each record. The argument now is the last known time of the previous process's clock.
 	Load(do func(now time.Duration, record idempotency.Record) error) error
 	// Put writes record, if it is not nil, and deletes the expired records. It returns when both changes are durable.
@@ -112,11 +114,11 @@
 	if options.Records == nil {
 		return e, nil
 	}
-	started := options.Clock.Now()
-	err := options.Records.Load(func(now time.Duration, record idempotency.Record) error {
-		e.clockOffset = now - started
-		return e.store.Load(now, record)
-	})
+	stored, err := options.Records.Clock()
+	if err == nil {
+		e.clockOffset = stored - options.Clock.Now()
+		err = options.Records.Load(e.store.Load)
+	}
 	if err != nil {
 		_ = options.Records.Close() // the error of Load is more relevant than an error of Close
 		return nil, err
--- a/internal/idempotency/executor/executor_test.go
+++ b/internal/idempotency/executor/executor_test.go
@@ -26,6 +26,8 @@
 	records map[idempotency.ID]idempotency.Record
 }
 
+func (d *fakeDisk) Clock() (time.Duration, error) { return time.Hour, nil }
+
 func (d *fakeDisk) Load(do func(time.Duration, idempotency.Record) error) error {
 	for _, r := range d.records {
 		if err := do(time.Hour, r); err != nil {
@@ -189,3 +191,24 @@
 		}
 	})
 }
+
+// laterDisk is a fakeDisk whose clock has gone on far.
+type laterDisk struct{ *fakeDisk }
+
+const laterClock = 1 << 60 * time.Nanosecond
+
+func (laterDisk) Clock() (time.Duration, error) { return laterClock, nil }
+
+// A file whose keys had all expired lost its clock: the next process began at the clock's start, its records looked older than the file's
+// clock, and the process behind that forgot keys of a second ago.
+func TestClockGoesOnWithoutRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		disk := &fakeDisk{records: map[idempotency.ID]idempotency.Record{}}
+		e := newTestExecutor(t, laterDisk{disk}, nil)
+		e.Do(t.Context(), testID(1), idempotency.Fingerprint{}, runPayment)
+		e.Close()
+		if at := disk.records[testID(1)].UpdatedAt; at < laterClock {
+			t.Errorf("the record was written at %v on the durable clock, want at least the %v at which the process before had ended", at, laterClock)
+		}
+	})
+}
