Answers that end with their connection are forwarded to keyed and GraphQL requests

Cause: an answer that has to be complete was kept only with a length or in chunks; one that ends with its connection was malformed.

Change: the orderly end of the connection ends such an answer; a reset, or an encrypted connection's end without its closing message, does not.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -183,6 +183,8 @@
 	successful := x.pool.successStatuses.Has(status)
 	final := status >= http.StatusOK
 	delimited := message.ContentLength >= 0 || len(message.TransferEncoding) > 0
+	// An answer that has to be complete may also end with its connection: an orderly end is its end, a reset is none.
+	hasEnd := delimited || successful && x.request.CompleteOnly
 	complete := false
 	var body []byte
 	var reserved int64
@@ -191,7 +193,7 @@
 		complete = final
 	case successful && final && x.passesThrough(message):
 		return x.passThrough(message)
-	case final && delimited && message.ContentLength <= int64(x.pool.maxAnswerBytes):
+	case final && hasEnd && message.ContentLength <= int64(x.pool.maxAnswerBytes):
 		var available bool
 		if reserved, available = x.pool.reserveBody(message); !available { // exceeding this process's own limit is not a failure of the upstream
 			return Response{Result: balancer.Cancelled}, closeConnection
