--- a/balancer/events.go
+++ b/balancer/events.go
@@ -16,7 +16,7 @@
 	Removed                // gets no further attempts
 )
 
-// UnknownCell is the Cell of an upstream whose cell no list tells. An unknown zone is the empty string. What may have run at an
+// UnknownCell is the Cell of an upstream whose cell is in no list. An unknown zone is the empty string. What may have run at an
 // upstream of unknown zone or cell is in no other upstream's deduplication scope of that kind.
 const UnknownCell = -1
 
@@ -24,7 +24,7 @@
 type Endpoint struct {
 	Name, Zone  string
 	MachineType string // upstreams of one type, or without a type, are assumed to be equally fast
-	Cell        int    // UnknownCell if no list tells it
+	Cell        int    // UnknownCell if no list has it
 	State       EndpointState
 	StartedAt   time.Duration // clock time of the endpoint's latest start; 0 if that was long ago
 }
--- a/balancer/request_state.go
+++ b/balancer/request_state.go
@@ -64,8 +64,8 @@
 	}
 }
 
-// mayHaveRunInUnknownGroup reports whether an attempt that may have run was sent to an upstream of which no list tells the zone or cell
-// that is the request's deduplication scope.
+// mayHaveRunInUnknownGroup reports whether an attempt that may have run was sent to an upstream whose group, the zone or cell that is the
+// request's deduplication scope, is not known.
 func (r *request) mayHaveRunInUnknownGroup() bool {
 	isUnknown := func(zone string, cell int) bool {
 		return r.class.DedupScope == ScopeZone && zone == "" || r.class.DedupScope == ScopeCell && cell == UnknownCell
--- a/cmd/orchiddrift/check.go
+++ b/cmd/orchiddrift/check.go
@@ -168,7 +168,7 @@
 	}
 }
 
-// groupName names the deduplication scope of a class, and the key of an upstream that tells its group.
+// groupName names the deduplication scope of a class, and the key of an upstream that has its group.
 type groupName struct{ scope, setting string }
 
 // groupKey returns the name of a class's deduplication scope, and a function that reports whether an upstream's group is unknown. The function
--- a/internal/daemon/address_reuse_test.go
+++ b/internal/daemon/address_reuse_test.go
@@ -81,7 +81,7 @@
 				}
 				stopPrevious := stop
 				stopped := make(chan struct{})
-				go func() { // the old process ends in the moment in which discovery tells of the new one
+				go func() { // the old process ends in the moment in which discovery announces the new one
 					defer close(stopped)
 					stopPrevious()
 				}()
--- a/internal/daemon/idempotency.go
+++ b/internal/daemon/idempotency.go
@@ -68,13 +68,13 @@
 	return slices.Collect(maps.Values(sh.executors))
 }
 
-// awaitKeyExchange waits until a successor has been told all settled keys.
+// awaitKeyExchange waits until a successor has received all settled keys.
 func (sh *sharedResources) awaitKeyExchange() {
 	sh.executorsMu.Lock()
 	exchange := sh.keyExchange
 	sh.executorsMu.Unlock()
 	if exchange != nil {
-		exchange.telling.Wait()
+		exchange.sending.Wait()
 	}
 }
 
--- a/internal/daemon/retire_test.go
+++ b/internal/daemon/retire_test.go
@@ -60,7 +60,7 @@
 }
 
 // Requests at a service that a new configuration had just replaced lost their connections with no answer when the process ended: only the
-// services of the running configuration were told that the time is over.
+// services of the running configuration were notified that the time is over.
 func TestEndBehindANewConfigurationAnswersAll(t *testing.T) {
 	arrived, hangs := make(chan struct{}, 1), make(chan struct{})
 	upstream := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
--- a/internal/daemon/upgrade.go
+++ b/internal/daemon/upgrade.go
@@ -272,7 +272,7 @@
 		case handover.Ready:
 			if d.upgrade.markReady(link) {
 				d.log.Info("hand-over: the successor serves")
-				d.tellSettledKeys(keys)
+				d.sendSettledKeys(keys)
 				d.lifecycle.connections.Pause(true) // the successor accepts connections from the same socket
 				d.halveMemory()
 				d.backgroundTasks.Go(func() { d.reportDescriptors(link) })
--- a/internal/daemon/upgrade_keys.go
+++ b/internal/daemon/upgrade_keys.go
@@ -51,7 +51,7 @@
 type keyExchange struct {
 	link        *handover.Link
 	predecessor bool           // the other process is the predecessor
-	telling     sync.WaitGroup // waits until the successor has been told all settled keys
+	sending     sync.WaitGroup // waits until the successor has received all settled keys
 
 	mu      sync.Mutex
 	number  uint64
@@ -187,14 +187,14 @@
 	exchange.end()
 }
 
-// tellSettledKeys tells the successor all settled keys, once it serves. exchange may be nil.
-func (d *daemon) tellSettledKeys(exchange *keyExchange) {
+// sendSettledKeys sends the successor all settled keys, once it serves. exchange may be nil.
+func (d *daemon) sendSettledKeys(exchange *keyExchange) {
 	if exchange == nil {
 		return
 	}
-	exchange.telling.Go(func() {
+	exchange.sending.Go(func() {
 		for _, keys := range d.shared.allExecutors() {
-			keys.TellSettled()
+			keys.SendSettled()
 		}
 	})
 }
--- a/internal/endpoints/json.go
+++ b/internal/endpoints/json.go
@@ -6,7 +6,7 @@
 	"orchiddrift/balancer"
 )
 
-// listMessage is the form in which a List is decoded. It tells a cell with number 0 from one that is missing.
+// listMessage is the form in which a List is decoded. It distinguishes a cell with number 0 from one that is missing.
 type listMessage struct {
 	Index     *int64            `json:"index"`
 	Snapshot  bool              `json:"snapshot"`
--- a/internal/endpoints/list.go
+++ b/internal/endpoints/list.go
@@ -22,7 +22,7 @@
 	Address     string  `json:"address"`
 	Zone        string  `json:"zone"`
 	MachineType string  `json:"type"`
-	Cell        int     `json:"group"` // balancer.UnknownCell if the list does not tell it
+	Cell        int     `json:"group"` // balancer.UnknownCell if the list does not have it
 	Status      string  `json:"status"`
 	StartedMs   float64 `json:"since_ms"` // when the endpoint last started, Unix time in milliseconds; 0 counts as long ago
 	// TLSIdentity is the DNS name or URI that the endpoint's certificate must contain. If it is empty, the certificate must contain the
--- a/internal/idempotency/executor/execution.go
+++ b/internal/idempotency/executor/execution.go
@@ -86,7 +86,7 @@
 	}
 	e.step(StepAnswered)
 	e.finish(request.ID, claim, x)
-	e.tellPeer(request.ID, x)
+	e.notifyPeer(request.ID, x)
 	x.cancel()
 	close(x.done)
 	x.confirmKey()
--- a/internal/idempotency/executor/peer.go
+++ b/internal/idempotency/executor/peer.go
@@ -11,7 +11,7 @@
 	// Ask returns the other process's decision on a request whose key is not known here. The verdict is Execute if it does not know the key
 	// either: it does not execute a request of the key from then on. An error means that it could not be asked.
 	Ask(ctx context.Context, id idempotency.ID, fingerprint idempotency.Fingerprint) (Outcome, error)
-	// Settled tells the other process the outcome of a request, if it wants to know. UpdatedAt of the record is an age.
+	// Settled notifies the other process of the outcome of a request, if it needs it. UpdatedAt of the record is an age.
 	Settled(record idempotency.Record)
 }
 
@@ -27,8 +27,8 @@
 	e.peer.Store(&peerState{peer})
 }
 
-// TellSettled tells the other process all settled keys.
-func (e *Executor) TellSettled() {
+// SendSettled notifies the other process of all settled keys.
+func (e *Executor) SendSettled() {
 	peer := e.currentPeer()
 	if peer == nil {
 		return
@@ -109,8 +109,8 @@
 	e.store.Adopt(now, record)
 }
 
-// tellPeer tells the other process, if there is one, how a request ended.
-func (e *Executor) tellPeer(id idempotency.ID, x *execution) {
+// notifyPeer notifies the other process, if there is one, how a request ended.
+func (e *Executor) notifyPeer(id idempotency.ID, x *execution) {
 	peer := e.currentPeer()
 	if peer == nil || x.decidedElsewhere {
 		return
--- a/internal/idempotency/executor/peer_test.go
+++ b/internal/idempotency/executor/peer_test.go
@@ -29,7 +29,7 @@
 }
 
 func (p linkedPeer) Settled(record idempotency.Record) {
-	if p.yields { // only the predecessor's keys are told
+	if p.yields { // only the predecessor's keys are sent
 		p.other.Adopt(record)
 	}
 }
@@ -80,7 +80,7 @@
 			r.predecessor.SetPeer(nil)
 			first := r.pay(t, r.predecessor, 1, time.Millisecond)
 			r.predecessor.SetPeer(linkedPeer{r.successor, true, time.Millisecond, &r.broken})
-			r.predecessor.TellSettled()
+			r.predecessor.SendSettled()
 			r.successor.SetPeer(nil) // the predecessor has ended
 			return []Result{first, r.pay(t, r.successor, 1, time.Millisecond)}
 		},
--- a/internal/server/downstream/head_limit.go
+++ b/internal/server/downstream/head_limit.go
@@ -8,7 +8,7 @@
 	"orchiddrift/internal/server/framing"
 )
 
-// cutHeadField is the name of a field that is added to a head that was cut, so that the request is told from those before it on its
+// cutHeadField is the name of a field that is added to a head that was cut, so that the request is distinguished from those before it on its
 // connection, which may still be in flight. It counts only on a connection on which a head was cut.
 const cutHeadField = "Orchiddrift-Cut-Head"
 
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -171,7 +171,7 @@
 	return nil
 }
 
-// mayBeWritten reports whether the client may have written all of its body, as far as the length and the system's buffers tell.
+// mayBeWritten reports whether the client may have written all of its body, by its length and the system's buffers.
 func (w *uploadWriter) mayBeWritten() bool {
 	upload := w.request.Upload
 	return upload != nil && upload.Timeout > 0 && (upload.Length < 0 || upload.Length-w.written <= systemBufferBytes)
