A non-idempotent request that comes again with its ID runs once

What callers saw: a client sent a request that must not run twice, left, and sent it again with its X-Request-ID; once the first one had ended, the second ran too.

Cause: the engine knew an ID only while its call was in flight.

--- a/internal/engine/answer.go
+++ b/internal/engine/answer.go
@@ -14,7 +14,7 @@
 	Served       AnswerKind = iota // an attempt succeeded, or its streamed answer has begun
 	Rejected                       // not executed: the caller may retry
 	Failed                         // may have been executed
-	Duplicate                      // another call with this ID is in flight; this call was not processed
+	Duplicate                      // another call with this ID is in flight, or may have run and must not run twice; this call was not processed
 	ClientGone                     // the caller's context ended first
 	EngineClosed                   // the engine is closed; the call was not processed
 )
--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -173,6 +173,9 @@
 	}
 	a.ended = true
 	call.runningAttempts--
+	if mayHaveRun(result.Result) {
+		e.recent.add(e.clock.Now(), call)
+	}
 	endedAt := e.clock.Now()
 	if a.streamStartedAt > 0 { // the duration of a stream is no measure of the upstream's latency
 		endedAt = a.streamStartedAt
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -61,7 +61,7 @@
 	case e.closed:
 		e.unlock()
 		return Answer{Kind: EngineClosed}
-	case e.calls[request.ID] != nil:
+	case e.calls[request.ID] != nil || e.recent.has(e.clock.Now(), request.ID):
 		e.unlock()
 		return Answer{Kind: Duplicate}
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -25,9 +25,10 @@
 	mu           sync.Mutex // see the package comment for the lock order
 	balancer     *balancer.Balancer
 	calls        map[string]*callState // by ID
-	actionBuffer []balancer.Action     // reused by handle; nil while it is in use
-	logActions   []balancer.Action     // log lines that unlock writes
-	timer        *time.Timer           // set by balancer.SetTimer
+	recent       *recentIDs
+	actionBuffer []balancer.Action // reused by handle; nil while it is in use
+	logActions   []balancer.Action // log lines that unlock writes
+	timer        *time.Timer       // set by balancer.SetTimer
 	closed       bool
 
 	attemptGoroutines sync.WaitGroup
@@ -55,6 +56,7 @@
 		cancelWithCaller:   options.CancelWithCaller,
 		balancer:           policy,
 		calls:              map[string]*callState{},
+		recent:             newRecentIDs(options.Settings.Classes),
 	}
 	e.timer = time.AfterFunc(unsetTimer, e.timerFired)
 	e.timer.Stop()
