Tests of the operators' address wait for its own yes

The clients' page says ready once an upstream is; the operators' GET /ready also needs the hand-over's socket, which a goroutine opens after a poll of 20 ms. startWithControl waited for the first alone, and the test then read the second once: a race of the test, not of the process.

Change: startWithControl waits until the operators' GET /ready is 200, within the tests' usual time. The checks stay as they are, that of GET /ready too; a process that never says yes is red there.

--- a/internal/daemon/control_test.go
+++ b/internal/daemon/control_test.go
@@ -17,13 +17,14 @@
 	"orchiddrift/internal/testing/testutil/base"
 )
 
-// startWithControl starts a sidecar with an operators' address, and returns it with a function that sends a request to that address.
+// startWithControl starts a sidecar with an operators' address, and returns it with a function that sends a request to that address. It waits
+// until the operators' GET /ready says yes, which is later than the clients' page: the process can be replaced by then.
 func startWithControl(t *testing.T, c *config.Config) (*running, func(method, path string) (int, string)) {
 	t.Helper()
 	c.Control = base.FreeAddress(t)
 	r := start(t, c, "127.0.0.1:0")
 	client := &http.Client{Timeout: testutil.Timeout, Transport: &http.Transport{DisableKeepAlives: true}}
-	return r, func(method, path string) (int, string) {
+	call := func(method, path string) (int, string) {
 		t.Helper()
 		req, err := http.NewRequest(method, "http://"+c.Control+path, nil)
 		if err != nil {
@@ -40,6 +41,11 @@
 		}
 		return resp.StatusCode, string(body)
 	}
+	testutil.Eventually(t, "the operators' address says yes", func() bool {
+		status, _ := call("GET", "/ready")
+		return status == http.StatusOK
+	})
+	return r, call
 }
 
 // readMetrics returns the values of GET /metrics by name.
