--- a/internal/loadgen/hostile/node.go
+++ b/internal/loadgen/hostile/node.go
@@ -11,19 +11,22 @@
 // Sizes and times of the answers of a node.
 const (
 	largeAnswer  = 4 << 20
+	longAnswer   = 96 << 10
 	mediumAnswer = 60 << 10
 	nodeWork     = 3 * time.Millisecond
 )
 
 // ServeNode serves an upstream for the shapes on l, until l is closed.
 func ServeNode(l net.Listener) error {
-	large, medium := strings.Repeat("l", largeAnswer), strings.Repeat("m", mediumAnswer)
+	large, long, medium := strings.Repeat("l", largeAnswer), strings.Repeat("a", longAnswer), strings.Repeat("m", mediumAnswer)
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		time.Sleep(nodeWork)
 		switch r.URL.Path {
 		case LargeTarget:
 			_, _ = io.WriteString(w, large)
+		case LongTarget:
+			_, _ = io.WriteString(w, long)
 		case MediumTarget:
 			_, _ = io.WriteString(w, medium)
 		default:
--- a/internal/loadgen/hostile/shape.go
+++ b/internal/loadgen/hostile/shape.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"time"
@@ -15,8 +16,19 @@
 	Clients int // connections at once
 	// session plays one connection of client until it ends, or until the traffic is over: it then returns false.
 	session func(c *client) (again bool)
+	visits  *visits // nil if clients stay
+	usual   usualLoad
 }
 
+// usualLoad is how the usual clients send beside a shape.
+type usualLoad struct {
+	pause   time.Duration // between two requests of a client
+	timeout time.Duration // for which a client waits for an answer
+}
+
+// lightLoad is the usual load beside a single kind of hostile traffic.
+var lightLoad = usualLoad{pause: 200 * time.Millisecond, timeout: 2 * time.Second}
+
 // Sizes and rates of the traffic.
 const (
 	manyClients = 400
@@ -34,15 +46,19 @@
 	retryPause         = 250 * time.Millisecond
 )
 
-// Shapes returns all shapes. The upstreams have to answer LargeTarget with a long answer, and MediumTarget with one of some 60 KB.
+// Shapes returns the shapes of one kind of traffic each. The upstreams have to answer as ServeNode does.
 func Shapes() []Shape {
-	return []Shape{
+	kinds := []struct {
+		name    string
+		clients int
+		session func(c *client) bool
+	}{
 		{"none", 0, nil},
 		{"idle connections", manyClients, stayIdle},
 		{"slow bodies", manyClients, slowBody},
-		{"half bodies", manyClients, stopInBody},
+		{"half bodies", manyClients, func(c *client) bool { return c.stopInBody(halfBody) }},
 		{"long heads", manyClients, longHeads},
-		{"half heads", manyClients, stopInHead},
+		{"half heads", manyClients, func(c *client) bool { return c.stopInHead(fieldCount) }},
 		{"slow readers", manyClients, func(c *client) bool { return c.readSlowly(LargeTarget) }},
 		{"silent readers", manyClients, func(c *client) bool { return c.readSlowly(MediumTarget) }},
 		{"flood of own pages", 1, func(c *client) bool { return c.flood(ownPage) }},
@@ -51,11 +67,17 @@
 		{"flood of unsound requests", 1, func(c *client) bool { return c.flood(unsound) }},
 		{"flood of one-byte chunks", 1, func(c *client) bool { return c.flood(oneByteChunks) }},
 	}
+	shapes := make([]Shape, 0, len(kinds))
+	for _, kind := range kinds {
+		shapes = append(shapes, Shape{Name: kind.name, Clients: kind.clients, session: kind.session, usual: lightLoad})
+	}
+	return shapes
 }
 
 // Targets of requests for long answers.
 const (
 	LargeTarget  = "/search/large"
+	LongTarget   = "/search/long"
 	MediumTarget = "/search/medium"
 )
 
@@ -65,6 +87,7 @@
 	conn    net.Conn
 	index   int
 	counter int
+	random  *rand.Rand // of visits; nil before the first one
 }
 
 // pause waits, and returns false once the traffic is over.
@@ -94,6 +117,10 @@
 			continue
 		}
 		c.conn = conn
+		if s.visits != nil {
+			s.visits.play(c)
+			continue
+		}
 		stop := context.AfterFunc(ctx, func() { conn.Close() })
 		again := s.session(c)
 		stop()
@@ -132,11 +159,11 @@
 	return true
 }
 
-// stopInBody sends half of a body and stays.
-func stopInBody(c *client) bool {
+// stopInBody sends half of a body of so many bytes and stays.
+func (c *client) stopInBody(bytes int) bool {
 	id := c.id()
 	fmt.Fprintf(c.conn, "POST /confirm/%s HTTP/1.1\r\nHost: s\r\nX-Request-ID: %s\r\nX-Timeout: 5000m\r\nContent-Length: %d\r\n\r\n%s", id, id,
-		halfBody, strings.Repeat("x", halfBody/2))
+		bytes, strings.Repeat("x", bytes/2))
 	c.untilClosed()
 	return true
 }
@@ -171,10 +198,10 @@
 	}
 }
 
-// stopInHead sends very many fields and never ends the head.
-func stopInHead(c *client) bool {
+// stopInHead sends so many fields and never ends the head.
+func (c *client) stopInHead(fields int) bool {
 	id := c.id()
-	fmt.Fprintf(c.conn, "GET /search/%s HTTP/1.1\r\nHost: s\r\nX-Request-ID: %s\r\n%s", id, id, c.fields(fieldCount))
+	fmt.Fprintf(c.conn, "GET /search/%s HTTP/1.1\r\nHost: s\r\nX-Request-ID: %s\r\n%s", id, id, c.fields(fields))
 	c.untilClosed()
 	return true
 }
--- a/internal/testing/processes/overload_test.go
+++ b/internal/testing/processes/overload_test.go
@@ -37,17 +37,30 @@
 // startPlatformSidecar starts a sidecar with the platform's settings before nodes that answer the shapes of package hostile.
 func startPlatformSidecar(t *testing.T, r *Rig, memoryMB, nodes int) (p *Process, listen string) {
 	t.Helper()
-	var entries []endpoints.Endpoint
-	for i := range nodes {
+	var addresses []string
+	for range nodes {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
 		}
 		go hostile.ServeNode(l)
 		t.Cleanup(func() { l.Close() })
-		entries = append(entries, endpoints.Endpoint{Name: fmt.Sprint("u", i), Address: l.Addr().String(), Zone: "a", MachineType: "m",
-			Status: endpoints.StatusReady})
+		addresses = append(addresses, l.Addr().String())
 	}
+	return startPlatformSidecarBefore(t, r, memoryMB, addresses)
+}
+
+// startPlatformSidecarBefore starts a sidecar with the platform's settings before the nodes at these addresses.
+func startPlatformSidecarBefore(t *testing.T, r *Rig, memoryMB int, addresses []string) (p *Process, listen string) {
+	t.Helper()
+	p, listen, setNodes := startPlatformSidecarWithoutNodes(t, r, memoryMB)
+	setNodes(addresses)
+	return p, listen
+}
+
+// startPlatformSidecarWithoutNodes starts a sidecar with the platform's settings whose list is empty until setNodes is called.
+func startPlatformSidecarWithoutNodes(t *testing.T, r *Rig, memoryMB int) (p *Process, listen string, setNodes func(addresses []string)) {
+	t.Helper()
 	discovery := fakes.NewDiscovery()
 	discovery.Heartbeat = 2 * time.Second
 	address, err := discovery.Listen("127.0.0.1:0")
@@ -55,7 +68,6 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(discovery.Close)
-	discovery.Set(entries...)
 	listen = base.FreeAddress(t)
 	hasList := func(e Event) bool { return strings.Contains(e.What, "list call answered") }
 	p = r.Process(Spec{Name: "n1", Args: []string{"--config", "config.json"}, Ready: hasList,
@@ -63,7 +75,14 @@
 	if err := r.StartAll(within(t, Patience), p); err != nil {
 		t.Fatal(err)
 	}
-	return p, listen
+	return p, listen, func(addresses []string) {
+		var entries []endpoints.Endpoint
+		for i, address := range addresses {
+			entries = append(entries, endpoints.Endpoint{Name: fmt.Sprint("u", i), Address: address, Zone: "a", MachineType: "m",
+				Status: endpoints.StatusReady})
+		}
+		discovery.Set(entries...)
+	}
 }
 
 // How long a shape is played, with one client and with many: these come one after the other.
