Requests behind one in flight are known by the bytes that were read, not by the last read

Cause: a connection counted as pipelined only while net/http's one-byte read behind the request had brought that byte. A request that lies in net/http's buffer starts no such read, so nothing was read ahead, the end of the connection was not asked for, and the connection counted as idle between two requests that had both been read.

--- a/internal/server/downstream/arrival.go
+++ b/internal/server/downstream/arrival.go
@@ -20,6 +20,7 @@
 	awaitedSince atomic.Int64 // since when bytes of a head or body are awaited, in nanoseconds after processStart; 0 if none are
 	complete     atomic.Int64 // requests that have come completely
 	ended        atomic.Int64 // requests that were answered
+	partial      atomic.Bool  // a part of a request has come, and not all of it
 }
 
 // readBegins records that a read begins: from then on the client may be late with the bytes of a body.
@@ -32,6 +33,7 @@
 // readEnds records what a read has brought. A head is awaited from its first byte on, however many bytes follow one by one.
 func (a *arrival) readEnds(requests *framing.Detector) {
 	a.complete.Store(requests.Complete())
+	a.partial.Store(requests.InHead() || requests.InBody())
 	switch {
 	case !requests.InHead():
 		a.awaitedSince.Store(0)
@@ -43,6 +45,12 @@
 // requestEnded records that a request was answered.
 func (a *arrival) requestEnded() { a.ended.Add(1) }
 
+// behind reports whether bytes of a later request have been read. inFlight is the number of requests that were read completely and are not
+// answered.
+func (a *arrival) behind(inFlight int64) bool {
+	return a.complete.Load() > a.ended.Load()+inFlight || a.partial.Load()
+}
+
 // stalled reports whether the client has begun a request and not gone on with it for stallTime, and no other request is in flight.
 func (a *arrival) stalled(now time.Time) bool {
 	since := a.awaitedSince.Load()
--- a/internal/server/downstream/connection.go
+++ b/internal/server/downstream/connection.go
@@ -10,8 +10,6 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"orchiddrift/internal/server/framing"
 )
 
@@ -54,9 +52,12 @@
 	closed       atomic.Bool
 	onClientGone atomic.Pointer[func()] // is called if the client disconnects; nil unless a request that has been read completely is in flight
 
+	readAheadBytes atomic.Int64 // bytes that were read ahead and that the server has not read
+
 	mu              sync.Mutex // guards the following fields
 	readDeadline    time.Time  // as set by the server
 	shutDeadline    time.Time  // set once the connection was shut; nothing is read after it
+	serverReads     bool       // the server reads from the connection
 	readAheadBuffer *readAheadBuffer
 }
 
@@ -82,7 +83,7 @@
 func (c *conn) requestEnded() {
 	c.onClientGone.Store(nil)
 	c.arrival.requestEnded()
-	if !c.pipelined.Swap(false) {
+	if !c.pipelined.Swap(false) && !c.requestsBehind(0) {
 		c.phase.CompareAndSwap(phaseActive, phaseIdle)
 	}
 }
@@ -157,12 +158,23 @@
 	}
 }
 
-// watchClient sets the function to call if the client disconnects while its request, which has been read completely, is in flight.
+// watchClient sets the function to call if the client disconnects while its request, which has been read completely, is in flight. If
+// requests behind it have been read already, the server does not read on its own until it has answered them.
 func (c *conn) watchClient(notify func()) {
 	c.onClientGone.Store(&notify)
 	if c.clientGone.Load() {
 		notify()
+		return
 	}
+	if c.requestsBehind(1) {
+		c.startReadAhead()
+	}
+}
+
+// requestsBehind reports whether bytes of a later request have been read, by the server or ahead of it. inFlight is the number of requests
+// that were read completely and are not answered.
+func (c *conn) requestsBehind(inFlight int64) bool {
+	return c.arrival.behind(inFlight) || c.readAheadBytes.Load() > 0
 }
 
 // shutWrite half-closes the connection, and bounds how long it is still read.
@@ -251,18 +263,3 @@
 	})
 	return unread
 }
-
-// checkClientGone reports whether the client has disconnected. After pipelined bytes it polls the socket, since the end of the connection
-// may come after more of them than can be read ahead.
-func (c *conn) checkClientGone() bool {
-	if c.clientGone.Load() || !c.pipelined.Load() || c.raw == nil {
-		return c.clientGone.Load()
-	}
-	_ = c.raw.Control(func(fd uintptr) {
-		poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		if n, err := unix.Poll(poll, 0); err == nil && n > 0 && poll[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0 {
-			c.markClientGone()
-		}
-	})
-	return c.clientGone.Load()
-}
--- a/internal/server/downstream/read_ahead.go
+++ b/internal/server/downstream/read_ahead.go
@@ -21,12 +21,16 @@
 	err    error // error of the connection
 }
 
-// startReadAhead begins to read ahead on a goroutine of its own.
+// startReadAhead begins to read ahead on a goroutine of its own, unless the server reads itself or reading ahead goes on.
 func (c *conn) startReadAhead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	before := c.readAheadBuffer
+	if c.serverReads || before != nil && !before.stopped() {
+		return
+	}
 	buffer := &readAheadBuffer{done: make(chan struct{})}
-	if before := c.readAheadBuffer; before != nil { // the server has not read all of the previous buffer
+	if before != nil { // the server has not read all of the previous buffer
 		buffer.unread, buffer.err = before.unread, before.err
 	}
 	c.readAheadBuffer = buffer
@@ -37,6 +41,16 @@
 	go c.readAhead(buffer)
 }
 
+// stopped reports whether reading ahead has stopped.
+func (b *readAheadBuffer) stopped() bool {
+	select {
+	case <-b.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // readAhead reads until the buffer is full, the connection ends, or the server interrupts it to read itself.
 func (c *conn) readAhead(buffer *readAheadBuffer) {
 	defer close(buffer.done)
@@ -45,6 +59,7 @@
 		used := len(buffer.unread)
 		n, err := c.Conn.Read(buffer.unread[used : used+min(readAheadStep, maxReadAhead-used)])
 		buffer.unread = buffer.unread[:used+n]
+		c.readAheadBytes.Add(int64(n))
 		switch {
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			return
@@ -64,6 +79,8 @@
 
 // readNext reads for the server. It returns the bytes that were read ahead before it reads from the connection.
 func (c *conn) readNext(p []byte) (int, error) {
+	c.setServerReads(true)
+	defer c.setServerReads(false)
 	n, err := c.readBuffered(p)
 	if n > 0 || err != nil {
 		return n, err
@@ -71,6 +88,12 @@
 	return c.Conn.Read(p)
 }
 
+func (c *conn) setServerReads(reads bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.serverReads = reads
+}
+
 // readBuffered stops reading ahead and copies the bytes that were read to p. It returns 0 and nil if nothing is buffered.
 func (c *conn) readBuffered(p []byte) (int, error) {
 	c.mu.Lock()
@@ -85,6 +108,7 @@
 	c.mu.Lock()
 	n := copy(p, buffer.unread)
 	buffer.unread = buffer.unread[n:]
+	c.readAheadBytes.Add(-int64(n))
 	if n == 0 && buffer.err != nil {
 		return 0, buffer.err
 	}
