No attempt begins for a client whose end may stand behind unread requests

Cause: a client that closes with more unsent than the receive window takes keeps its end of stream behind those bytes; neither reading 32 KiB ahead nor polling can see it. The request is answered 503 if nothing may have run, else 502, and its connection goes on, since the client may be there; if it is not, the answer brings a reset. The same for GraphQL operations and keyed requests.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -179,6 +179,7 @@
 			GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) { return d.tlsConfig.Load(), nil }}}
 	}
 	connections := downstream.NewConnections(acceptor.New(d.listener, d.log), connectionLimit(p.Limits), secure)
+	connections.BoundReadAhead(int64(p.Limits.MemoryMB * bytesPerMB / readAheadMemoryFraction))
 	d.lifecycle = newLifecycleDriver(d.shared.clock, p.Grace, connections)
 	return &http.Server{
 		Handler:                      &server{daemon: d, ids: newRequestIDs(p.Seed), lifecycleDriver: d.lifecycle},
--- a/internal/daemon/graphql_operation.go
+++ b/internal/daemon/graphql_operation.go
@@ -47,7 +47,8 @@
 	req := o.upstreamRequest()
 	o.pool = c.service.pool
 	o.request = upstream.NewRequest(req.Method, req.Target, req.Host, req.Header, d.Body)
-	o.request.Gate = &clientGate{routeGate: c.gate, ctx: c.r.Context(), cancel: c.cancel}
+	gate := &clientGate{routeGate: c.gate, ctx: c.r.Context(), cancel: c.cancel}
+	o.request.Gate = gate
 	o.request.Written, o.request.CompleteOnly = c.daemon.metrics.AttemptSent, true
 	permit, rejected := c.awaitAdmission(c.r, c.service, &req, c.startedAt, len(d.Body))
 	if rejected != nil {
@@ -60,11 +61,12 @@
 		o.started.Add(1) // the executor's attempts for the key, also by other requests, are not counted here: one may have been sent
 		o.answer, o.conflict = answerFor(c.service.executeOnce(c.r.Context(), keyedRequest{executor: keyExecutor, call: call, key: d.Key,
 			method: req.Method, target: req.Target, body: d.Body, newTransport: o.newTransport}))
+		o.answer = gate.answerUnseen(o.answer)
 		permit.Done(controller.OutcomeOf(o.answer))
 		return
 	}
 	c.service.loadProbing.beforeRequest(c.r.Context())
-	o.answer = c.service.engine.Do(c.r.Context(), call, o)
+	o.answer = gate.answerUnseen(c.service.engine.Do(c.r.Context(), call, o))
 	permit.Done(controller.OutcomeOf(o.answer))
 	o.checkNotSent()
 }
--- a/internal/daemon/idempotency.go
+++ b/internal/daemon/idempotency.go
@@ -224,7 +224,7 @@
 func answerFor(r executor.Result) (answer engine.Answer, conflict int) {
 	switch {
 	case r.ClientLeft:
-		return engine.Answer{Kind: engine.ClientGone}, 0
+		return engine.Answer{Kind: engine.ClientGone, MayHaveRun: true}, 0 // for another client, or later
 	case r.Verdict == idempotency.Replay:
 		return engine.Answer{Kind: engine.Served, Value: storedResponse(r)}, 0
 	case r.Verdict == idempotency.Reject:
--- a/internal/daemon/request.go
+++ b/internal/daemon/request.go
@@ -169,7 +169,8 @@
 	} else {
 		out = upstream.NewRequest(routed.Method, routed.Target, routed.Host, routed.Header, c.body)
 	}
-	out.Gate = &clientGate{routeGate: routed.gate, ctx: c.r.Context(), cancel: c.cancel}
+	gate := &clientGate{routeGate: routed.gate, ctx: c.r.Context(), cancel: c.cancel}
+	out.Gate = gate
 	out.Written = c.daemon.metrics.AttemptSent
 	attempts := &transport{pool: routed.service.pool, request: out, engine: routed.service.engine}
 	defer attempts.release()
@@ -185,11 +186,11 @@
 		c.body = nil // the upload drops it once it is no longer needed
 	}
 	if routed.executor != nil {
-		c.forwardOnce(routed, call, out, permit)
+		c.forwardOnce(routed, call, out, gate, permit)
 		return false
 	}
 	routed.service.loadProbing.beforeRequest(c.r.Context())
-	answer := routed.service.engine.Do(c.r.Context(), call, attempts)
+	answer := gate.answerUnseen(routed.service.engine.Do(c.r.Context(), call, attempts))
 	permit.Done(controller.OutcomeOf(answer))
 	if c.bodyStreams && answer.Kind != engine.Served {
 		c.answerEarly(answer, out.Upload)
@@ -204,7 +205,7 @@
 }
 
 // forwardOnce forwards a request with an idempotency key, unless another request with the same key has been answered or is in flight.
-func (c *clientRequest) forwardOnce(routed *routedRequest, call engine.Call, out *upstream.Request, permit controller.Permit) {
+func (c *clientRequest) forwardOnce(routed *routedRequest, call engine.Call, out *upstream.Request, gate *clientGate, permit controller.Permit) {
 	out.CompleteOnly = true // the answer is stored for retries
 	newTransport := func() (engine.Transport, func()) {
 		attempts := &transport{pool: routed.service.pool, request: out}
@@ -213,6 +214,7 @@
 	once := keyedRequest{executor: routed.executor, call: call, key: routed.IdempotencyKey, method: routed.Method, target: routed.Target,
 		body: c.body, newTransport: newTransport}
 	answer, conflict := answerFor(routed.service.executeOnce(c.r.Context(), once))
+	answer = gate.answerUnseen(answer)
 	permit.Done(controller.OutcomeOf(answer))
 	if conflict != 0 {
 		c.writeText(c.w, conflict, conflictText(conflict))
--- a/internal/daemon/resources.go
+++ b/internal/daemon/resources.go
@@ -32,6 +32,8 @@
 	maxGCPercent = 400
 	// An answer may take at most 1/maxAnswerFraction of the memory limit, since many are in flight at once.
 	maxAnswerFraction = 64
+	// The bytes that are read ahead of the clients' requests may take 1/readAheadMemoryFraction of the memory limit.
+	readAheadMemoryFraction = 16
 	// With an operator's file, all bodies in flight together may take 1/bodyBytesFraction of the memory limit.
 	bodyBytesFraction = 4
 	// The limit of requests in flight is smaller than the limit of clients' connections by 1/idleConnectionFraction of the latter.
--- a/internal/daemon/routing.go
+++ b/internal/daemon/routing.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"context"
 	"maps"
 	"reflect"
 	"slices"
@@ -33,10 +32,7 @@
 	bodyTimeout time.Duration                // time that a client may take for a request's body
 }
 
-var (
-	_ upstream.Gate = (*routeGate)(nil)
-	_ upstream.Gate = (*clientGate)(nil)
-)
+var _ upstream.Gate = (*routeGate)(nil)
 
 // routeGate decides whether requests of a route may still be sent. A reload that removes or changes a route closes the route's gate, and
 // nothing is sent by that route once the reload has returned. A routeGate is safe for concurrent use.
@@ -58,26 +54,6 @@
 // Leave implements upstream.Gate.
 func (g *routeGate) Leave() { g.writing.Add(-1) }
 
-// clientGate is a routeGate for one request: no attempt begins once its client is known to have disconnected.
-type clientGate struct {
-	*routeGate
-	ctx        context.Context // of the request
-	cancel     context.CancelFunc
-	clientGone atomic.Bool
-}
-
-// Enter implements upstream.Gate. It checks whether the client's connection has ended, since the reader of the connection does not notice
-// its end while a pipelined request is waiting. Only the first check that finds the client gone returns false: later attempts serve other
-// clients that wait for the same answer.
-func (g *clientGate) Enter() bool {
-	if !g.clientGone.Load() && downstream.ClientGone(g.ctx) {
-		g.clientGone.Store(true)
-		g.cancel()
-		return false
-	}
-	return g.routeGate.Enter()
-}
-
 // closeGates closes gates and waits for writes in progress.
 func closeGates(gates []*routeGate) {
 	for _, g := range gates {
--- a/internal/engine/answer.go
+++ b/internal/engine/answer.go
@@ -25,6 +25,7 @@
 	RetryAfter time.Duration // if Rejected: how long to wait before a retry; 0 if there is no advice
 	Value      any           // if Served: AttemptResult.Value of the successful attempt
 	Attempts   int           // number of attempts started before the answer
+	MayHaveRun bool          // if ClientGone: an upstream may have executed the request, or may do so yet
 
 	// Set for a streamed answer only; see EndStream.
 	engine  *Engine
--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -174,6 +174,7 @@
 	a.ended = true
 	call.runningAttempts--
 	if mayHaveRun(result.Result) {
+		call.mayHaveRun = true
 		e.recent.add(e.clock.Now(), call)
 	}
 	endedAt := e.clock.Now()
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -37,6 +37,7 @@
 	firstAttempt    attempt     // storage of attempts[0], since most calls need one attempt only
 	attemptBuffer   [2]*attempt // initial storage of attempts
 	runningAttempts int         // started and not yet ended
+	mayHaveRun      bool        // an attempt has ended with which the request may have been executed
 
 	closed   bool // answered, or its caller has disconnected: no further attempt starts
 	answered bool
@@ -144,7 +145,7 @@
 	}
 	e.removeIfComplete(call)
 	if !call.answered {
-		return Answer{Kind: ClientGone, Attempts: len(call.attempts)}
+		return Answer{Kind: ClientGone, Attempts: len(call.attempts), MayHaveRun: call.mayHaveRun || call.runningAttempts > 0}
 	}
 	return call.answer
 }
--- a/internal/server/downstream/connection.go
+++ b/internal/server/downstream/connection.go
@@ -52,7 +52,9 @@
 	closed       atomic.Bool
 	onClientGone atomic.Pointer[func()] // is called if the client disconnects; nil unless a request that has been read completely is in flight
 
+	signAt         atomic.Int64 // see lastSign; in nanoseconds after processStart
 	readAheadBytes atomic.Int64 // bytes that were read ahead and that the server has not read
+	readAheadSpace readAheadSpace
 
 	mu              sync.Mutex // guards the following fields
 	readDeadline    time.Time  // as set by the server
@@ -233,6 +235,7 @@
 // Close implements net.Conn with a lingering close. The server calls it once it neither reads nor writes any more. A second call closes the
 // connection without lingering.
 func (c *conn) Close() error {
+	defer c.endReadAhead()
 	if c.closed.Swap(true) {
 		return c.socket.Close()
 	}
--- a/internal/server/downstream/connections.go
+++ b/internal/server/downstream/connections.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"golang.org/x/sync/semaphore"
 )
 
 const (
@@ -23,7 +25,8 @@
 // connection counts from the time it is accepted until its socket is closed. Connections is safe for concurrent use.
 type Connections struct {
 	net.Listener
-	tls *TLS // nil if connections are not encrypted
+	tls       *TLS                // nil if connections are not encrypted
+	readAhead *semaphore.Weighted // bytes that are read ahead; nil if they are not bounded
 
 	mu         sync.Mutex
 	changed    *sync.Cond // signals changes of the following fields
@@ -52,6 +55,10 @@
 	return c
 }
 
+// BoundReadAhead bounds the memory in which all connections together keep bytes that are read ahead, beside a small part of each. It must be
+// called before Accept.
+func (c *Connections) BoundReadAhead(bytes int64) { c.readAhead = semaphore.NewWeighted(bytes) }
+
 // Accept implements net.Listener. It is called by the server's one accept loop.
 func (c *Connections) Accept() (net.Conn, error) {
 	hasCapacity := c.awaitCapacity()
@@ -65,6 +72,8 @@
 		return nil, c.acceptFailedLocked(err)
 	}
 	client := newConn(accepted)
+	client.readAheadSpace.shared = c.readAhead
+	client.recordArrival()
 	c.conns[client] = &connInfo{idleSince: time.Now()}
 	c.newest = client
 	if c.openLocked() > c.limit { // a connection is evicted only once another one needs its place
--- a/internal/server/downstream/context.go
+++ b/internal/server/downstream/context.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"time"
 )
 
 // connKey is the key of the connection in a request's context.
@@ -54,9 +55,12 @@
 	}
 }
 
-// ClientGone reports whether a request's client is known to have disconnected. It polls the socket if
-// reads may not have reached the end of the connection yet.
-func ClientGone(ctx context.Context) bool {
+// PresenceOf returns what is known about a request's client. It must be called once the request has been read to its last byte, or
+// while its body is streamed.
+func PresenceOf(ctx context.Context) Presence {
 	c, ok := connFrom(ctx)
-	return ok && c.checkClientGone()
+	if !ok {
+		return Present
+	}
+	return c.presence(time.Now())
 }
--- a/internal/server/downstream/read_ahead.go
+++ b/internal/server/downstream/read_ahead.go
@@ -3,15 +3,46 @@
 import (
 	"errors"
 	"os"
+	"sync/atomic"
 	"time"
+
+	"golang.org/x/sync/semaphore"
 )
 
 // Bounds of reading ahead, in bytes. Memory is allocated as bytes arrive.
 const (
-	maxReadAhead  = 32 << 10 // maximum for one connection
-	readAheadStep = 4 << 10  // maximum for one read
+	maxReadAhead   = 256 << 10 // maximum for one connection
+	readAheadStep  = 4 << 10   // maximum for one read
+	freeReadAhead  = 4 << 10   // memory of each connection that all connections together need not share
+	readAheadGrows = 2         // factor by which the memory of a connection grows
 )
 
+// readAheadSpace is the memory in which the bytes of one connection are read ahead.
+type readAheadSpace struct {
+	shared *semaphore.Weighted // of all connections; nil if it is not bounded
+	taken  atomic.Int64        // bytes of shared
+}
+
+// reserve takes the space for a buffer of so many bytes, and reports whether there is space for it.
+func (s *readAheadSpace) reserve(size int) bool {
+	more := int64(size) - freeReadAhead - s.taken.Load()
+	if more <= 0 || s.shared == nil {
+		return true
+	}
+	if !s.shared.TryAcquire(more) {
+		return false
+	}
+	s.taken.Add(more)
+	return true
+}
+
+// release gives all space back.
+func (s *readAheadSpace) release() {
+	if taken := s.taken.Swap(0); taken > 0 {
+		s.shared.Release(taken)
+	}
+}
+
 // readAheadBuffer holds bytes that arrive after the request in flight, for the server's later reads. The server itself reads only one byte
 // after a request before it has sent the response. Without reading ahead it would not detect that a client disconnects after it has sent
 // pipelined requests.
@@ -54,8 +85,7 @@
 // readAhead reads until the buffer is full, the connection ends, or the server interrupts it to read itself.
 func (c *conn) readAhead(buffer *readAheadBuffer) {
 	defer close(buffer.done)
-	for buffer.err == nil && len(buffer.unread) < maxReadAhead {
-		buffer.grow()
+	for buffer.err == nil && len(buffer.unread) < maxReadAhead && buffer.grow(&c.readAheadSpace) {
 		used := len(buffer.unread)
 		n, err := c.Conn.Read(buffer.unread[used : used+min(readAheadStep, maxReadAhead-used)])
 		buffer.unread = buffer.unread[:used+n]
@@ -70,11 +100,28 @@
 	}
 }
 
-// grow makes space for one more read.
-func (b *readAheadBuffer) grow() {
-	if cap(b.unread)-len(b.unread) < readAheadStep {
-		b.unread = append(make([]byte, 0, 2*cap(b.unread)+readAheadStep), b.unread...)
+// grow makes space for one more read, and reports whether there is memory for it.
+func (b *readAheadBuffer) grow(space *readAheadSpace) bool {
+	if cap(b.unread)-len(b.unread) >= readAheadStep {
+		return true
+	}
+	size := min(max(readAheadGrows*cap(b.unread), len(b.unread)+readAheadStep), maxReadAhead)
+	if !space.reserve(size) {
+		return false
+	}
+	b.unread = append(make([]byte, 0, size), b.unread...)
+	return true
+}
+
+// endReadAhead gives the memory of reading ahead back. The socket is closed.
+func (c *conn) endReadAhead() {
+	c.mu.Lock()
+	buffer := c.readAheadBuffer
+	c.mu.Unlock()
+	if buffer != nil {
+		<-buffer.done
 	}
+	c.readAheadSpace.release()
 }
 
 // readNext reads for the server. It returns the bytes that were read ahead before it reads from the connection.
@@ -114,6 +161,7 @@
 	}
 	if len(buffer.unread) == 0 && buffer.err == nil {
 		c.readAheadBuffer = nil
+		c.readAheadSpace.release()
 	}
 	_ = c.setDeadlineLocked()
 	return n, nil
