Connections in use are not evicted, and waiting for a place costs no core

Cause, two: (1) an idle connection was evicted whether its next request had come or not, and however lately it had been used. (2) While all places were in use, every change of any connection woke the accept loop, which looked at all connections again, once more for each that could not be evicted, with the lock held that each connection needs: 500 goroutines stood at that lock (a trial's goroutine dump). Change: a connection is evicted only if it has rested for 0.1 s and has nothing to read; else a new one waits in the accept queue. The log tells each second what was closed and why.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -143,6 +143,7 @@
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(connections) }()
 	d.backgroundTasks.Go(func() { d.followReloads(background, files, reload) })
+	d.backgroundTasks.Go(func() { d.logEvictions(connections) })
 	return d.runUntilEnd(ctx, server, served, registered)
 }
 
--- a/internal/server/downstream/connections.go
+++ b/internal/server/downstream/connections.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -16,8 +15,11 @@
 	// firstRequestTime is how long the client of a new connection may take to send its first request before the connection is evicted in
 	// preference to others.
 	firstRequestTime = 500 * time.Millisecond
-	// stallChecks is how often stalled connections are looked for in stallTime, while a connection waits for capacity.
-	stallChecks = 10
+	// quietTime is how long a connection has to be idle, or silent since it was accepted, before it may be evicted: its next request may be on
+	// its way.
+	quietTime = 100 * time.Millisecond
+	// evictionRetry is how long a connection waits for another one to become evictable, before all are looked at again.
+	evictionRetry = 20 * time.Millisecond
 )
 
 // Connections is the listener for clients. It bounds the number of their connections: a connection beyond the limit evicts the connection
@@ -29,7 +31,7 @@
 	readAhead *semaphore.Weighted // bytes that are read ahead; nil if they are not bounded
 
 	mu         sync.Mutex
-	changed    *sync.Cond // signals changes of the following fields
+	changed    *sync.Cond // signals changes of the following fields, and the end of a connection
 	limit      int        // maximum number of connections
 	paused     bool       // new connections are left to another process that has the listener's socket too
 	shared     bool       // another process has the listener's socket too
@@ -37,8 +39,11 @@
 	stopped    bool      // nothing more is accepted
 	drainUntil time.Time // time until which connections in the queue of a closed listener wait for capacity
 	conns      map[*conn]*connInfo
-	closing    int   // connections whose sockets are closed and that the server has not ended yet
-	newest     *conn // the connection accepted last, which is not evicted until it is older than firstRequestTime or has had a request
+	evicted    [ranksEnd]int
+	candidates []evictionCandidate // buffer of candidatesLocked
+	looked     func()              // called by candidatesLocked; set by tests only
+	closing    int                 // connections whose sockets are closed and that the server has not ended yet
+	newest     *conn               // the connection accepted last, which is not evicted until it is older than firstRequestTime or has had a request
 }
 
 // connInfo is the state that Connections keeps for a connection.
@@ -105,86 +110,14 @@
 	return true
 }
 
-// waitLocked waits for a change, or until another connection may have become evictable. c.mu is held.
+// waitLocked waits until a connection has ended or the limit has changed, or until another connection may have become evictable. c.mu is
+// held.
 func (c *Connections) waitLocked() {
-	wake := time.AfterFunc(stallTime/stallChecks, c.changed.Broadcast)
+	wake := time.AfterFunc(evictionRetry, c.changed.Broadcast)
 	defer wake.Stop()
 	c.changed.Wait()
 }
 
-// evictionRank orders connections for eviction: connections with the highest rank are evicted first, and those with rankNeeded never.
-type evictionRank int
-
-const (
-	rankNeeded         evictionRank = iota
-	rankNewSilent                   // it has had no request yet, but is new
-	rankRecentlyUsed                // its latest request ended within requestGap
-	rankStalled                     // its client has begun a request and does not go on with it
-	rankUnused                      // its latest request ended before that
-	rankNeverRequested              // it never had a request
-	rankShut                        // it was shut after its last response
-	rankClientGone                  // the client has disconnected and waits for no response
-)
-
-// evictionRank returns the rank of a connection. A connection that never had a request ranks above one that had, so that clients that open
-// hundreds of connections and send nothing do not displace clients that send requests. The parameter except is a connection that is not
-// evicted while it is new.
-func (i *connInfo) evictionRank(client, except *conn, now time.Time) evictionRank {
-	idleTime := now.Sub(i.idleSince)
-	isNew := !i.hasRequested && idleTime < firstRequestTime
-	switch {
-	case i.closing || client == except && isNew:
-		return rankNeeded
-	case client.clientGone.Load():
-		return rankClientGone
-	case client.currentPhase() == phaseActive && client.arrival.stalled(now):
-		return rankStalled
-	case client.currentPhase() == phaseActive:
-		return rankNeeded
-	case client.currentPhase() == phaseShut:
-		return rankShut
-	case isNew:
-		return rankNewSilent
-	case i.hasRequested && idleTime < requestGap:
-		return rankRecentlyUsed
-	case i.hasRequested:
-		return rankUnused
-	}
-	return rankNeverRequested
-}
-
-// evictLocked closes the connection that is needed least, and reports whether it closed one. Of several connections of the same rank it
-// closes the one that has been idle longest. c.mu is held.
-func (c *Connections) evictLocked(except *conn) bool {
-	now := time.Now()
-	var tried []*conn
-	for { // repeated if the candidate goes on with a request or begins one meanwhile
-		candidate := c.candidateLocked(except, tried, now)
-		if candidate == nil {
-			return false
-		}
-		if candidate.closeIfStalled(now) || candidate.closeUnlessActive() {
-			c.conns[candidate].closing = true
-			c.closing++
-			return true
-		}
-		tried = append(tried, candidate)
-	}
-}
-
-// candidateLocked returns the connection to evict next, without those that were tried, or nil if there is none. c.mu is held.
-func (c *Connections) candidateLocked(except *conn, tried []*conn, now time.Time) (candidate *conn) {
-	highest := rankNeeded
-	for client, info := range c.conns {
-		rank := info.evictionRank(client, except, now)
-		isPreferred := rank > highest || rank > rankNeeded && rank == highest && info.idleSince.Before(c.conns[candidate].idleSince)
-		if isPreferred && !slices.Contains(tried, client) {
-			candidate, highest = client, rank
-		}
-	}
-	return candidate
-}
-
 // Resize changes the limit of connections. Connections that are open stay, even beyond the new limit.
 func (c *Connections) Resize(limit int) {
 	c.mu.Lock()
@@ -245,6 +178,6 @@
 			c.closing--
 		}
 		delete(c.conns, client)
+		c.changed.Broadcast()
 	}
-	c.changed.Broadcast()
 }
