The whole resident set stays within the memory limit beside hostile clients

Cause: the number of connections was bounded by 64 KiB each of the whole limit, as if the program's pages (17 MiB), the runtime and its idle heap took nothing; the runtime's limit of three quarters left 8 MiB for 17 MiB of pages; an evicted connection with half a body kept its goroutine and buffers for net/http's half second, uncounted. With the live heap at its limit the collector took the core. Change: connections are bounded by 96 KiB each of what is left beyond 20 MiB; the runtime is held to 11 MiB less than the limit where that is less than three quarters; from four fifths of the limit on, the program's unchanged pages are given back to the system every 0.1 s (package residentmemory); a request whose connection was closed here ends at once.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -144,6 +144,7 @@
 	go func() { served <- server.Serve(connections) }()
 	d.backgroundTasks.Go(func() { d.followReloads(background, files, reload) })
 	d.backgroundTasks.Go(func() { d.logEvictions(connections) })
+	d.backgroundTasks.Go(d.keepWithinMemory)
 	return d.runUntilEnd(ctx, server, served, registered)
 }
 
--- a/internal/daemon/resources.go
+++ b/internal/daemon/resources.go
@@ -23,10 +23,15 @@
 	// reservedDescriptors are file descriptors for anything but connections to clients and upstreams.
 	reservedDescriptors = 32
 	// connectionBytes is the memory that a client's connection may take with its request and the connection to the upstream, beside what
-	// the spool and the answers have. It bounds the connections where memory is short.
-	connectionBytes = 64 << 10
-	// heapFraction is the part of the memory limit that the heap may use.
+	// the spool and the answers have. It bounds the connections where memory is short, beside processBytes for everything else.
+	connectionBytes = 96 << 10
+	processBytes    = 20 << 20
+	// minPlaces is the number of connections to clients that are allowed however short memory is.
+	minPlaces = 32
+	// heapFraction is the part of the memory limit that the Go runtime may use, unless the program's pages need more than the rest.
 	heapFraction = 0.75
+	// programBytes is the memory for pages of the program's file, see keepWithinMemory.
+	programBytes = 11 << 20
 	// gcBaseMB is the memory limit up to which the garbage collector runs at Go's default pace, see GCPercent.
 	gcBaseMB     = 32
 	maxGCPercent = 400
@@ -137,13 +142,14 @@
 // connectionLimit returns the largest number of connections to clients, which is also the largest number of connections to upstreams.
 func connectionLimit(l config.Limits) int {
 	byDescriptors := (l.Sockets - reservedDescriptors) / 2
-	byMemory := int(l.MemoryMB * bytesPerMB / connectionBytes)
+	byMemory := max(minPlaces, int((l.MemoryMB*bytesPerMB-processBytes)/connectionBytes))
 	return max(1, min(byDescriptors, byMemory))
 }
 
 // LimitMemory makes the garbage collector keep to the plan's memory limit.
 func LimitMemory(p *config.Plan) {
-	debug.SetMemoryLimit(int64(p.Limits.MemoryMB * heapFraction * bytesPerMB))
+	limit := p.Limits.MemoryMB * bytesPerMB
+	debug.SetMemoryLimit(int64(max(limit/2, min(limit*heapFraction, limit-programBytes))))
 	debug.SetGCPercent(GCPercent(p.Limits.MemoryMB))
 }
 
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -47,8 +47,8 @@
 	defer c.releaseSpool()
 	c.serve()
 	c.finishMetrics()
-	if c.truncated {
-		panic(http.ErrAbortHandler) // net/http resets the connection
+	if c.truncated || downstream.Closed(ctx) {
+		panic(http.ErrAbortHandler) // net/http resets the connection; it would keep one that is closed for half a second
 	}
 }
 
--- a/internal/server/downstream/context.go
+++ b/internal/server/downstream/context.go
@@ -55,6 +55,12 @@
 	}
 }
 
+// Closed reports whether a request's connection has been closed by this side.
+func Closed(ctx context.Context) bool {
+	c, ok := connFrom(ctx)
+	return ok && c.closed.Load()
+}
+
 // PresenceOf returns what is known about a request's client. It must be called once the request has been read to its last byte, or
 // while its body is streamed.
 func PresenceOf(ctx context.Context) Presence {
--- a/internal/testing/repository/imports_test.go
+++ b/internal/testing/repository/imports_test.go
@@ -70,7 +70,7 @@
 	folders []string
 }{
 	{"values and helpers", []string{"internal/units", "internal/clock", "internal/priorityqueue", "internal/httpheader", "internal/tomlfile",
-		"internal/boltfile", "internal/filewatch", "internal/logging", "internal/metrics", "internal/bulkhead", "internal/server/framing",
+		"internal/boltfile", "internal/filewatch", "internal/residentmemory", "internal/logging", "internal/metrics", "internal/bulkhead", "internal/server/framing",
 		"internal/server/yielding", "internal/server/acceptor", "internal/server/control", "internal/lifecycle", "internal/upstream/loadprobe",
 		"internal/upstream/prewarm"}},
 	{"decisions on requests", []string{"balancer", "internal/settings"}},
