Requests that arrive for a second make room, and used connections keep theirs for 0.5 s

Change: a connection that was used is evicted only after 0.5 s of rest, and one whose request has been arriving for 1 s may be evicted if nothing else can: a request that has not come completely was not taken. Left: clients that read slowly hold their places as long as they read.

--- a/internal/server/downstream/arrival.go
+++ b/internal/server/downstream/arrival.go
@@ -20,7 +20,7 @@
 	awaitedSince atomic.Int64 // since when bytes of a head or body are awaited, in nanoseconds after processStart; 0 if none are
 	complete     atomic.Int64 // requests that have come completely
 	ended        atomic.Int64 // requests that were answered
-	partial      atomic.Bool  // a part of a request has come, and not all of it
+	partialSince atomic.Int64 // since when a part of a request has come, and not all of it, in nanoseconds after processStart; 0 if none has
 }
 
 // readBegins records that a read begins: from then on the client may be late with the bytes of a body.
@@ -33,7 +33,12 @@
 // readEnds records what a read has brought. A head is awaited from its first byte on, however many bytes follow one by one.
 func (a *arrival) readEnds(requests *framing.Detector) {
 	a.complete.Store(requests.Complete())
-	a.partial.Store(requests.InHead() || requests.InBody())
+	switch {
+	case !requests.InHead() && !requests.InBody():
+		a.partialSince.Store(0)
+	case a.partialSince.Load() == 0:
+		a.partialSince.Store(int64(time.Since(processStart)))
+	}
 	switch {
 	case !requests.InHead():
 		a.awaitedSince.Store(0)
@@ -48,7 +53,16 @@
 // behind reports whether bytes of a later request have been read. inFlight is the number of requests that were read completely and are not
 // answered.
 func (a *arrival) behind(inFlight int64) bool {
-	return a.complete.Load() > a.ended.Load()+inFlight || a.partial.Load()
+	return a.complete.Load() > a.ended.Load()+inFlight || a.partialSince.Load() != 0
+}
+
+// receivingFor returns how long the client has been sending a request that has not come completely, if no other request is in flight.
+func (a *arrival) receivingFor(now time.Time) time.Duration {
+	since := a.partialSince.Load()
+	if since == 0 || a.complete.Load() != a.ended.Load() {
+		return 0
+	}
+	return now.Sub(processStart) - time.Duration(since)
 }
 
 // stalled reports whether the client has begun a request and not gone on with it for stallTime, and no other request is in flight.
--- a/internal/server/downstream/connection.go
+++ b/internal/server/downstream/connection.go
@@ -215,10 +215,9 @@
 	return true
 }
 
-// closeIfStalled closes the connection at once if its client has begun a request and does not go on with it. If there are unread bytes it
-// does nothing, since they may complete the request.
-func (c *conn) closeIfStalled(now time.Time) bool {
-	if !c.arrival.stalled(now) || c.hasUnreadBytes() || !c.phase.CompareAndSwap(phaseActive, phaseShut) {
+// closeIf closes an active connection at once if its request, which has not come completely, may be dropped.
+func (c *conn) closeIf(droppable bool) bool {
+	if !droppable || !c.phase.CompareAndSwap(phaseActive, phaseShut) {
 		return false
 	}
 	c.closeNow()
--- a/internal/server/downstream/connections.go
+++ b/internal/server/downstream/connections.go
@@ -15,9 +15,12 @@
 	// firstRequestTime is how long the client of a new connection may take to send its first request before the connection is evicted in
 	// preference to others.
 	firstRequestTime = 500 * time.Millisecond
-	// quietTime is how long a connection has to be idle, or silent since it was accepted, before it may be evicted: its next request may be on
-	// its way.
-	quietTime = 100 * time.Millisecond
+	// silentTime is how long a connection has to be silent since it was accepted, and restTime how long one that was used has to be idle, before
+	// it may be evicted: its next request may be on its way.
+	silentTime = 100 * time.Millisecond
+	restTime   = 500 * time.Millisecond
+	// receiveTime is how long a request may arrive before its connection may be evicted: one that has not come completely has not been taken.
+	receiveTime = time.Second
 	// evictionRetry is how long a connection waits for another one to become evictable, before all are looked at again.
 	evictionRetry = 20 * time.Millisecond
 )
--- a/internal/server/downstream/eviction.go
+++ b/internal/server/downstream/eviction.go
@@ -14,6 +14,7 @@
 
 const (
 	rankNeeded         evictionRank = iota
+	rankReceiving                   // its client has been sending a request for long
 	rankNewSilent                   // it has had no request yet, but is new
 	rankRecentlyUsed                // its latest request ended within requestGap
 	rankStalled                     // its client has begun a request and does not go on with it
@@ -25,7 +26,7 @@
 )
 
 // rankNames are the names of the ranks in the log.
-var rankNames = [ranksEnd]string{"needed", "new", "recently_used", "stalled", "unused", "never_used", "answered", "client_gone"}
+var rankNames = [ranksEnd]string{"needed", "receiving", "new", "recently_used", "stalled", "unused", "never_used", "answered", "client_gone"}
 
 // evictionRank returns the rank of a connection. A connection that never had a request ranks above one that had, so that clients that open
 // hundreds of connections and send nothing do not displace clients that send requests. The parameter except is a connection that is not
@@ -40,11 +41,13 @@
 		return rankClientGone
 	case client.currentPhase() == phaseActive && client.arrival.stalled(now):
 		return rankStalled
+	case client.currentPhase() == phaseActive && client.arrival.receivingFor(now) >= receiveTime:
+		return rankReceiving
 	case client.currentPhase() == phaseActive:
 		return rankNeeded
 	case client.currentPhase() == phaseShut:
 		return rankShut
-	case idleTime < quietTime:
+	case idleTime < silentTime || i.hasRequested && idleTime < restTime:
 		return rankNeeded
 	case isNew:
 		return rankNewSilent
@@ -136,7 +139,9 @@
 func (c *conn) evict(rank evictionRank, now time.Time) bool {
 	switch rank {
 	case rankStalled:
-		return c.closeIfStalled(now)
+		return !c.hasUnreadBytes() && c.closeIf(c.arrival.stalled(now))
+	case rankReceiving:
+		return c.closeIf(c.arrival.receivingFor(now) >= receiveTime)
 	case rankShut, rankClientGone:
 		return c.closeUnlessActive()
 	}
--- a/internal/server/downstream/eviction_test.go
+++ b/internal/server/downstream/eviction_test.go
@@ -11,7 +11,6 @@
 
 // Usual clients were cut off while others came and went: connections that had a request to read, or had just been used, were evicted.
 func TestConnectionsInUseAreNotEvicted(t *testing.T) {
-	const requestTime = 2 * time.Second // since the connection was used, for those that rest
 	for _, c := range []struct {
 		name    string
 		sent    string        // by the client, not read by the server
@@ -20,12 +19,13 @@
 		evicted bool
 	}{
 		{"new", "", 0, false, false},
-		{"new, silent for a while", "", 2 * quietTime, false, true},
-		{"new, with a request to read", "GET /", 2 * quietTime, false, false},
+		{"new, silent for a while", "", 2 * silentTime, false, true},
+		{"new, with a request to read", "GET /", 2 * silentTime, false, false},
 		{"just used", "", 0, true, false},
-		{"not used for a while", "", 2 * quietTime, true, true},
-		{"not used for a while, with a request to read", "GET /", 2 * quietTime, true, false},
-		{"not used for long, with a request to read", "GET /", 2 * requestTime, true, false},
+		{"used a short time ago", "", 2 * silentTime, true, false},
+		{"not used for a while", "", 2 * restTime, true, true},
+		{"not used for a while, with a request to read", "GET /", 2 * restTime, true, false},
+		{"not used for long, with a request to read", "GET /", 2 * requestGap, true, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			l := plainListener(t)
@@ -86,3 +86,30 @@
 	}
 	<-accepting
 }
+
+// Clients that sent slowly and without an end held all places, and usual clients that had lost theirs got none.
+func TestRequestThatArrivesForLongMakesRoom(t *testing.T) {
+	l := plainListener(t)
+	connections := NewConnections(l, 1, nil)
+	peer := connect(t, l)
+	client := accept(t, connections)
+	connections.State(client, http.StateActive)
+	const sent = "POST /a HTTP/1.1\r\nHost: s\r\nContent-Length: 9\r\n\r\nhalf"
+	if _, err := io.WriteString(peer, sent); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(client, make([]byte, len(sent))); err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.WriteString(peer, "a")
+	base.Eventually(t, "the client goes on", client.hasUnreadBytes)
+	connections.mu.Lock()
+	defer connections.mu.Unlock()
+	if connections.evictLocked(nil) {
+		t.Fatal("the connection was evicted before receiveTime")
+	}
+	client.arrival.partialSince.Add(-int64(2 * receiveTime))
+	if !connections.evictLocked(nil) {
+		t.Error("the connection was not evicted")
+	}
+}
