IDs of non-idempotent requests outlive their process and their service

Cause: the IDs of calls that may have run were a part of one engine. Change: an IDHistory outlives its engine and belongs to the service's name; while two processes run, each asks the other before it sends a non-idempotent request whose ID is the client's, and the predecessor passes on the IDs that may have run. Three new messages, announced in Hello and Welcome, with golden files of their own; the forms before are unchanged. IDs that the process generates are not remembered: processes with the same seed generate the same. TestUnsafeIDAtTheOtherProcess now names the header in a route: without it the operator's file reads no ID, and the test would have passed because both processes generated the same one from their seed. Shared code of keys and IDs: peerQuestions.

--- a/grpcbalancer/call.go
+++ b/grpcbalancer/call.go
@@ -67,7 +67,7 @@
 		c.fingerprint = xxhash.Sum64String(method + "\x00" + firstValue(md, IdempotencyKey))
 	}
 	if c.ID == "" {
-		c.ID = p.newID(requestIDWords)
+		c.ID, c.GeneratedID = p.newID(requestIDWords), true
 		ctx = metadata.AppendToOutgoingContext(ctx, RequestIDKey, c.ID)
 	}
 	if class.Idempotency == balancer.IdempotentWithKey && firstValue(md, IdempotencyKey) == "" {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -209,7 +209,7 @@
 		d.backgroundTasks.Go(c.Run)
 		if received != nil {
 			d.lifecycle.connections.SetShared(true)
-			received.keys = d.exchangeKeys(received.link, true)
+			received.exchange = d.exchangeWith(received.link, true)
 			d.restore(received)
 		}
 		d.backgroundTasks.Go(func() { d.runUpgrade(d.background, received, handoverFolder(), d.listener) })
@@ -271,6 +271,7 @@
 	d.retirements.Wait()
 	d.shared.closeExecutors()
 	d.shared.awaitKeyExchange()
+	d.shared.awaitIDExchange()
 }
 
 // ready reports whether at least one service has an upstream that is ready.
--- a/internal/daemon/graphql_operation.go
+++ b/internal/daemon/graphql_operation.go
@@ -56,7 +56,7 @@
 		o.checkNotSent()
 		return
 	}
-	call := engine.Call{ID: o.id, Class: req.Class.Name, Tenant: req.Tenant, CostHint: req.CostHint, Deadline: c.startedAt + req.Timeout}
+	call := engine.Call{ID: o.id, GeneratedID: req.ID == "", Class: req.Class.Name, Tenant: req.Tenant, CostHint: req.CostHint, Deadline: c.startedAt + req.Timeout}
 	if keyExecutor := c.service.executorFor(d.Class, d.Key); keyExecutor != nil {
 		o.started.Add(1) // the executor's attempts for the key, also by other requests, are not counted here: one may have been sent
 		o.answer, o.conflict = answerFor(c.service.executeOnce(c.r.Context(), keyedRequest{executor: keyExecutor, call: call, key: d.Key,
@@ -65,8 +65,7 @@
 		permit.Done(controller.OutcomeOf(o.answer))
 		return
 	}
-	c.service.loadProbing.beforeRequest(c.r.Context())
-	o.answer = gate.answerUnseen(c.service.engine.Do(c.r.Context(), call, o))
+	o.answer = gate.answerUnseen(c.service.do(c.r.Context(), req.Class, call, o))
 	permit.Done(controller.OutcomeOf(o.answer))
 	o.checkNotSent()
 }
--- a/internal/daemon/id_again_test.go
+++ b/internal/daemon/id_again_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"orchiddrift/internal/fakes"
@@ -50,3 +51,31 @@
 		t.Errorf("the upstream got %d requests, want two", n)
 	}
 }
+
+// A non-idempotent request that came again with its ID behind a reload ran twice: the service was started anew, and knew no IDs.
+func TestIDAcrossAReloadRunsOnce(t *testing.T) {
+	arrived, answer := make(chan struct{}, 10), make(chan struct{})
+	upstream := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		arrived <- struct{}{}
+		<-answer
+	}))
+	defer upstream.Close()
+	defer close(answer)
+	const withID = "id = \"header:X-Request-ID\"\n"
+	r := startFile(t, classFile(upstream, 2000)+withID)
+	const request = "POST /report HTTP/1.1\r\nHost: s\r\nX-Request-ID: once\r\nContent-Length: 1\r\n\r\nx"
+	left := base.Dial(t, r.address)
+	_, _ = fmt.Fprint(left, request)
+	<-arrived
+	left.Close()
+	if err := r.reload(t, classFile(upstream, 1900)+withID); err != nil {
+		t.Fatal(err)
+	}
+	again := dial(t, r.address, nil)
+	defer again.Close()
+	_, _ = fmt.Fprint(again, request)
+	response, _, err := again.answer()
+	if err != nil || response.StatusCode != http.StatusConflict || len(arrived) > 0 {
+		t.Errorf("the request that came again got %v, error %v, and %d more came to the upstream; want 409, and none", response, err, len(arrived))
+	}
+}
--- a/internal/daemon/request.go
+++ b/internal/daemon/request.go
@@ -158,7 +158,7 @@
 
 // forward waits until the request is admitted, and has an upstream answer it.
 func (c *clientRequest) forward(routed *routedRequest) (reroute bool) {
-	call := engine.Call{ID: routed.id, Class: routed.Class.Name, Tenant: routed.Tenant, CostHint: routed.CostHint,
+	call := engine.Call{ID: routed.id, GeneratedID: routed.ID == "", Class: routed.Class.Name, Tenant: routed.Tenant, CostHint: routed.CostHint,
 		Deadline: c.startedAt + routed.Timeout}
 	var out *upstream.Request
 	bodyBytes := len(c.body)
@@ -189,8 +189,7 @@
 		c.forwardOnce(routed, call, out, gate, permit)
 		return false
 	}
-	routed.service.loadProbing.beforeRequest(c.r.Context())
-	answer := gate.answerUnseen(routed.service.engine.Do(c.r.Context(), call, attempts))
+	answer := gate.answerUnseen(routed.service.do(c.r.Context(), routed.Class, call, attempts))
 	permit.Done(controller.OutcomeOf(answer))
 	if c.bodyStreams && answer.Kind != engine.Served {
 		c.answerEarly(answer, out.Upload)
--- a/internal/daemon/resources.go
+++ b/internal/daemon/resources.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/semaphore"
@@ -64,7 +65,9 @@
 
 	executorsMu sync.Mutex
 	executors   map[string]*executor.Executor // by the service's name; an executor outlives its service
-	keyExchange *keyExchange                  // nil unless the process is being replaced, or has just replaced another one
+	idHistories idHistories
+	idPeer      atomic.Pointer[idExchange] // nil unless the process is being replaced, or has just replaced another one
+	keyExchange *keyExchange               // nil unless the process is being replaced, or has just replaced another one
 
 	// filesCtx and fileLockTimeout limit the wait for a file that another process has locked. They do not change after the process's start.
 	filesCtx        context.Context
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -151,7 +151,7 @@
 		seed ^= xxhash.Sum64String(plan.Name)
 	}
 	s.engine, err = engine.New(engine.Options{Settings: plan.Settings.Settings, Seed: seed, Clock: sh.clock, Log: log,
-		CachedEndpoints: first.Endpoints, Subscribe: s.requestRefresh, WaitForUpdates: s.registrySink.WaitForUpdates})
+		History: sh.idHistories.of(plan.Name, sh.clock.Now()), CachedEndpoints: first.Endpoints, Subscribe: s.requestRefresh, WaitForUpdates: s.registrySink.WaitForUpdates})
 	return err
 }
 
@@ -250,3 +250,12 @@
 	s.pool.Close()
 	s.running.Wait()
 }
+
+// do has the engine carry out a call, unless it may have run at the other process of a replacement.
+func (s *service) do(ctx context.Context, class *balancer.Class, call engine.Call, attempts engine.Transport) engine.Answer {
+	if answer := s.ranAtPeer(ctx, class, call); answer != nil {
+		return *answer
+	}
+	s.loadProbing.beforeRequest(ctx)
+	return s.engine.Do(ctx, call, attempts)
+}
--- a/internal/daemon/upgrade.go
+++ b/internal/daemon/upgrade.go
@@ -48,9 +48,9 @@
 
 // receivedHandover is what a process received from its predecessor.
 type receivedHandover struct {
-	state handover.State
-	link  *handover.Link
-	keys  *keyExchange // nil if the predecessor does not exchange keys; set before this process serves
+	state    handover.State
+	link     *handover.Link
+	exchange peerExchange // set before this process serves
 }
 
 // takeOver requests the listening socket and the state of a running process of this sidecar. If no such process runs, it returns nil, nil,
@@ -108,7 +108,7 @@
 func (d *daemon) handoverState() handover.State {
 	d.lifecycle.connections.SetShared(true) // has to be set before the successor has the socket
 	state := handover.State{Identity: d.upgrade.identity, Draining: d.lifecycle.state() == lifecycle.Draining,
-		Descriptors: d.descriptorsHeld(), Services: map[string]handover.Service{}, ExchangesKeys: true}
+		Descriptors: d.descriptorsHeld(), Services: map[string]handover.Service{}, ExchangesKeys: true, ExchangesIDs: true}
 	for name, s := range d.routing.Load().services {
 		serviceState := handover.Service{Snapshot: s.engine.Snapshot()}
 		if discovery, list := s.handoverList(); discovery != "" {
@@ -134,8 +134,8 @@
 	if received != nil {
 		d.halveMemory()
 		d.limitConnections(received.state.Descriptors)
-		keys := received.keys
-		d.backgroundTasks.Go(func() { d.followPeer(received.link, true, keys) })
+		exchange := received.exchange
+		d.backgroundTasks.Go(func() { d.followPeer(received.link, true, exchange) })
 		stop := context.AfterFunc(ctx, func() { received.link.Close() })
 		defer stop()
 	}
@@ -196,11 +196,11 @@
 			previous.Close()
 		}
 		d.log.Info("hand-over: a successor has the clients' socket")
-		keys := d.exchangeKeys(link, false)
+		exchange := d.exchangeWith(link, false)
 		stop := context.AfterFunc(ctx, func() { link.Close() })
 		d.backgroundTasks.Go(func() {
 			defer stop()
-			d.followPeer(link, false, keys)
+			d.followPeer(link, false, exchange)
 		})
 	}
 }
@@ -245,20 +245,20 @@
 	return first
 }
 
-// followPeer handles the messages of the other process, until its link ends. keys is nil if they do not exchange keys.
-func (d *daemon) followPeer(link *handover.Link, predecessor bool, keys *keyExchange) {
+// followPeer handles the messages of the other process, until its link ends.
+func (d *daemon) followPeer(link *handover.Link, predecessor bool, exchange peerExchange) {
 	if predecessor {
 		d.upgrade.setPredecessor(link)
 	}
 	defer link.Close()
-	defer d.endKeyExchange(keys)
+	defer d.endExchange(exchange)
 	for {
 		message, descriptors, err := link.Next()
 		if err != nil {
 			break
 		}
-		if handled, err := d.handleKeys(keys, message, link.Payload()); err != nil {
-			d.log.Warn("hand-over: a message about idempotency keys can't be read", "reason", err)
+		if handled, err := d.handlePeer(exchange, message, link.Payload()); err != nil {
+			d.log.Warn("hand-over: a message about idempotency keys or IDs can't be handled", "reason", err)
 			break
 		} else if handled {
 			continue
@@ -272,7 +272,8 @@
 		case handover.Ready:
 			if d.upgrade.markReady(link) {
 				d.log.Info("hand-over: the successor serves")
-				d.sendSettledKeys(keys)
+				d.sendSettledKeys(exchange.keys)
+				d.sendRecentIDs(exchange.ids)
 				d.lifecycle.connections.Pause(true) // the successor accepts connections from the same socket
 				d.halveMemory()
 				d.backgroundTasks.Go(func() { d.reportDescriptors(link) })
--- a/internal/daemon/upgrade_keys.go
+++ b/internal/daemon/upgrade_keys.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"sync"
 	"time"
 
@@ -20,8 +19,6 @@
 	maxKeyQueryTime = time.Minute
 )
 
-var errPeerEnded = errors.New("the other process has ended")
-
 // keyQuery is the payload of handover.KeyQuery.
 type keyQuery struct {
 	Number      uint64                  `json:"number"`
@@ -52,51 +49,19 @@
 	link        *handover.Link
 	predecessor bool           // the other process is the predecessor
 	sending     sync.WaitGroup // waits until the successor has received all settled keys
-
-	mu      sync.Mutex
-	number  uint64
-	pending map[uint64]chan keyReply // nil once the link has ended
+	questions   *peerQuestions[keyReply]
 }
 
 func newKeyExchange(link *handover.Link, predecessor bool) *keyExchange {
-	return &keyExchange{link: link, predecessor: predecessor, pending: map[uint64]chan keyReply{}}
+	return &keyExchange{link: link, predecessor: predecessor, questions: newPeerQuestions[keyReply]()}
 }
 
 // ask sends a question and waits for the reply.
 func (x *keyExchange) ask(ctx context.Context, query keyQuery) (keyReply, error) {
-	reply := make(chan keyReply, 1)
-	x.mu.Lock()
-	if x.pending == nil {
-		x.mu.Unlock()
-		return keyReply{}, errPeerEnded
-	}
-	x.number++
-	query.Number = x.number
-	x.pending[query.Number] = reply
-	x.mu.Unlock()
-	defer x.forget(query.Number)
-	payload, err := json.Marshal(query)
-	if err != nil {
-		return keyReply{}, err
-	}
-	if err := x.link.SendKeys(handover.KeyQuery, payload); err != nil {
-		return keyReply{}, err
-	}
-	select {
-	case got, ok := <-reply:
-		if !ok {
-			return keyReply{}, errPeerEnded
-		}
-		return got, nil
-	case <-ctx.Done():
-		return keyReply{}, context.Cause(ctx)
-	}
-}
-
-func (x *keyExchange) forget(number uint64) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	delete(x.pending, number)
+	return x.questions.ask(ctx, func(number uint64) error {
+		query.Number = number
+		return sendJSON(x.link, handover.KeyQuery, query)
+	})
 }
 
 // replied passes a reply to the question that it belongs to.
@@ -105,25 +70,10 @@
 	if err := json.Unmarshal(payload, &reply); err != nil {
 		return err
 	}
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if waiting := x.pending[reply.Number]; waiting != nil {
-		waiting <- reply // has space for one
-		delete(x.pending, reply.Number)
-	}
+	x.questions.replied(reply.Number, reply)
 	return nil
 }
 
-// end ends all questions. The other process has ended.
-func (x *keyExchange) end() {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	for _, waiting := range x.pending {
-		close(waiting)
-	}
-	x.pending = nil
-}
-
 // answer answers a question of the other process.
 func (x *keyExchange) answer(ctx context.Context, query keyQuery, keys *executor.Executor) error {
 	outcome := executor.Outcome{Verdict: idempotency.Execute}
@@ -135,11 +85,7 @@
 	if reply.Answer != nil && len(reply.Answer.Body) > maxKeyAnswerBytes {
 		reply.Verdict, reply.Answer = idempotency.AnswerNotStored, nil
 	}
-	payload, err := json.Marshal(reply)
-	if err != nil {
-		return err
-	}
-	return x.link.SendKeys(handover.KeyReply, payload)
+	return sendJSON(x.link, handover.KeyReply, reply)
 }
 
 // keyPeer is the other process of a replacement for the keys of one service.
@@ -162,10 +108,8 @@
 	if record.Answer != nil && len(record.Answer.Body) > maxKeyAnswerBytes {
 		record.Answer = nil
 	}
-	payload, err := json.Marshal(keyRecord{Service: p.service, Record: recordcodec.Encode(&record)})
-	if err == nil {
-		_ = p.exchange.link.SendKeys(handover.KeyRecord, payload) // on an error the other process has ended
-	}
+	message := keyRecord{Service: p.service, Record: recordcodec.Encode(&record)}
+	_ = sendJSON(p.exchange.link, handover.KeyRecord, message) // on an error the other process has ended
 }
 
 // exchangeKeys makes the executors ask the other process of a replacement from now on. It returns nil if that does not understand it.
@@ -184,7 +128,7 @@
 		return
 	}
 	d.shared.clearKeyExchange(exchange)
-	exchange.end()
+	exchange.questions.end()
 }
 
 // sendSettledKeys sends the successor all settled keys, once it serves. exchange may be nil.
--- a/internal/daemon/upgrade_keys_test.go
+++ b/internal/daemon/upgrade_keys_test.go
@@ -28,3 +28,20 @@
 	}
 	golden.Match(t, "keys.txt", []byte(out.String()))
 }
+
+// TestIDPayloadsGolden checks the payloads of the messages about IDs that the processes of a replacement exchange.
+func TestIDPayloadsGolden(t *testing.T) {
+	var out strings.Builder
+	for _, payload := range []any{
+		idQuery{Number: 7, Service: "web", ID: "booking"},
+		idReply{Number: 7, Known: true},
+		idRecord{Service: "web", ID: "booking", Left: time.Second},
+	} {
+		text, err := json.Marshal(payload)
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(&out, "%T %s\n", payload, text)
+	}
+	golden.Match(t, "ids.txt", []byte(out.String()))
+}
--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -175,7 +175,6 @@
 	call.runningAttempts--
 	if mayHaveRun(result.Result) {
 		call.mayHaveRun = true
-		e.recent.add(e.clock.Now(), call)
 	}
 	endedAt := e.clock.Now()
 	if a.streamStartedAt > 0 { // the duration of a stream is no measure of the upstream's latency
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -10,6 +10,7 @@
 // Call describes a request by the properties that the balancer's decisions depend on.
 type Call struct {
 	ID              string // unique among the calls in flight
+	GeneratedID     bool   // the ID is not the client's
 	Class           string
 	Tenant          string
 	Deadline        time.Duration // time on the engine's clock at which the caller stops waiting
@@ -62,7 +63,7 @@
 	case e.closed:
 		e.unlock()
 		return Answer{Kind: EngineClosed}
-	case e.calls[request.ID] != nil || e.recent.has(e.clock.Now(), request.ID):
+	case e.calls[request.ID] != nil || !e.beginCall(&request):
 		e.unlock()
 		return Answer{Kind: Duplicate}
 	}
@@ -184,6 +185,7 @@
 func (e *Engine) removeIfComplete(call *callState) {
 	if call.closed && call.runningAttempts == 0 && e.calls[call.request.ID] == call {
 		delete(e.calls, call.request.ID)
+		e.endCall(call)
 	}
 }
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -22,14 +22,15 @@
 	callerRunsAttempts bool // attempts may run on the goroutine that called Do, since they can be cancelled when another one succeeds
 	cancelWithCaller   bool
 
-	mu           sync.Mutex // see the package comment for the lock order
-	balancer     *balancer.Balancer
-	calls        map[string]*callState // by ID
-	recent       *recentIDs
-	actionBuffer []balancer.Action // reused by handle; nil while it is in use
-	logActions   []balancer.Action // log lines that unlock writes
-	timer        *time.Timer       // set by balancer.SetTimer
-	closed       bool
+	mu            sync.Mutex // see the package comment for the lock order
+	balancer      *balancer.Balancer
+	calls         map[string]*callState // by ID
+	history       *IDHistory
+	nonIdempotent nonIdempotentClasses
+	actionBuffer  []balancer.Action // reused by handle; nil while it is in use
+	logActions    []balancer.Action // log lines that unlock writes
+	timer         *time.Timer       // set by balancer.SetTimer
+	closed        bool
 
 	attemptGoroutines sync.WaitGroup
 
@@ -56,7 +57,11 @@
 		cancelWithCaller:   options.CancelWithCaller,
 		balancer:           policy,
 		calls:              map[string]*callState{},
-		recent:             newRecentIDs(options.Settings.Classes),
+		history:            options.History,
+		nonIdempotent:      newNonIdempotentClasses(options.Settings.Classes),
+	}
+	if e.history == nil {
+		e.history = NewIDHistory()
 	}
 	e.timer = time.AfterFunc(unsetTimer, e.timerFired)
 	e.timer.Stop()
--- a/internal/engine/options.go
+++ b/internal/engine/options.go
@@ -29,6 +29,9 @@
 	// If it is nil, lines are dropped.
 	Log *slog.Logger
 
+	// History holds the IDs of non-idempotent calls. Engines for the same upstreams share it. If it is nil, the engine has one of its own.
+	History *IDHistory
+
 	// CancelWithCaller cancels a call's attempts when its caller's context ends. Without it attempts continue until
 	// they end or time out, so that the balancer learns from their outcomes, and Do returns once the attempt that it
 	// carries out has ended.
--- a/internal/handover/frame.go
+++ b/internal/handover/frame.go
@@ -28,6 +28,9 @@
 	KeyQuery                               // a question about an idempotency key; sent by either process to the other
 	KeyReply                               // the reply to a KeyQuery
 	KeyRecord                              // the outcome of a request with an idempotency key at the predecessor
+	IDQuery                                // a question about the ID of a non-idempotent request; sent by either process to the other
+	IDReply                                // the reply to an IDQuery
+	IDRecord                               // the ID of a non-idempotent request that may have run at the predecessor
 	kindsEnd                               // one more than the highest kind
 )
 
--- a/internal/handover/golden_test.go
+++ b/internal/handover/golden_test.go
@@ -95,3 +95,26 @@
 		t.Errorf("a release before decodes Hello as %+v, error %v, want %+v", before, err, own)
 	}
 }
+
+// TestIDMessagesGolden checks the messages about the IDs of non-idempotent requests, and how Hello and Welcome announce them.
+func TestIDMessagesGolden(t *testing.T) {
+	var out strings.Builder
+	for _, message := range []struct {
+		name string
+		kind MessageKind
+	}{{"query", IDQuery}, {"reply", IDReply}, {"record", IDRecord}} {
+		fmt.Fprintf(&out, "%s %s\n", message.name, hex.EncodeToString(Append(nil, message.kind, []byte("payload"))))
+	}
+	own := Identity{Name: "n3", Listen: "127.0.0.1:9000"}
+	text, err := json.Marshal(hello{Identity: own, ExchangesKeys: true, ExchangesIDs: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprintf(&out, "hello %s\n", text)
+	state, err := State{Identity: own, ExchangesKeys: true, ExchangesIDs: true}.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprintf(&out, "welcome %s\n", state)
+	golden.Match(t, "ids.txt", []byte(out.String()))
+}
--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -32,14 +32,18 @@
 type Link struct {
 	conn          *net.UnixConn
 	exchangesKeys bool   // the other process understands the messages about idempotency keys
+	exchangesIDs  bool   // the other process understands the messages about IDs
 	payload       []byte // of the latest message
 }
 
 // ExchangesKeys reports whether the other process understands KeyQuery, KeyReply and KeyRecord. Processes of releases before do not.
 func (l *Link) ExchangesKeys() bool { return l.exchangesKeys }
 
-// SendKeys sends a message about idempotency keys. The payload has at most MaxPayload bytes.
-func (l *Link) SendKeys(kind MessageKind, payload []byte) error { return l.send(kind, payload) }
+// ExchangesIDs reports whether the other process understands IDQuery, IDReply and IDRecord. Processes of releases before do not.
+func (l *Link) ExchangesIDs() bool { return l.exchangesIDs }
+
+// SendPayload sends a message with a payload, which has at most MaxPayload bytes.
+func (l *Link) SendPayload(kind MessageKind, payload []byte) error { return l.send(kind, payload) }
 
 // Payload returns the payload of the message that Next returned last. Only the goroutine that calls Next may call it.
 func (l *Link) Payload() []byte { return l.payload }
--- a/internal/handover/offer.go
+++ b/internal/handover/offer.go
@@ -79,7 +79,7 @@
 	if err := json.Unmarshal(payload, &successor); err != nil || kind != Hello || successor.Identity != own {
 		return ErrProtocol
 	}
-	l.exchangesKeys = successor.ExchangesKeys
+	l.exchangesKeys, l.exchangesIDs = successor.ExchangesKeys, successor.ExchangesIDs
 	encoded, err := state().Encode()
 	if err != nil {
 		return err
--- a/internal/handover/request.go
+++ b/internal/handover/request.go
@@ -36,7 +36,7 @@
 	if err := l.checkSameUser(); err != nil {
 		return State{}, nil, err
 	}
-	text, err := json.Marshal(hello{Identity: own, ExchangesKeys: true})
+	text, err := json.Marshal(hello{Identity: own, ExchangesKeys: true, ExchangesIDs: true})
 	if err != nil {
 		return State{}, nil, err
 	}
@@ -59,7 +59,7 @@
 	if err != nil {
 		return State{}, nil, err
 	}
-	l.exchangesKeys = state.ExchangesKeys
+	l.exchangesKeys, l.exchangesIDs = state.ExchangesKeys, state.ExchangesIDs
 	listener, err := in.listener()
 	if err != nil {
 		return State{}, nil, err
--- a/internal/handover/state.go
+++ b/internal/handover/state.go
@@ -19,6 +19,7 @@
 type hello struct {
 	Identity
 	ExchangesKeys bool `json:"keys,omitempty"`
+	ExchangesIDs  bool `json:"ids,omitempty"`
 }
 
 // State is the state that a process passes to its successor together with the listening socket.
@@ -29,6 +30,8 @@
 	Services    map[string]Service `json:"services"`
 	// ExchangesKeys says that the predecessor answers questions about idempotency keys.
 	ExchangesKeys bool `json:"keys,omitempty"`
+	// ExchangesIDs says that the predecessor answers questions about the IDs of non-idempotent requests.
+	ExchangesIDs bool `json:"ids,omitempty"`
 }
 
 // Service is the state of one service.
--- a/internal/testing/processes/unsafe_id_test.go
+++ b/internal/testing/processes/unsafe_id_test.go
@@ -1,10 +1,12 @@
 package processes
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -13,6 +15,24 @@
 	"orchiddrift/internal/testing/testutil/base"
 )
 
+// bookingTables are the tables of a service with a class of requests that must not run twice, and that have an ID.
+const bookingTables = `[[service.class]]
+name = "book"
+effect = "unsafe"
+deadline = "5s"
+[[service.class]]
+name = "look"
+effect = "safe"
+deadline = "5s"
+[[route]]
+match = "POST /book"
+class = "book"
+id = "header:X-Request-ID"
+[[route]]
+match = "GET /a"
+class = "look"
+`
+
 // A request that must not run twice ran twice when it came again, with its ID, at the other process of a replacement: the successor does not
 // know the IDs of its predecessor.
 func TestUnsafeIDAtTheOtherProcess(t *testing.T) {
@@ -32,7 +52,7 @@
 		t.Fatal(err)
 	}
 	defer reserved.Release()
-	file := shutdownFile(reserved.Address, []string{upstream}, "")
+	file := shutdownFile(reserved.Address, []string{upstream}, "") + bookingTables
 	p := New(t, 1).Process(Spec{Name: "s", Args: []string{"--config", "web.toml"}, Ready: Listening, Files: map[string]string{"web.toml": file}})
 	if err := p.Start(within(t, Patience), nil); err != nil {
 		t.Fatal(err)
@@ -57,3 +77,71 @@
 		t.Errorf("the booking ran %d times, want once", runs["booking"])
 	}
 }
+
+// While both processes of a replacement run, a request that must not run twice is known at either by its ID, whichever has it.
+func TestUnsafeIDAtEither(t *testing.T) {
+	for _, firstAtPredecessor := range []bool{true, false} {
+		t.Run(fmt.Sprint(firstAtPredecessor), func(t *testing.T) {
+			arrived, done := make(chan string, 10), make(chan struct{})
+			upstream := base.HTTP(t, nil, func(w http.ResponseWriter, r *http.Request) {
+				if r.Method == http.MethodPost {
+					arrived <- r.Header.Get("X-Request-Id")
+					<-done
+				}
+				_, _ = io.WriteString(w, "done")
+			})
+			defer close(done)
+			reserved, err := fakes.Reserve("127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer reserved.Release()
+			file := shutdownFile(reserved.Address, []string{upstream}, "") + bookingTables
+			p := New(t, 1).Process(Spec{Name: "s", Args: []string{"--config", "web.toml"}, Ready: Listening, Files: map[string]string{"web.toml": file}})
+			if err := p.Start(within(t, Patience), nil); err != nil {
+				t.Fatal(err)
+			}
+			atPredecessor := base.Dial(t, reserved.Address)
+			get(t, atPredecessor)
+			p.mu.Lock()
+			err = p.launchLocked(nil)
+			p.mu.Unlock()
+			if err == nil {
+				err = p.AwaitReady(within(t, Patience))
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			base.Eventually(t, "new connections go to the successor", func() bool {
+				return slices.ContainsFunc(p.rig.History.Events(0), func(e Event) bool { return e.What == "hand-over: the successor serves" })
+			})
+			atSuccessor := base.Dial(t, reserved.Address)
+			get(t, atSuccessor)
+			first, again := atSuccessor, atPredecessor
+			if firstAtPredecessor {
+				first, again = atPredecessor, atSuccessor
+			}
+			const booking = "POST /book HTTP/1.1\r\nHost: s\r\nX-Request-ID: booking\r\nContent-Length: 1\r\n\r\nx"
+			_, _ = io.WriteString(first, booking)
+			<-arrived
+			first.Close()
+			_, _ = io.WriteString(again, booking)
+			response, err := http.ReadResponse(bufio.NewReader(again), nil)
+			if err != nil || response.StatusCode != http.StatusConflict || len(arrived) > 0 {
+				t.Errorf("the booking that came again got %v, error %v, and ran %d more times; want 409, and not once", response, err, len(arrived))
+			}
+		})
+	}
+}
+
+// get sends a request and reads its answer, so that the connection is known to have been accepted.
+func get(t *testing.T, conn net.Conn) {
+	t.Helper()
+	_ = conn.SetDeadline(time.Now().Add(Patience))
+	_, _ = io.WriteString(conn, "GET /a HTTP/1.1\r\nHost: s\r\n\r\n")
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+}
