A request whose last bytes may be unread keeps its connection

The eviction of requests that arrive for over a second did not look whether bytes waited to be read: with these the request may be complete, and closing it would lose it. Found by reading; TestRequestThatArrivesForLongMakesRoom failed on it before (the connection with an unread byte was evicted).

--- a/internal/server/downstream/eviction.go
+++ b/internal/server/downstream/eviction.go
@@ -140,8 +140,8 @@
 	switch rank {
 	case rankStalled:
 		return !c.hasUnreadBytes() && c.closeIf(c.arrival.stalled(now))
-	case rankReceiving:
-		return c.closeIf(c.arrival.receivingFor(now) >= receiveTime)
+	case rankReceiving: // bytes that are unread may be its last ones
+		return !c.hasUnreadBytes() && c.closeIf(c.arrival.receivingFor(now) >= receiveTime)
 	case rankShut, rankClientGone:
 		return c.closeUnlessActive()
 	}
--- a/internal/server/downstream/eviction_test.go
+++ b/internal/server/downstream/eviction_test.go
@@ -101,15 +101,24 @@
 	if _, err := io.ReadFull(client, make([]byte, len(sent))); err != nil {
 		t.Fatal(err)
 	}
-	_, _ = io.WriteString(peer, "a")
-	base.Eventually(t, "the client goes on", client.hasUnreadBytes)
-	connections.mu.Lock()
-	defer connections.mu.Unlock()
-	if connections.evictLocked(nil) {
+	evicted := func() bool {
+		connections.mu.Lock()
+		defer connections.mu.Unlock()
+		return connections.evictLocked(nil)
+	}
+	if evicted() {
 		t.Fatal("the connection was evicted before receiveTime")
 	}
 	client.arrival.partialSince.Add(-int64(2 * receiveTime))
-	if !connections.evictLocked(nil) {
+	_, _ = io.WriteString(peer, "a")
+	base.Eventually(t, "the client goes on", client.hasUnreadBytes)
+	if evicted() {
+		t.Fatal("the connection was evicted although the rest of its request may have come")
+	}
+	if _, err := client.Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	if !evicted() {
 		t.Error("the connection was not evicted")
 	}
 }
