--- a/internal/testing/soak/fleet.go
+++ b/internal/testing/soak/fleet.go
@@ -254,6 +254,8 @@
 		f.runningSteps.Go(func() { f.restart(f.sidecars[step.Target], step.Kind) })
 	case Crowd:
 		f.runningSteps.Go(func() { f.crowd(f.sidecars[step.Target], step) })
+	case PipeliningLeave:
+		f.runningSteps.Go(func() { f.pipeliningClients(f.sidecars[step.Target], step) })
 	case Pause:
 		f.runningSteps.Go(func() { f.pause(f.sidecars[step.Target], step.For) })
 	case UpstreamHangs:
--- a/internal/testing/soak/script.go
+++ b/internal/testing/soak/script.go
@@ -12,20 +12,21 @@
 
 // The kinds of steps. The effect of a kind with a duration ends after Step.For.
 const (
-	DiscoveryDown    StepKind = "discovery down"      // calls fail and watches end
-	DiscoveryRefuses StepKind = "discovery refuses"   // discovery rejects the next Count calls at each address
-	WatchesReset     StepKind = "watches reset"       // discovery closes all watches
-	WatchesSilent    StepKind = "watches silent"      // open calls and watches stay open but get no more bytes
-	Drain            StepKind = "drain"               // an upstream is listed as draining but continues to serve
-	Remove           StepKind = "remove"              // an upstream is removed from the list
-	Reload           StepKind = "reload"              // a sidecar's configuration gets another address of discovery, then SIGHUP
-	Terminate        StepKind = "terminate"           // SIGTERM, and a new process after the old one has ended
-	Kill             StepKind = "kill"                // SIGKILL, and a new process after it
-	TerminateSeries  StepKind = "terminate in series" // as Terminate, with SIGHUP and SIGTERM in turn until the process has ended
-	Crowd            StepKind = "crowd"               // Count connections to a sidecar are opened within For, of which every second one stays idle
-	Pause            StepKind = "pause"               // SIGSTOP, and SIGCONT after For
-	UpstreamHangs    StepKind = "upstream hangs"      // an upstream does not answer requests that arrive within For
-	UpstreamResets   StepKind = "upstream resets"     // an upstream closes the connections of requests that arrive within For
+	DiscoveryDown    StepKind = "discovery down"           // calls fail and watches end
+	DiscoveryRefuses StepKind = "discovery refuses"        // discovery rejects the next Count calls at each address
+	WatchesReset     StepKind = "watches reset"            // discovery closes all watches
+	WatchesSilent    StepKind = "watches silent"           // open calls and watches stay open but get no more bytes
+	Drain            StepKind = "drain"                    // an upstream is listed as draining but continues to serve
+	Remove           StepKind = "remove"                   // an upstream is removed from the list
+	Reload           StepKind = "reload"                   // a sidecar's configuration gets another address of discovery, then SIGHUP
+	Terminate        StepKind = "terminate"                // SIGTERM, and a new process after the old one has ended
+	Kill             StepKind = "kill"                     // SIGKILL, and a new process after it
+	TerminateSeries  StepKind = "terminate in series"      // as Terminate, with SIGHUP and SIGTERM in turn until the process has ended
+	Crowd            StepKind = "crowd"                    // Count connections to a sidecar are opened within For, of which every second one stays idle
+	PipeliningLeave  StepKind = "pipelining clients leave" // clients of a sidecar send a request and Count behind it, and leave within For
+	Pause            StepKind = "pause"                    // SIGSTOP, and SIGCONT after For
+	UpstreamHangs    StepKind = "upstream hangs"           // an upstream does not answer requests that arrive within For
+	UpstreamResets   StepKind = "upstream resets"          // an upstream closes the connections of requests that arrive within For
 )
 
 // Step is one fault or change.
@@ -34,7 +35,7 @@
 	Kind   StepKind
 	Target int           // number of the sidecar or upstream, for kinds that affect one
 	For    time.Duration // duration, for kinds that have one
-	Count  int           // number of calls of DiscoveryRefuses, or of connections of Crowd
+	Count  int           // number of calls of DiscoveryRefuses, of connections of Crowd, or of requests behind the first of PipeliningLeave
 }
 
 // Script holds the settings and steps that Draw derives from a seed.
@@ -62,8 +63,15 @@
 	minCrowd    = 100 // minimum number of connections in a Crowd
 	maxCrowd    = 300
 	crowdLength = time.Second
+
+	pipeliningSteps = 3                      // number of PipeliningLeave in a script
+	pipeliningStay  = 150 * time.Millisecond // longest time until a client of PipeliningLeave leaves
 )
 
+// requestsBehind are the numbers of requests that the clients of PipeliningLeave send behind their first one: fewer and more than a sidecar can
+// read ahead.
+var requestsBehind = [...]int{3, 40, 400, 1500}
+
 // Draw returns the script for a seed. The script has the given length, or minLength if that is longer.
 func Draw(seed uint64, length time.Duration) Script {
 	rng := rand.New(rand.NewPCG(seed, 0x736f616b))
@@ -76,6 +84,9 @@
 	for range int(d.last/time.Second) * 2 / 3 {
 		d.step()
 	}
+	for range pipeliningSteps {
+		d.pipeliningClients()
+	}
 	slices.SortStableFunc(s.Steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return s
 }
@@ -174,6 +185,14 @@
 	}
 }
 
+// pipeliningClients adds clients that leave with requests unread, while an upstream resets requests, so that those in flight are sent again.
+func (d *drawer) pipeliningClients() {
+	at := d.moment()
+	d.add(Step{At: at, Kind: PipeliningLeave, Target: d.rng.IntN(d.script.Sidecars), For: pipeliningStay, Count: requestsBehind[d.rng.IntN(len(requestsBehind))]})
+	d.add(Step{At: max(0, at-between(d.rng, 0, 300*time.Millisecond)), Kind: UpstreamResets, Target: d.remainingUpstream(),
+		For: between(d.rng, 300*time.Millisecond, time.Second)})
+}
+
 // remainingUpstream returns an upstream that no step drains or removes.
 func (d *drawer) remainingUpstream() int {
 	return d.script.Upstreams - 1 - d.rng.IntN(d.script.Upstreams/2)
