Second answers that come some milliseconds late are not served to other requests

Cause: a connection to an upstream was used again 5 ms after an answer, and a second answer may come later. Change: it rests for 15 ms.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -20,7 +20,7 @@
 	sweepFraction = 0.1
 	// defaultRestTime is how long a connection is not used after a response: unexpected bytes that an upstream sends after a response may
 	// arrive somewhat later, and would be read as the response to the next request.
-	defaultRestTime = 5 * time.Millisecond
+	defaultRestTime = 15 * time.Millisecond
 )
 
 // Options are the parameters of a Pool.
