Requests sent at once after a rest of their connection are not rejected as unseen

Change: the first bytes of a request after a rest are a sign; a request that is still arriving has its own body unread, and only an end that the system knows counts.

--- a/internal/server/downstream/arrival.go
+++ b/internal/server/downstream/arrival.go
@@ -56,6 +56,9 @@
 	return a.complete.Load() > a.ended.Load()+inFlight || a.partialSince.Load() != 0
 }
 
+// inFlight reports whether a request has been read completely and is not answered.
+func (a *arrival) inFlight() bool { return a.complete.Load() > a.ended.Load() }
+
 // receivingFor returns how long the client has been sending a request that has not come completely, if no other request is in flight.
 func (a *arrival) receivingFor(now time.Time) time.Duration {
 	since := a.partialSince.Load()
--- a/internal/server/downstream/connection.go
+++ b/internal/server/downstream/connection.go
@@ -103,6 +103,9 @@
 	c.arrival.readBegins(&c.framing)
 	n, err := c.readClient(p)
 	if n > 0 {
+		if c.currentPhase() == phaseIdle {
+			c.recordSign()
+		}
 		if !c.tryActivate() {
 			return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: net.ErrClosed}
 		}
--- a/internal/server/downstream/presence.go
+++ b/internal/server/downstream/presence.go
@@ -53,7 +53,7 @@
 	if hasEnded(fd) {
 		return Gone
 	}
-	if !c.requestsBehind(1) || now.Sub(c.lastSign()) <= maxUnseen {
+	if !c.arrival.inFlight() || !c.requestsBehind(1) || now.Sub(c.lastSign()) <= maxUnseen {
 		return Present
 	}
 	if unread, err := unix.IoctlGetInt(fd, unix.TIOCINQ); err == nil && unread > visibleEndBytes {
@@ -86,12 +86,16 @@
 func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	if n > 0 {
-		c.signAt.Store(int64(time.Since(processStart)))
+		c.recordSign()
 	}
 	return n, err
 }
 
-// lastSign returns when the client last gave a sign: it sent the first bytes of the connection, or did not reject bytes of an answer.
+// recordSign records that the client gives a sign now.
+func (c *conn) recordSign() { c.signAt.Store(int64(time.Since(processStart))) }
+
+// lastSign returns when the client last gave a sign: it sent the first bytes of the connection, or of a request after a rest, or it did not
+// reject bytes of an answer.
 func (c *conn) lastSign() time.Time { return processStart.Add(time.Duration(c.signAt.Load())) }
 
 // recordArrival records when the client last sent something, for a connection that may have waited to be accepted.
