--- a/internal/daemon/resources.go
+++ b/internal/daemon/resources.go
@@ -25,8 +25,8 @@
 	reservedDescriptors = 32
 	// connectionBytes is the memory that a client's connection may take with its request and the connection to the upstream, beside what
 	// the spool and the answers have. It bounds the connections where memory is short, beside processBytes for everything else.
-	connectionBytes = 96 << 10
-	processBytes    = 20 << 20
+	connectionBytes = 128 << 10
+	processBytes    = 16 << 20
 	// minPlaces is the number of connections to clients that are allowed however short memory is.
 	minPlaces = 32
 	// heapFraction is the part of the memory limit that the Go runtime may use, unless the program's pages need more than the rest.
--- a/internal/residentmemory/residentmemory.go
+++ b/internal/residentmemory/residentmemory.go
@@ -37,24 +37,28 @@
 // mapping is a range of addresses.
 type mapping struct{ start, end uintptr }
 
-// Program is the part of the process's memory that holds unchanged pages of files: the program's code and constants.
+// Program is the part of the process's memory that holds unchanged pages of the program's file: its code and constants.
 type Program struct{ mappings []mapping }
 
 // mappingsFile is where the system lists the mappings of a process.
 const mappingsFile = "/proc/self/smaps"
 
-// FindProgram finds the mappings of the program's file and of its libraries that the process can't write and has not changed.
+// FindProgram finds the mappings of the program's file that the process can't write and has not changed.
 func FindProgram() (*Program, error) {
+	path, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
 	file, err := os.Open(mappingsFile)
 	if err != nil {
 		return nil, err
 	}
 	defer file.Close()
-	return parseMappings(file)
+	return parseMappings(file, path)
 }
 
-// parseMappings reads the mappings in the form of mappingsFile: a line with the addresses, and lines "Name: value kB". Pages that the process has changed are anonymous.
-func parseMappings(from io.Reader) (*Program, error) {
+// parseMappings reads the mappings of the file at path in the form of mappingsFile: a line with the addresses, and lines "Name: value kB". Pages that the process has changed are anonymous.
+func parseMappings(from io.Reader, path string) (*Program, error) {
 	program := &Program{}
 	lines := bufio.NewScanner(from)
 	var current *mapping // of the lines that follow, if it may be released
@@ -68,7 +72,7 @@
 			}
 		default:
 			var err error
-			if current, err = parseMapping(fields); err != nil {
+			if current, err = parseMapping(fields, path); err != nil {
 				return nil, err
 			}
 		}
@@ -83,9 +87,9 @@
 	pathField       = 5
 )
 
-// parseMapping returns the mapping that a line begins, or nil if it is not one of a file, or can be written.
-func parseMapping(fields []string) (*mapping, error) {
-	if len(fields) <= pathField || !strings.HasPrefix(fields[pathField], "/") {
+// parseMapping returns the mapping that a line begins, or nil if it is not one of the file at path, or can be written.
+func parseMapping(fields []string, path string) (*mapping, error) {
+	if len(fields) <= pathField || strings.Join(fields[pathField:], " ") != path {
 		return nil, nil
 	}
 	if permissions := fields[permissionField]; !strings.HasPrefix(permissions, "r-") || !strings.HasSuffix(permissions, "p") {
--- a/internal/residentmemory/residentmemory_test.go
+++ b/internal/residentmemory/residentmemory_test.go
@@ -43,15 +43,17 @@
 Anonymous:             0 kB
 00900000-00a00000 r-xp 00000000 00:00 0 [vdso]
 Anonymous:             0 kB
-00a00000-00b00000 r--p 00000000 08:01 3 /lib/libc.so
+00a00000-00b00000 r--p 00200000 08:01 1 /bin/program
+Anonymous:               0 kB
+00b00000-00c00000 r-xp 00000000 08:01 3 /lib/libc.so
 Anonymous:             0 kB
 `
-	program, err := parseMappings(strings.NewReader(text))
+	program, err := parseMappings(strings.NewReader(text), "/bin/program")
 	want := []mapping{{0x400000, 0x500000}, {0xa00000, 0xb00000}}
 	if err != nil || !slices.Equal(program.mappings, want) {
 		t.Errorf("got %v and error %v, want %v", program, err, want)
 	}
-	if _, err := parseMappings(strings.NewReader("zz-10 r-xp 0 0:0 1 /bin/program\n")); err == nil {
+	if _, err := parseMappings(strings.NewReader("zz-10 r-xp 0 0:0 1 /bin/program\n"), "/bin/program"); err == nil {
 		t.Error("a line without addresses gave no error")
 	}
 }
